--- /dev/null
+++ b/bench/src/main/kotlin/org/lentilquay/bench/Main.kt
@@ -0,0 +1,3 @@
+package org.lentilquay.bench
+
+fun main() = println("lentilquay bench")
--- /dev/null
+++ b/cli/src/main/kotlin/org/lentilquay/cli/Main.kt
@@ -0,0 +1,3 @@
+package org.lentilquay.cli
+
+fun main() = println("lentilquay cli")
--- /dev/null
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/Main.kt
@@ -0,0 +1,3 @@
+package org.lentilquay.daemon
+
+fun main() = println("lentilquay daemon")
--- /dev/null
+++ b/standins/src/main/kotlin/org/lentilquay/standins/Main.kt
@@ -0,0 +1,3 @@
+package org.lentilquay.standins
+
+fun main() = println("lentilquay standins")
