--- a/core/src/main/kotlin/org/lentilquay/protocol/AdministrationMessages.kt
+++ b/core/src/main/kotlin/org/lentilquay/protocol/AdministrationMessages.kt
@@ -55,3 +55,48 @@
     val retry: String,
     @kotlinx.serialization.SerialName("retry_after_ms") val retryAfterMillis: Long? = null,
 )
+
+/** Answer of `GET /admin/v1/status`: what one VM knows. */
+@Serializable
+data class StatusReport(
+    val vm: String,
+    val domain: String,
+    val revision: Long,
+    /** `current`, `outage` or `isolated`; see docs/design.md, section 4.5. */
+    val freshness: String,
+    val ready: Boolean,
+    val tableReachable: Boolean,
+    val seats: List<Int>,
+    val members: List<MemberStatus>,
+    val ownedServers: List<ServerStatus>,
+    val activeRequests: Int,
+)
+
+@Serializable
+data class MemberStatus(val vm: String, val domain: String, val address: String, val state: String)
+
+/** What the owner of a backend server knows of it. */
+@Serializable
+data class ServerStatus(
+    val server: String,
+    val fence: Long,
+    val state: String,
+    val loaded: List<String>,
+    val inFlight: Int,
+    val queued: Int,
+)
+
+/** Answer of `GET /admin/v1/explain`: how a request for a route would be placed now. */
+@Serializable
+data class Explanation(
+    val route: String,
+    val target: String,
+    val revision: Long,
+    /** Backend servers in the order in which they would be tried. */
+    val candidates: List<ExplainedServer>,
+    /** Servers that serve the target but would not be tried, with the reason. */
+    val excluded: List<ExplainedServer>,
+)
+
+@Serializable
+data class ExplainedServer(val server: String, val domain: String, val owner: String?, val reason: String)
