Add the platform client and single-shot HTTP exchanges

Cause: writes to the table service need to tell "certainly no effect" from "outcome unknown", and a general HTTP client hides that difference.

Ruled out: pipelined connections of the Ktor CIO engine (a stream blocks the requests behind it, and POST is never pipelined); the retry and redirect features of the client (both send a request twice).

Change: an exchange that uses one connection per request and reports a failed connect as not written, everything later as possibly written; a platform client with bounded concurrency, 1 s time bounds and counters on top of it.

Conclusion: callers can decide from the result type alone whether to read back.

--- /dev/null
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/Addresses.kt
@@ -0,0 +1,32 @@
+/*
+ * Addresses in settings, tables and messages are texts of the form `ip:port`, with IPv6 addresses in brackets. No name
+ * is ever resolved: the system communicates by IP address, so a name service is not a part that can fail.
+ */
+package org.lentilquay.transport.http
+
+private const val MAXIMUM_PORT = 65_535
+private const val MAXIMUM_OCTET = 255
+private val IPV4 = Regex("""(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3})""")
+private val IPV6 = Regex("""[0-9a-fA-F:.]*:[0-9a-fA-F:.]*""")
+
+/** An IP address without brackets, and a port. Port 0 asks the system for a free port when listening. */
+data class IpAddress(val ip: String, val port: Int) {
+    override fun toString(): String = if (':' in ip) "[$ip]:$port" else "$ip:$port"
+}
+
+/** Reads `ip:port` or `[ipv6]:port`, or returns null for anything else, including host names. */
+fun ipAddressOf(text: String): IpAddress? {
+    val separator = text.lastIndexOf(':')
+    val port = text.substring(separator + 1).takeIf { digits -> digits.all { it in '0'..'9' } }?.toIntOrNull()
+    if (separator <= 0 || port == null || port > MAXIMUM_PORT) return null
+    val host = text.substring(0, separator)
+    val bracketed = host.startsWith('[') && host.endsWith(']')
+    return when {
+        bracketed && IPV6.matches(host.drop(1).dropLast(1)) -> IpAddress(host.drop(1).dropLast(1), port)
+        !bracketed && isIpv4(host) -> IpAddress(host, port)
+        else -> null
+    }
+}
+
+private fun isIpv4(host: String): Boolean =
+    IPV4.matchEntire(host)?.destructured?.toList()?.all { it.toInt() <= MAXIMUM_OCTET } ?: false
--- /dev/null
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/platform/PlatformClient.kt
@@ -0,0 +1,258 @@
+/*
+ * The client of the platform: table service, object store and VM list, as JSON over HTTP. Every call has a time bound
+ * in milliseconds and is sent once. The number of calls at once is bounded, so that a slow platform does not pile up
+ * connections; a call that finds no room in time is unavailable with certainly no effect. Docs: docs/design.md, 5.3.
+ */
+package org.lentilquay.transport.platform
+
+import io.ktor.client.request.HttpRequestBuilder
+import io.ktor.client.request.header
+import io.ktor.client.request.parameter
+import io.ktor.client.request.setBody
+import io.ktor.client.request.url
+import io.ktor.http.ContentType
+import io.ktor.http.HttpMethod
+import io.ktor.http.HttpStatusCode
+import io.ktor.http.URLBuilder
+import io.ktor.http.appendPathSegments
+import io.ktor.http.content.ByteArrayContent
+import io.ktor.http.takeFrom
+import kotlinx.coroutines.sync.Semaphore
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.builtins.nullable
+import kotlinx.serialization.json.Json
+import org.lentilquay.protocol.ListedVm
+import org.lentilquay.protocol.ScanAnswer
+import org.lentilquay.protocol.TableItem
+import org.lentilquay.protocol.TableOperation
+import org.lentilquay.protocol.TableTransaction
+import org.lentilquay.protocol.TransactionAnswer
+import org.lentilquay.protocol.VmList
+import org.lentilquay.state.VmId
+import org.lentilquay.transport.http.Exchange
+import org.lentilquay.transport.http.ExchangeClient
+import org.lentilquay.transport.http.WholeBody
+import org.lentilquay.transport.http.readWhole
+import java.util.concurrent.atomic.LongAdder
+
+/** Names the calling VM to the platform. */
+const val VM_ID_HEADER: String = "X-Vm-Id"
+
+private const val DEFAULT_TIMEOUT_MILLIS = 1_000L
+private const val DEFAULT_CONCURRENCY = 32
+private const val DEFAULT_PAGE_SIZE = 500
+private const val MAXIMUM_ANSWER_BYTES = 64 shl 20
+private const val CLIENT_ERRORS = 400
+private const val SERVER_ERRORS = 500
+
+private val json = Json { ignoreUnknownKeys = true }
+
+/** The bounds of a [PlatformClient]. */
+data class PlatformOptions(
+    val timeoutMillis: Long = DEFAULT_TIMEOUT_MILLIS,
+    /** Shorter than [timeoutMillis], so that an unreachable platform gives a certain answer. */
+    val connectMillis: Long = DEFAULT_TIMEOUT_MILLIS / 2,
+    val concurrentCalls: Int = DEFAULT_CONCURRENCY,
+)
+
+/** Calls the platform at `ip:port` [address] as [vm]. */
+class PlatformClient(
+    private val address: String,
+    private val vm: VmId,
+    private val options: PlatformOptions = PlatformOptions(),
+) : AutoCloseable {
+    private val exchanges = ExchangeClient(options.connectMillis)
+    private val places = Semaphore(options.concurrentCalls)
+    private val readCount = LongAdder()
+    private val writeCount = LongAdder()
+
+    /** Table and object reads and list reads since the start, including failed ones. */
+    val reads: Long get() = readCount.sum()
+
+    /** Table and object writes since the start, including failed ones. */
+    val writes: Long get() = writeCount.sum()
+
+    /** Applies all of [operations] or none. */
+    suspend fun transact(operations: List<TableOperation>): TransactResult {
+        writeCount.increment()
+        val body = json.encodeToString(TableTransaction.serializer(), TableTransaction(operations)).encodeToByteArray()
+        val request = request(HttpMethod.Post, listOf("table", "transact"))
+        request.setBody(ByteArrayContent(body, ContentType.Application.Json))
+        return when (val reply = send(request)) {
+            is Reply.NoEffect -> TransactResult.Unavailable(reply.reason)
+            is Reply.Unknown -> TransactResult.OutcomeUnknown(reply.reason)
+            is Reply.Whole -> transactResult(reply)
+        }
+    }
+
+    /** The item at [key], or null when there is none. */
+    suspend fun item(key: String): ReadResult<TableItem?> {
+        readCount.increment()
+        val request = request(HttpMethod.Get, listOf("table", "item")).apply { parameter("key", key) }
+        return read(request) { decode(TableItem.serializer().nullable, it) }
+    }
+
+    /** One page of the items whose keys start with [prefix] and come after [after], at most [limit]. */
+    suspend fun scanPage(
+        prefix: String,
+        after: String? = null,
+        limit: Int = DEFAULT_PAGE_SIZE,
+    ): ReadResult<ScanAnswer> {
+        readCount.increment()
+        val request = request(HttpMethod.Get, listOf("table", "scan")).apply {
+            parameter("prefix", prefix)
+            parameter("after", after)
+            parameter("limit", limit)
+        }
+        return required(read(request) { decode(ScanAnswer.serializer(), it) })
+    }
+
+    /** All items whose keys start with [prefix], page by page. The pages are not one consistent view. */
+    suspend fun scan(prefix: String, pageSize: Int = DEFAULT_PAGE_SIZE): ReadResult<List<TableItem>> {
+        val items = mutableListOf<TableItem>()
+        var after: String? = null
+        do {
+            val page = when (val result = scanPage(prefix, after, pageSize)) {
+                is ReadResult.Read -> result.value
+                is ReadResult.Unavailable -> return result
+            }
+            items += page.items
+            // A service that returned the same key for ever would otherwise hold the caller in this loop.
+            if (page.next != null && page.next == after) return ReadResult.Unavailable("scan made no progress")
+            after = page.next
+        } while (after != null)
+        return ReadResult.Read(items)
+    }
+
+    /** Writes the object; slashes in [name] stay slashes in the path. */
+    suspend fun putObject(name: String, content: ByteArray): WriteResult = write(
+        objectRequest(HttpMethod.Put, name).apply {
+            setBody(ByteArrayContent(content, ContentType.Application.OctetStream))
+        },
+    )
+
+    /** Deletes the object; deleting an absent object counts as written. */
+    suspend fun deleteObject(name: String): WriteResult = write(objectRequest(HttpMethod.Delete, name))
+
+    /** The content of the object, or null when there is none. */
+    suspend fun getObject(name: String): ReadResult<ByteArray?> {
+        readCount.increment()
+        return read(objectRequest(HttpMethod.Get, name)) { it }
+    }
+
+    /** The platform's list of live and leaving VMs, which lags behind. */
+    suspend fun vmList(): ReadResult<List<ListedVm>> {
+        readCount.increment()
+        return required(read(request(HttpMethod.Get, listOf("vms"))) { decode(VmList.serializer(), it).vms })
+    }
+
+    override fun close() = exchanges.close()
+
+    private suspend fun write(request: HttpRequestBuilder): WriteResult {
+        writeCount.increment()
+        return when (val reply = send(request)) {
+            is Reply.NoEffect -> WriteResult.Unavailable(reply.reason)
+            is Reply.Unknown -> WriteResult.OutcomeUnknown(reply.reason)
+            is Reply.Whole -> when {
+                reply.isSuccess || isAbsentDelete(request, reply) -> WriteResult.Written
+                reply.hadNoEffect -> WriteResult.Unavailable("status ${reply.status}")
+                else -> WriteResult.OutcomeUnknown("status ${reply.status}")
+            }
+        }
+    }
+
+    private suspend fun <T> read(request: HttpRequestBuilder, decode: (ByteArray) -> T): ReadResult<T?> =
+        when (val reply = send(request)) {
+            is Reply.NoEffect -> ReadResult.Unavailable(reply.reason)
+            is Reply.Unknown -> ReadResult.Unavailable(reply.reason)
+            is Reply.Whole -> when {
+                reply.isSuccess -> decoded(reply.body, decode)
+                reply.status == HttpStatusCode.NotFound.value -> ReadResult.Read(null)
+                else -> ReadResult.Unavailable("status ${reply.status}")
+            }
+        }
+
+    private suspend fun send(request: HttpRequestBuilder): Reply {
+        withTimeoutOrNull(options.timeoutMillis) { places.acquire() }
+            ?: return Reply.NoEffect("${options.concurrentCalls} calls already in progress")
+        return try {
+            when (val exchange = exchanges.open(request, options.timeoutMillis)) {
+                is Exchange.NotWritten -> Reply.NoEffect(exchange.reason)
+                is Exchange.Lost -> Reply.Unknown(exchange.reason)
+                is Exchange.Answered -> exchange.use { reply(it) }
+            }
+        } finally {
+            places.release()
+        }
+    }
+
+    private suspend fun reply(answer: Exchange.Answered): Reply {
+        val status = answer.response.status.value
+        return when (val body = answer.readWhole(MAXIMUM_ANSWER_BYTES, options.timeoutMillis)) {
+            is WholeBody.Complete -> Reply.Whole(status, body.bytes)
+            is WholeBody.TooLarge -> Reply.Unknown("answer larger than ${body.maximumBytes} bytes")
+            is WholeBody.Lost -> Reply.Unknown(body.reason)
+        }
+    }
+
+    private fun objectRequest(method: HttpMethod, name: String) =
+        request(method, listOf("objects") + name.split('/'))
+
+    private fun request(method: HttpMethod, path: List<String>) = HttpRequestBuilder().apply {
+        this.method = method
+        url(URLBuilder().takeFrom("http://$address").appendPathSegments(path).build())
+        header(VM_ID_HEADER, vm.text)
+    }
+}
+
+/** What came back for one request. */
+private sealed interface Reply {
+    data class NoEffect(val reason: String) : Reply
+
+    data class Unknown(val reason: String) : Reply
+
+    class Whole(val status: Int, val body: ByteArray) : Reply {
+        val isSuccess get() = status in HttpStatusCode.OK.value until HttpStatusCode.MultipleChoices.value
+
+        /** A refusal in the 400 range, or 503, is given before anything takes effect. Other failures say nothing. */
+        val hadNoEffect
+            get() = status in CLIENT_ERRORS until SERVER_ERRORS || status == HttpStatusCode.ServiceUnavailable.value
+    }
+}
+
+private fun transactResult(reply: Reply.Whole): TransactResult {
+    val isConflict = reply.status == HttpStatusCode.Conflict.value
+    if (!isConflict && reply.hadNoEffect) return TransactResult.Unavailable("status ${reply.status}")
+    if (!isConflict && !reply.isSuccess) return TransactResult.OutcomeUnknown("status ${reply.status}")
+    return when (val answer = decoded(reply.body) { decode(TransactionAnswer.serializer(), it) }) {
+        is ReadResult.Read ->
+            if (isConflict || !answer.value.committed) {
+                TransactResult.Conflict(answer.value.conflicts)
+            } else {
+                TransactResult.Committed(answer.value.versions)
+            }
+        is ReadResult.Unavailable ->
+            if (isConflict) TransactResult.Conflict(emptyList()) else TransactResult.OutcomeUnknown(answer.reason)
+    }
+}
+
+private fun isAbsentDelete(request: HttpRequestBuilder, reply: Reply.Whole): Boolean =
+    request.method == HttpMethod.Delete && reply.status == HttpStatusCode.NotFound.value
+
+private fun <T> decode(serializer: KSerializer<T>, bytes: ByteArray): T =
+    json.decodeFromString(serializer, bytes.decodeToString())
+
+private fun <T> decoded(bytes: ByteArray, decode: (ByteArray) -> T): ReadResult<T> =
+    try {
+        ReadResult.Read(decode(bytes))
+    } catch (failure: SerializationException) {
+        ReadResult.Unavailable("unreadable answer: ${failure.message?.lineSequence()?.first()}")
+    }
+
+/** A read for which "absent" is not a possible answer. */
+private fun <T : Any> required(result: ReadResult<T?>): ReadResult<T> = when (result) {
+    is ReadResult.Read -> result.value?.let { ReadResult.Read(it) } ?: ReadResult.Unavailable("status 404")
+    is ReadResult.Unavailable -> result
+}
