--- /dev/null
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/engine/EngineClient.kt
@@ -0,0 +1,221 @@
+/*
+ * The client of model engines: orders with a fencing number, reports, and inference runs. Every request is sent once.
+ * Each has a connection of its own (see Exchange), so that many streams run at once without waiting for each other.
+ * Times are in milliseconds. Docs: docs/design.md, section 5.2.
+ */
+package org.lentilquay.transport.engine
+
+import io.ktor.client.request.HttpRequestBuilder
+import io.ktor.client.request.header
+import io.ktor.client.request.parameter
+import io.ktor.client.request.setBody
+import io.ktor.client.request.url
+import io.ktor.http.ContentType
+import io.ktor.http.Headers
+import io.ktor.http.HttpMethod
+import io.ktor.http.HttpStatusCode
+import io.ktor.http.content.ByteArrayContent
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.contentOrNull
+import org.lentilquay.protocol.CacheEvents
+import org.lentilquay.protocol.CancelOrder
+import org.lentilquay.protocol.EngineErrorCodes
+import org.lentilquay.protocol.EngineHeaders
+import org.lentilquay.protocol.LoadAdapterOrder
+import org.lentilquay.protocol.LoadReport
+import org.lentilquay.protocol.ResumeOrder
+import org.lentilquay.protocol.UnloadAdapterOrder
+import org.lentilquay.transport.http.Exchange
+import org.lentilquay.transport.http.ExchangeClient
+import org.lentilquay.transport.http.WholeBody
+import org.lentilquay.transport.http.readWhole
+
+private const val DEFAULT_CONNECT_MILLIS = 400L
+private const val DEFAULT_ORDER_MILLIS = 1_000L
+private const val DEFAULT_LOAD_MILLIS = 30_000L
+private const val DEFAULT_REPORT_MILLIS = 1_000L
+private const val DEFAULT_HEADER_MILLIS = 10_000L
+private const val DEFAULT_IDLE_MILLIS = 30_000L
+private const val DEFAULT_EVENT_BYTES = 1 shl 20
+private const val MAXIMUM_REPORT_BYTES = 4 shl 20
+private const val MAXIMUM_ERROR_BYTES = 16_384
+
+private val json = Json { ignoreUnknownKeys = true }
+private val emptyObject = JsonObject(emptyMap())
+
+/** The bounds of an [EngineClient], in milliseconds and bytes. */
+data class EngineOptions(
+    val connectMillis: Long = DEFAULT_CONNECT_MILLIS,
+    /** Bound on claims, unloads, role changes and cancels. */
+    val orderMillis: Long = DEFAULT_ORDER_MILLIS,
+    /** Bound on a load, which includes the fetch from the weight store. */
+    val loadMillis: Long = DEFAULT_LOAD_MILLIS,
+    val reportMillis: Long = DEFAULT_REPORT_MILLIS,
+    /** Bound on the time to the answer headers of a run; engines send them when they accept the request. */
+    val headerMillis: Long = DEFAULT_HEADER_MILLIS,
+    /** Bound on the time between two events of a stream, and on a whole answer that is not a stream. */
+    val idleMillis: Long = DEFAULT_IDLE_MILLIS,
+    val maximumEventBytes: Int = DEFAULT_EVENT_BYTES,
+)
+
+/** Calls engines by their `ip:port` address. */
+class EngineClient(private val options: EngineOptions = EngineOptions()) : AutoCloseable {
+    private val exchanges = ExchangeClient(options.connectMillis)
+
+    /** Shows the engine the fencing number [fence], and learns whether it is the latest. */
+    suspend fun claim(address: String, fence: Long): OrderResult =
+        order(address, "claim", fence, json.encodeToString(JsonObject.serializer(), emptyObject), options.orderMillis)
+
+    suspend fun load(address: String, fence: Long, order: LoadAdapterOrder): OrderResult {
+        val body = json.encodeToString(LoadAdapterOrder.serializer(), order)
+        return order(address, "load_lora_adapter", fence, body, options.loadMillis)
+    }
+
+    suspend fun unload(address: String, fence: Long, order: UnloadAdapterOrder): OrderResult {
+        val body = json.encodeToString(UnloadAdapterOrder.serializer(), order)
+        return order(address, "unload_lora_adapter", fence, body, options.orderMillis)
+    }
+
+    suspend fun role(address: String, fence: Long, role: String): OrderResult {
+        val body = json.encodeToString(JsonObject.serializer(), JsonObject(mapOf("role" to JsonPrimitive(role))))
+        return order(address, "role", fence, body, options.orderMillis)
+    }
+
+    /** Stops the run [requestId] on the engine. Cancelling a run that has ended does no harm. */
+    suspend fun cancel(address: String, requestId: String): OrderResult {
+        val body = json.encodeToString(CancelOrder.serializer(), CancelOrder(requestId))
+        return order(address, "cancel", fence = null, body, options.orderMillis)
+    }
+
+    suspend fun loadReport(address: String): LoadReportResult =
+        report(get(address, "/load"), LoadReport.serializer())
+
+    suspend fun cacheEvents(address: String, after: Long): CacheEventsResult =
+        report(get(address, "/cache_events").apply { parameter("after", after) }, CacheEvents.serializer())
+
+    /** Sends a run to the engine and returns as soon as the answer headers are there. */
+    suspend fun open(
+        address: String,
+        path: String,
+        body: ByteArray,
+        headers: List<Pair<String, String>>,
+    ): EngineAnswer {
+        val request = post(address, path, body)
+        headers.forEach { (name, value) ->
+            // The content type belongs to the body here; setting the header as well would be an error.
+            if (!name.equals("content-type", ignoreCase = true)) request.headers[name] = value
+        }
+        return when (val exchange = exchanges.open(request, options.headerMillis)) {
+            is Exchange.NotWritten -> EngineAnswer.NotWritten(exchange.reason)
+            is Exchange.Lost -> EngineAnswer.LostBeforeHeaders(exchange.reason)
+            is Exchange.Answered -> opened(exchange)
+        }
+    }
+
+    /** Opens the stream of a run again, from the chunk [ResumeOrder.fromIndex] on. */
+    suspend fun resume(address: String, order: ResumeOrder): EngineAnswer {
+        val body = json.encodeToString(ResumeOrder.serializer(), order).encodeToByteArray()
+        return open(address, "/v1/resume", body, listOf(EngineHeaders.REQUEST_ID to order.requestId))
+    }
+
+    override fun close() = exchanges.close()
+
+    private suspend fun opened(answer: Exchange.Answered): EngineAnswer {
+        val head = runHead(answer)
+        if (head.status == HttpStatusCode.OK.value) {
+            return EngineAnswer.Accepted(head, EventReader(answer, options.idleMillis, options.maximumEventBytes))
+        }
+        val body = answer.use { text(it, MAXIMUM_ERROR_BYTES) }
+        val code = body?.let(::errorCode)
+        return when {
+            head.status == HttpStatusCode.NotFound.value && code == EngineErrorCodes.ADAPTER_NOT_LOADED ->
+                EngineAnswer.NotLoaded(head)
+            head.status == HttpStatusCode.ServiceUnavailable.value && code == EngineErrorCodes.OVERLOADED ->
+                EngineAnswer.Overloaded(head)
+            else -> EngineAnswer.WrongStatus(head, code, body.orEmpty())
+        }
+    }
+
+    private suspend fun order(
+        address: String,
+        name: String,
+        fence: Long?,
+        body: String,
+        timeoutMillis: Long,
+    ): OrderResult {
+        val request = post(address, "/v1/$name", body.encodeToByteArray())
+        fence?.let { request.header(EngineHeaders.FENCING_TOKEN, it) }
+        return when (val exchange = exchanges.open(request, timeoutMillis)) {
+            is Exchange.NotWritten -> OrderResult.NotWritten(exchange.reason)
+            is Exchange.Lost -> OrderResult.OutcomeUnknown(exchange.reason)
+            is Exchange.Answered -> exchange.use { orderResult(it) }
+        }
+    }
+
+    private suspend fun orderResult(answer: Exchange.Answered): OrderResult {
+        val status = answer.response.status.value
+        val engineTime = answer.response.headers[EngineHeaders.ENGINE_TIME]?.toLongOrNull()
+        if (status == HttpStatusCode.OK.value) return OrderResult.Done(engineTime)
+        val code = text(answer, MAXIMUM_ERROR_BYTES)?.let(::errorCode)
+        val isStale = status == HttpStatusCode.Conflict.value && (code == null || code == EngineErrorCodes.STALE_FENCE)
+        return if (isStale) OrderResult.StaleFence(engineTime) else OrderResult.Rejected(status, code, engineTime)
+    }
+
+    private suspend fun <T> report(request: HttpRequestBuilder, serializer: KSerializer<T>): ReportResult<T> =
+        when (val exchange = exchanges.open(request, options.reportMillis)) {
+            is Exchange.NotWritten -> ReportResult.Failed(exchange.reason, connected = false)
+            is Exchange.Lost -> ReportResult.Failed(exchange.reason, connected = true)
+            is Exchange.Answered -> exchange.use { decodeReport(it, serializer) }
+        }
+
+    private suspend fun <T> decodeReport(answer: Exchange.Answered, serializer: KSerializer<T>): ReportResult<T> {
+        val status = answer.response.status
+        if (status != HttpStatusCode.OK) return ReportResult.Failed("status ${status.value}", connected = true)
+        val text = text(answer, MAXIMUM_REPORT_BYTES) ?: return ReportResult.Failed("report cut off", connected = true)
+        return try {
+            ReportResult.Received(json.decodeFromString(serializer, text))
+        } catch (failure: SerializationException) {
+            ReportResult.Failed("unreadable report: ${failure.message?.lineSequence()?.first()}", connected = true)
+        }
+    }
+
+    private suspend fun text(answer: Exchange.Answered, maximumBytes: Int): String? =
+        (answer.readWhole(maximumBytes, options.reportMillis) as? WholeBody.Complete)?.text
+}
+
+private fun runHead(answer: Exchange.Answered): RunHead {
+    val headers: Headers = answer.response.headers
+    return RunHead(
+        status = answer.response.status.value,
+        requestId = headers[EngineHeaders.REQUEST_ID],
+        servedModel = headers[EngineHeaders.SERVED_MODEL],
+        incarnation = headers[EngineHeaders.INCARNATION]?.toLongOrNull(),
+        headers = headers.entries().flatMap { (name, values) -> values.map { name to it } },
+    )
+}
+
+private fun post(address: String, path: String, body: ByteArray) = HttpRequestBuilder().apply {
+    method = HttpMethod.Post
+    url("http://$address$path")
+    setBody(ByteArrayContent(body, ContentType.Application.Json))
+}
+
+private fun get(address: String, path: String) = HttpRequestBuilder().apply {
+    method = HttpMethod.Get
+    url("http://$address$path")
+}
+
+/** The error code of an OpenAI-style body `{"error":{"code":...}}`, or of a body with the code at the top. */
+private fun errorCode(body: String): String? {
+    val root = try {
+        json.parseToJsonElement(body) as? JsonObject
+    } catch (_: SerializationException) {
+        null
+    }
+    val error = root?.get("error") as? JsonObject ?: root
+    return (error?.get("code") as? JsonPrimitive)?.contentOrNull
+}
