--- /dev/null
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/settings/PathFault.kt
@@ -0,0 +1,7 @@
+/*
+ * A fault of the settings as the checks find it, before its line is looked up.
+ */
+package org.lentilquay.daemon.settings
+
+/** A fault at a JSON path. */
+internal data class PathFault(val path: String, val message: String)
--- /dev/null
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/settings/SettingsReader.kt
@@ -0,0 +1,114 @@
+/*
+ * Reads the settings file of a VM and checks it as a whole. The result is either usable settings with their secrets or
+ * the list of every fault that could be found: a text that is not JSON has one fault; wrong names and types are listed
+ * together; broken rules and unreadable secrets are listed together once names and types are right.
+ */
+package org.lentilquay.daemon.settings
+
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.io.path.readText
+
+/** A shorter fleet secret could be found by trying. */
+private const val MINIMUM_SECRET_BYTES = 16
+private val OFFSET = Regex("offset (\\d+)")
+
+private val json = Json {
+    allowComments = true
+    allowTrailingComma = true
+    ignoreUnknownKeys = false
+}
+
+/** One fault of a settings file, at a JSON path and, if it can be told, a line counted from 1. */
+data class SettingsFault(val path: String, val line: Int?, val message: String) {
+    override fun toString(): String = if (line == null) "$path: $message" else "$path (line $line): $message"
+}
+
+/** The outcome of [readSettings]. */
+sealed interface SettingsResult {
+    class Read(val settings: Settings, val fleetSecret: Secret) : SettingsResult
+
+    /** [faults] is never empty and is in the order of the file as far as lines are known. */
+    data class Faulty(val faults: List<SettingsFault>) : SettingsResult
+}
+
+/** Reads the settings in the file [path]; [environment] gives the values of environment variables. */
+fun readSettings(path: Path, environment: (String) -> String? = System::getenv): SettingsResult =
+    try {
+        settingsOf(path.readText(), environment)
+    } catch (failure: IOException) {
+        SettingsResult.Faulty(
+            listOf(SettingsFault(ROOT_PATH, null, "cannot read the file: ${failure::class.simpleName}")),
+        )
+    }
+
+/** Reads the settings in [text]. Files of secrets are read as well. */
+fun settingsOf(text: String, environment: (String) -> String? = System::getenv): SettingsResult {
+    val tree = try {
+        json.parseToJsonElement(text)
+    } catch (failure: SerializationException) {
+        return SettingsResult.Faulty(listOf(syntaxFault(text, failure)))
+    }
+    val positions = jsonPositions(text)
+    val repeated = positions.repeated.map { PathFault(it, "given more than once") }
+    val faults = repeated + schemaFaults(tree, Settings.serializer().descriptor, ROOT_PATH)
+    return if (faults.isEmpty()) checked(tree, positions, environment) else faulty(faults, positions)
+}
+
+private fun checked(tree: JsonElement, positions: JsonPositions, environment: (String) -> String?): SettingsResult {
+    val settings = json.decodeFromJsonElement(Settings.serializer(), tree)
+    val secret = secretOf(settings.fleetSecret, environment)
+    val secretFaults = listOfNotNull((secret as? SecretResult.Missing)?.let { PathFault("$.fleetSecret", it.reason) })
+    val faults = ruleFaults(settings) + secretFaults
+    return if (secret is SecretResult.Found && faults.isEmpty()) {
+        SettingsResult.Read(settings, secret.secret)
+    } else {
+        faulty(faults, positions)
+    }
+}
+
+private fun faulty(faults: List<PathFault>, positions: JsonPositions) = SettingsResult.Faulty(
+    faults.map { SettingsFault(it.path, positions.lineOf(it.path), it.message) }
+        .sortedBy { it.line ?: Int.MAX_VALUE },
+)
+
+/** The library's message quotes the text around the fault, which may hold a secret; only the position is kept. */
+private fun syntaxFault(text: String, failure: SerializationException): SettingsFault {
+    val offset = failure.message?.let(OFFSET::find)?.groupValues?.get(1)?.toIntOrNull()
+    return SettingsFault(ROOT_PATH, offset?.let { lineAt(text, it) }, "not valid JSON")
+}
+
+private sealed interface SecretResult {
+    class Found(val secret: Secret) : SecretResult
+
+    data class Missing(val reason: String) : SecretResult
+}
+
+private fun secretOf(reference: SecretReference, environment: (String) -> String?): SecretResult {
+    val bytes = when {
+        (reference.file == null) == (reference.environment == null) ->
+            return SecretResult.Missing("must name either a file or an environment variable")
+        reference.file != null -> fileBytes(reference.file)
+            ?: return SecretResult.Missing("the file ${reference.file} cannot be read")
+        else -> environment(reference.environment.orEmpty())?.encodeToByteArray()
+            ?: return SecretResult.Missing("the environment variable ${reference.environment} is not set")
+    }
+    // Editors end files with a line break, which is not part of the secret.
+    val trimmed = bytes.decodeToString().trimEnd('\n', '\r').encodeToByteArray()
+    return if (trimmed.size < MINIMUM_SECRET_BYTES) {
+        SecretResult.Missing("the secret must have at least $MINIMUM_SECRET_BYTES bytes")
+    } else {
+        SecretResult.Found(Secret(trimmed))
+    }
+}
+
+private fun fileBytes(file: String): ByteArray? =
+    try {
+        Files.readAllBytes(Path.of(file))
+    } catch (_: IOException) {
+        null
+    }
--- /dev/null
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/timer/SystemTimer.kt
@@ -0,0 +1,39 @@
+/*
+ * The timer over the clocks of the machine. A pause is looked for on both clocks: on some machines the monotonic clock
+ * stands still while the VM is suspended, and only the wall clock shows the gap. A wall clock that is set forward looks
+ * like a pause as well; that costs a needless check of ownership, while a missed pause could cost correctness.
+ */
+package org.lentilquay.daemon.timer
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.flow
+
+private const val NANOS_PER_MILLI = 1_000_000L
+
+/** The [Timer] of the daemon; tests replace the two clocks. */
+class SystemTimer(
+    private val monotonicMillis: () -> Long = { System.nanoTime() / NANOS_PER_MILLI },
+    private val wallMillis: () -> Long = System::currentTimeMillis,
+) : Timer {
+    private val start = monotonicMillis()
+
+    override fun now(): Long = monotonicMillis() - start
+
+    override fun ticks(everyMillis: Long): Flow<TimerEvent> {
+        require(everyMillis > 0) { "a tick interval of $everyMillis ms is not positive" }
+        return flow {
+            var due = now() + everyMillis
+            var wallDue = wallMillis() + everyMillis
+            while (true) {
+                delay(due - now())
+                val gap = maxOf(now() - due, wallMillis() - wallDue)
+                if (gap > PAUSE_MILLIS) emit(TimerEvent.Paused(now(), gap))
+                emit(TimerEvent.Tick(now()))
+                // The next tick keeps the rhythm unless it is already overdue.
+                due = maxOf(due + everyMillis, now())
+                wallDue = wallMillis() + (due - now())
+            }
+        }
+    }
+}
