Decide for one backend server as plain code

Cause: reservations, pins, admission and loads of a server need one owner whose decisions can be tested without sockets or clocks.

Ruled out: evicting when a load is wanted. Permits of the weight store are the scarce resource (5 to 7 loads a second for a whole fleet), so slots would stand empty while permits are awaited; the slot is made free when the permit is there. Counting start tags per request: inside a team the order depends on which adapters are loaded, so the tag belongs to the team.

ActiveRun gains `answered`, so that inherited runs without an answer count against the cold limit.

--- /dev/null
+++ b/core/src/main/kotlin/org/lentilquay/coordination/allocation/ServerAllocator.kt
@@ -0,0 +1,304 @@
+/*
+ * The decisions of the owner of one backend server: reservations, adapter pins, the queue, admission and loads
+ * (docs/design.md, sections 4.1, 4.2, 4.9, 4.10 and 4.11). It has no clock and does no input or output: every call
+ * takes `now`, a monotonic time in milliseconds that never falls, and the daemon carries out the effects that calls
+ * return, in order. It is for use by one thread.
+ *
+ * Expected failures are answers (ReserveDecision) or effects; nothing is thrown for them.
+ */
+package org.lentilquay.coordination.allocation
+
+import org.lentilquay.coordination.allocation.internal.AllocatorParts
+import org.lentilquay.coordination.allocation.internal.Reservations
+import org.lentilquay.coordination.allocation.internal.Run
+import org.lentilquay.protocol.ActiveRun
+import org.lentilquay.protocol.LoadReport
+import org.lentilquay.protocol.PeerRequest
+import org.lentilquay.protocol.RunOutcome
+import org.lentilquay.state.AdapterVersion
+import org.lentilquay.state.BackendServer
+import org.lentilquay.state.TeamId
+import org.lentilquay.state.VmId
+
+/** What a new owner takes over from the ownership record. */
+data class InheritedState(
+    /** The adapter of an unload order that a previous owner may still send to a server that ignores fencing numbers. */
+    val pendingUnload: AdapterVersion? = null,
+    val teamWeights: Map<TeamId, Int> = emptyMap(),
+    val mayTakeWork: Boolean = true,
+)
+
+/** Makes the allocator of [server] for a VM that acquired its ownership with [fence] at [acquiredAt]. */
+fun serverAllocator(
+    server: BackendServer,
+    fence: Long,
+    acquiredAt: Long,
+    policy: AllocatorPolicy = AllocatorPolicy(),
+    inherited: InheritedState = InheritedState(),
+): ServerAllocator = ServerAllocator(server, fence, acquiredAt, policy, inherited)
+
+/** Decides for one backend server while this VM owns it. */
+class ServerAllocator internal constructor(
+    server: BackendServer,
+    val fence: Long,
+    acquiredAt: Long,
+    private val policy: AllocatorPolicy,
+    inherited: InheritedState,
+) {
+    private val parts = AllocatorParts(server, acquiredAt, policy, inherited)
+    private val reservations = Reservations(parts)
+    private val ownership = parts.ownership
+    private val health = parts.health
+    private val runs = parts.runs
+    private val queue = parts.queue
+    private val slots = parts.slots
+    private val loads = parts.loads
+
+    /**
+     * Asks for a place; repeated with the same request id it polls. Effects for other requests and loads are returned
+     * by the next call that returns effects, so [tick] should follow an answer of [ReserveDecision.Queued].
+     */
+    fun reserve(request: PeerRequest.Reserve, from: VmId, now: Long): ReserveDecision =
+        reservations.reserve(request, from, now)
+
+    /** The server began to answer [requestId]. */
+    fun progress(requestId: String, serverIncarnation: Long, now: Long): List<AllocatorEffect> {
+        parts.observeIncarnation(serverIncarnation, now)
+        val run = runs[requestId]
+        if (run != null && serverIncarnation == health.incarnation) runs.confirm(run, now)
+        return finish(now)
+    }
+
+    /** Ends the reservation of [requestId] or takes it out of the queue; repeating it has no effect. */
+    fun release(
+        requestId: String,
+        outcome: RunOutcome,
+        serverIncarnation: Long?,
+        now: Long,
+    ): List<AllocatorEffect> {
+        val isRepeated = runs.wasReleased(requestId)
+        queue.remove(requestId)
+        val run = runs.remove(requestId)
+        runs.recordRelease(requestId, now)
+        serverIncarnation?.let { parts.observeIncarnation(it, now) }
+        if (run != null || !isRepeated) noteOutcome(run, outcome, serverIncarnation, now)
+        return finish(now)
+    }
+
+    /** A load report of the engine arrived. */
+    fun report(report: LoadReport, now: Long): List<AllocatorEffect> {
+        parts.observeIncarnation(report.incarnation, now)
+        if (health.isNews(report)) {
+            val takenAt = parts.clock.earliestLocalTime(report.asOfMillis, now)
+            health.accept(report, takenAt, now)
+            slots.reconcile(report, takenAt, ownership.settledAt, now)
+            if (takenAt != null) runs.settle(report.running, takenAt, now)
+        }
+        return finish(now)
+    }
+
+    /** A VM listed its [activeRuns] on the server, which a previous owner granted; they pin their adapters. */
+    fun activeRuns(from: VmId, activeRuns: List<ActiveRun>, now: Long): List<AllocatorEffect> {
+        activeRuns
+            .filter { runs[it.requestId] == null && !runs.wasReleased(it.requestId) && queue[it.requestId] == null }
+            .forEach { active ->
+                val run = Run(
+                    requestId = active.requestId,
+                    adapter = active.adapter,
+                    from = from,
+                    fingerprints = setOf(active.fingerprint),
+                    isSuspect = false,
+                    estimatedTokens = 0,
+                    waitedForLoad = false,
+                    isInherited = true,
+                    grantedAt = now,
+                )
+                runs.add(run)
+                if (active.answered) runs.confirm(run, now)
+            }
+        return finish(now)
+    }
+
+    /** The VM is dead or left; its queued requests end, and its runs pin until a later report shows them idle. */
+    fun memberGone(vm: VmId, now: Long): List<AllocatorEffect> {
+        queue.all.filter { it.from == vm }.forEach { queue.remove(it.request.requestId) }
+        runs.memberGone(vm, now)
+        return finish(now)
+    }
+
+    /** The server accepted a claim with this owner's fence that was sent at [sentAt]. */
+    fun claimSucceeded(sentAt: Long, engineTimeMillis: Long, now: Long): List<AllocatorEffect> {
+        ownership.claimSucceeded(sentAt)
+        parts.clock.observe(sentAt, engineTimeMillis)
+        return finish(now)
+    }
+
+    /** The server or the ownership record knows a later owner. */
+    fun claimRejected(now: Long): List<AllocatorEffect> {
+        if (!ownership.isDeposed) {
+            ownership.depose()
+            loads.stopAll()
+            queue.all.toList().forEach {
+                queue.remove(it.request.requestId)
+                parts.effects += AllocatorEffect.NotOwner(it.request.requestId, it.from)
+            }
+        }
+        return finish(now)
+    }
+
+    /** The process was paused; it acts as a new owner from [now] on. */
+    fun resumedAfterPause(now: Long): List<AllocatorEffect> {
+        ownership.restart(now)
+        runs.inheritAll()
+        slots.requireIdleReports(ownership.settledAt)
+        return finish(now)
+    }
+
+    /** Whether the ownership of a server that ignores fencing numbers is in doubt, as its lease expired. */
+    fun inDoubt(isInDoubt: Boolean, now: Long): List<AllocatorEffect> {
+        ownership.isInDoubt = isInDoubt && !ownership.checksFencing
+        return finish(now)
+    }
+
+    /** Every listed VM acknowledged the fence or left the list; this also settles inherited pending orders. */
+    fun allVmsAcknowledged(now: Long): List<AllocatorEffect> {
+        ownership.isAcknowledgedByAll = true
+        return pendingUnloadCleared(now)
+    }
+
+    /** The previous owner can no longer send its pending unload: it acknowledged the fence, restarted or left. */
+    fun pendingUnloadCleared(now: Long): List<AllocatorEffect> {
+        slots.all.filter { it.state == SlotState.PENDING_UNLOAD }.toList().forEach { slots.remove(it.adapter, now) }
+        return finish(now)
+    }
+
+    /** The weight store permits the load of [adapter]; without a use for it the permit is given back. */
+    fun loadPermitted(adapter: AdapterVersion, now: Long): List<AllocatorEffect> {
+        loads.permitted(adapter)
+        return finish(now)
+    }
+
+    /** The order of [AllocatorEffect.Load] ended. */
+    fun loadFinished(adapter: AdapterVersion, result: LoadResult, now: Long): List<AllocatorEffect> {
+        val slot = slots[adapter]?.takeIf { it.state == SlotState.LOADING } ?: return finish(now)
+        val millis = loads.loadEnded(adapter, now)
+        val isSameProcess = slot.orderedFor == health.incarnation
+        when (result) {
+            LoadResult.LOADED -> {
+                if (!ownership.isSettled(now)) slot.requireIdleReport(ownership.settledAt)
+                slots.change(slot, if (isSameProcess) SlotState.LOADED else SlotState.UNCERTAIN, now)
+                parts.backoff.succeeded(adapter)
+                parts.estimator.observeLoad(millis)
+            }
+            LoadResult.FAILED -> {
+                slots.remove(adapter, now)
+                reservations.loadFailed(adapter, now)
+            }
+            LoadResult.NO_FREE_SLOT -> {
+                slots.remove(adapter, now)
+                loads.noFreeSlot(now)
+            }
+            LoadResult.NOT_SENT -> slots.remove(adapter, now)
+            LoadResult.UNKNOWN -> {
+                slots.change(slot, SlotState.UNCERTAIN, now)
+                if (!ownership.isSettled(now)) slot.requireIdleReport(ownership.settledAt)
+                reservations.loadFailed(adapter, now)
+            }
+        }
+        return finish(now)
+    }
+
+    /** The order of [AllocatorEffect.Unload] ended. */
+    fun unloadFinished(adapter: AdapterVersion, result: UnloadResult, now: Long): List<AllocatorEffect> {
+        val slot = slots[adapter]?.takeIf { it.state == SlotState.UNLOADING } ?: return finish(now)
+        val isSameProcess = slot.orderedFor == health.incarnation
+        when (result) {
+            UnloadResult.UNLOADED -> slots.remove(adapter, now)
+            UnloadResult.STILL_LOADED, UnloadResult.NOT_SENT ->
+                if (isSameProcess) slots.change(slot, SlotState.LOADED, now) else slots.remove(adapter, now)
+            UnloadResult.UNKNOWN -> {
+                slots.change(slot, SlotState.UNCERTAIN, now)
+                slot.retryAt = now + policy.unloadRetryMillis
+            }
+        }
+        return finish(now)
+    }
+
+    /** Applies a new configuration. */
+    fun reconfigure(
+        server: BackendServer,
+        mayTakeWork: Boolean,
+        teamWeights: Map<TeamId, Int>,
+        now: Long,
+    ): List<AllocatorEffect> {
+        health.server = server
+        ownership.checksFencing = server.checksFencing
+        queue.weights = teamWeights
+        parts.mayTakeWork = mayTakeWork
+        return finish(now)
+    }
+
+    /** Does what is due at [now]. Call it every 50 to 100 ms, and after a reservation that was queued. */
+    fun tick(now: Long): List<AllocatorEffect> {
+        reservations.expire(now)
+        runs.sweep(now)
+        slots.sweep(now)
+        parts.backoff.sweep(now)
+        reservations.advance(now)
+        loads.renewAnnouncements(now)
+        return parts.takeEffects()
+    }
+
+    /** The state for status pages. */
+    fun snapshot(now: Long): AllocatorSnapshot = AllocatorSnapshot(
+        server = health.server.id,
+        fence = fence,
+        state = ownership.state(now),
+        serverIncarnation = health.incarnation,
+        knownWarm = health.isKnownWarm,
+        mayTakeWork = parts.isOpen,
+        slotLimit = health.slotLimit,
+        slots = slots.all.map {
+            SlotSnapshot(
+                adapter = it.adapter,
+                state = it.state,
+                pins = runs.pins(it.adapter),
+                waiting = queue.waitingFor(it.adapter),
+                decayedFrequency = parts.frequencies.frequency(it.adapter, now),
+                awaitsIdleReport = it.idleReportAfter != null,
+            )
+        },
+        wantedLoads = loads.wanted,
+        queuedByTeam = queue.sizeByTeam,
+        inFlight = runs.inFlight,
+        inFlightLimit = parts.admission.limit(now),
+        unconfirmed = runs.unconfirmed,
+        coldLimit = health.coldLimit,
+        averageServiceMillis = parts.estimator.serviceMillis,
+        averageLoadMillis = parts.estimator.loadMillis,
+    )
+
+    private fun noteOutcome(run: Run?, outcome: RunOutcome, serverIncarnation: Long?, now: Long) {
+        val slot = run?.adapter?.let { slots[it] }
+        when (outcome) {
+            RunOutcome.COMPLETED -> run?.let { parts.estimator.observeRun(now - it.firstGrantedAt, it.estimatedTokens) }
+            RunOutcome.NOT_STARTED -> Unit
+            RunOutcome.ADAPTER_MISSING ->
+                if (slot != null && slot.state == SlotState.LOADED && slot.changedAt <= run.firstGrantedAt) {
+                    slots.remove(slot.adapter, now)
+                }
+            RunOutcome.SERVER_OVERLOADED -> health.pause(now)
+            // The server may go on with a run that its VM gave up.
+            RunOutcome.CANCELLED, RunOutcome.WRONG_ANSWER -> slot?.requireIdleReport(now)
+            RunOutcome.CONNECTION_LOST -> {
+                slot?.requireIdleReport(now)
+                if (serverIncarnation == null || serverIncarnation == health.incarnation) health.doubtWarmth(now)
+            }
+        }
+    }
+
+    private fun finish(now: Long): List<AllocatorEffect> {
+        reservations.advance(now)
+        return parts.takeEffects()
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/lentilquay/coordination/allocation/internal/FairQueue.kt
@@ -0,0 +1,160 @@
+/*
+ * The queue of one backend server: start-time fair queueing between teams (Goyal, Vin and Cheng, 1996) with the
+ * estimated tokens of a request as its cost and the team's weight as its rate. The start tag belongs to the team and
+ * not to the request, because inside a team the order depends on which adapters are loaded. Inside a team a long
+ * request is ordered as if it had arrived later by a fixed delay, so short ones pass it only for that long.
+ */
+package org.lentilquay.coordination.allocation.internal
+
+import org.lentilquay.coordination.allocation.AllocatorPolicy
+import org.lentilquay.protocol.PeerRequest
+import org.lentilquay.protocol.Priority
+import org.lentilquay.state.AdapterVersion
+import org.lentilquay.state.TeamId
+import org.lentilquay.state.VmId
+import java.util.TreeSet
+
+/** One queued request. */
+internal class Waiting(
+    val request: PeerRequest.Reserve,
+    val from: VmId,
+    val enqueuedAt: Long,
+    val sequence: Long,
+    longDelayMillis: Long,
+) {
+    val order: Long = enqueuedAt + if (request.priority == Priority.LONG) longDelayMillis else 0
+    var lastPollAt: Long = enqueuedAt
+    var deadline: Long = saturatingSum(enqueuedAt, request.waitMillis)
+    var waitedForLoad: Boolean = false
+
+    val cost: Long get() = maxOf(1L, request.estimatedTokens)
+
+    fun polled(waitMillis: Long, now: Long) {
+        lastPollAt = now
+        deadline = saturatingSum(now, waitMillis)
+    }
+
+    private companion object {
+        fun saturatingSum(time: Long, duration: Long): Long =
+            if (duration >= Long.MAX_VALUE - maxOf(time, 0)) Long.MAX_VALUE else time + duration
+    }
+}
+
+/** Queued requests by team; a request is *ready* if its adapter is loaded or if it needs none. */
+internal class FairQueue(private val policy: AllocatorPolicy) {
+    private inner class TeamQueue(val team: TeamId) {
+        val ready = TreeSet(compareBy<Waiting>({ it.order }, { it.sequence }))
+        var size = 0
+        var readyTokens = 0L
+        var finishTag = 0.0
+        val weight: Int get() = weights[team]?.coerceAtLeast(1) ?: 1
+        val startTag: Double get() = maxOf(virtualTime, finishTag)
+
+        fun setReady(waiting: Waiting, isReady: Boolean) {
+            if (isReady && ready.add(waiting)) readyTokens += waiting.cost
+            if (!isReady && ready.remove(waiting)) readyTokens -= waiting.cost
+        }
+    }
+
+    private val byId = LinkedHashMap<String, Waiting>()
+    private val byAdapter = HashMap<AdapterVersion, LinkedHashSet<Waiting>>()
+    private val blocked = LinkedHashSet<AdapterVersion>()
+    private val teams = LinkedHashMap<TeamId, TeamQueue>()
+    private var virtualTime = 0.0
+    private var nextSequence = 0L
+
+    /** Weights of the teams; a team without an entry has weight 1. */
+    var weights: Map<TeamId, Int> = emptyMap()
+
+    val size: Int get() = byId.size
+    val all: Collection<Waiting> get() = byId.values
+
+    /** Adapters that queued requests wait for and that are not loaded. */
+    val blockedAdapters: Set<AdapterVersion> get() = blocked
+
+    val sizeByTeam: Map<TeamId, Int> get() = teams.filterValues { it.size > 0 }.mapValues { it.value.size }
+
+    operator fun get(requestId: String): Waiting? = byId[requestId]
+
+    fun add(request: PeerRequest.Reserve, from: VmId, now: Long, isReady: Boolean): Waiting {
+        val waiting = Waiting(request, from, now, nextSequence++, policy.longRequestDelayMillis)
+        waiting.waitedForLoad = !isReady
+        byId[request.requestId] = waiting
+        request.adapter?.let { adapter ->
+            byAdapter.getOrPut(adapter) { LinkedHashSet() }.add(waiting)
+            if (!isReady) blocked.add(adapter)
+        }
+        val team = teams.getOrPut(request.team) { TeamQueue(request.team) }
+        team.size++
+        team.setReady(waiting, isReady)
+        return waiting
+    }
+
+    /** Takes a request out without service. */
+    fun remove(requestId: String): Waiting? = byId.remove(requestId)?.also(::detach)
+
+    /** Takes a request out for service and charges its team. */
+    fun serve(waiting: Waiting) {
+        val team = teams.getValue(waiting.request.team)
+        virtualTime = team.startTag
+        team.finishTag = virtualTime + waiting.cost.toDouble() / team.weight
+        byId.remove(waiting.request.requestId)
+        detach(waiting)
+    }
+
+    /** Marks all requests for [adapter] as ready or as waiting for its load. */
+    fun setReady(adapter: AdapterVersion, isReady: Boolean) {
+        val requests = byAdapter[adapter] ?: return
+        if (isReady) blocked.remove(adapter) else blocked.add(adapter)
+        requests.forEach {
+            if (!isReady) it.waitedForLoad = true
+            teams.getValue(it.request.team).setReady(it, isReady)
+        }
+    }
+
+    /** The next ready request that is [eligible]: of the team with the lowest start tag that has one. */
+    fun next(eligible: (Waiting) -> Boolean): Waiting? = teams.values
+        .mapNotNull { team -> team.ready.firstOrNull(eligible)?.let { team.startTag to it } }
+        .minWithOrNull(compareBy({ it.first }, { it.second.sequence }))
+        ?.second
+
+    fun waitingFor(adapter: AdapterVersion): Int = byAdapter[adapter]?.size ?: 0
+
+    fun requestsFor(adapter: AdapterVersion): List<Waiting> = byAdapter[adapter]?.toList().orEmpty()
+
+    /** The arrival time of the oldest request for [adapter]. */
+    fun oldestFor(adapter: AdapterVersion): Long = byAdapter[adapter]?.first()?.enqueuedAt ?: Long.MAX_VALUE
+
+    /** Ready tokens that are served before a new request of [team], by the teams' start tags and weights. */
+    fun tokensAhead(team: TeamId): Double {
+        val own = teams[team]
+        val ownTokens = own?.readyTokens ?: 0L
+        val weight = weights[team]?.coerceAtLeast(1) ?: 1
+        val start = (own?.startTag ?: virtualTime) + ownTokens.toDouble() / weight
+        return ownTokens + teams.values.filter { it.team != team }.sumOf {
+            minOf(it.readyTokens.toDouble(), maxOf(0.0, start - it.startTag) * it.weight)
+        }
+    }
+
+    private fun detach(waiting: Waiting) {
+        val request = waiting.request
+        request.adapter?.let { adapter ->
+            val requests = byAdapter.getValue(adapter)
+            requests.remove(waiting)
+            if (requests.isEmpty()) {
+                byAdapter.remove(adapter)
+                blocked.remove(adapter)
+            }
+        }
+        val team = teams.getValue(request.team)
+        team.setReady(waiting, isReady = false)
+        team.size--
+        if (byId.isEmpty()) {
+            // A new busy period starts without debts of the last one.
+            virtualTime = maxOf(virtualTime, teams.values.maxOf { it.finishTag })
+            teams.clear()
+        } else if (team.size == 0 && team.finishTag <= virtualTime) {
+            teams.remove(request.team)
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/lentilquay/coordination/allocation/internal/LoadBackoff.kt
@@ -0,0 +1,33 @@
+/*
+ * Back-off after failed loads: from one second to half a minute per adapter, doubling with each failure in a row
+ * (docs/design.md, section 4.10).
+ */
+package org.lentilquay.coordination.allocation.internal
+
+import org.lentilquay.coordination.allocation.AllocatorPolicy
+import org.lentilquay.state.AdapterVersion
+
+/** Failed loads by adapter. */
+internal class LoadBackoff(private val policy: AllocatorPolicy) {
+    private class Entry(val delayMillis: Long, val until: Long)
+
+    private val entries = HashMap<AdapterVersion, Entry>()
+
+    fun failed(adapter: AdapterVersion, now: Long) {
+        val delay = entries[adapter]?.let { minOf(it.delayMillis * 2, policy.maximumLoadBackoffMillis) }
+            ?: policy.minimumLoadBackoffMillis
+        entries[adapter] = Entry(delay, now + delay)
+    }
+
+    fun succeeded(adapter: AdapterVersion) {
+        entries.remove(adapter)
+    }
+
+    fun remainingMillis(adapter: AdapterVersion, now: Long): Long =
+        entries[adapter]?.let { (it.until - now).coerceAtLeast(0) } ?: 0
+
+    /** Forgets failures that were not repeated for the longest back-off after their end. */
+    fun sweep(now: Long) {
+        entries.values.removeIf { now - it.until > policy.maximumLoadBackoffMillis }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/lentilquay/coordination/allocation/internal/LoadPlanner.kt
@@ -0,0 +1,157 @@
+/*
+ * Decides which adapters to load and which to evict. A load is first wanted, while the daemon seeks a permit of the
+ * weight store. Only when the permit is there, a slot is made free: permits are the scarce resource, and the evicted
+ * adapter serves requests until then. The next load is the one with the most waiting requests, then the one waiting
+ * longest. The victim is the loaded adapter with the least decayed request frequency that no run pins, for which no
+ * request waits, and that no report is outstanding for.
+ */
+package org.lentilquay.coordination.allocation.internal
+
+import org.lentilquay.coordination.allocation.AllocatorEffect
+import org.lentilquay.coordination.allocation.AllocatorPolicy
+import org.lentilquay.coordination.allocation.SlotState
+import org.lentilquay.state.AdapterVersion
+
+/** Plans loads and unloads. Effects go to [emit]. */
+internal class LoadPlanner(
+    private val policy: AllocatorPolicy,
+    private val ownership: Ownership,
+    private val health: ServerHealth,
+    private val slots: AdapterSlots,
+    private val runs: RunLedger,
+    private val queue: FairQueue,
+    private val frequencies: DecayedFrequencies,
+    private val backoff: LoadBackoff,
+    private val emit: (AllocatorEffect) -> Unit,
+) {
+    /** A load that is sought: [hasPermit] once the weight store gave its permit. */
+    internal class Want(val adapter: AdapterVersion, val since: Long) {
+        var announced: Int = 0
+        var hasPermit: Boolean = false
+    }
+
+    private val wants = LinkedHashMap<AdapterVersion, Want>()
+
+    /** Starts of the loads that are ordered, for the average load time. */
+    private val wantedSince = HashMap<AdapterVersion, Long>()
+    private var noSlotUntil = Long.MIN_VALUE
+
+    val wanted: Map<AdapterVersion, Int> get() = wants.keys.associateWith(queue::waitingFor)
+
+    /** Loads that come before a load that is not wanted yet. */
+    val loadsAhead: Int get() = maxOf(wants.size, queue.blockedAdapters.size)
+
+    fun isWanted(adapter: AdapterVersion): Boolean = adapter in wants
+
+    /** Whether a slot can be had for one more load. */
+    fun hasRoom(now: Long): Boolean = freeSlots() > 0 || (ownership.mayEvict(now) && slots.all.any { isEvictable(it) })
+
+    /** Brings wishes, slots and orders up to date. */
+    fun plan(now: Long, mayLoad: Boolean) {
+        cleanUncertain(now)
+        wants.values
+            .filter { !mayLoad || queue.waitingFor(it.adapter) == 0 || slots[it.adapter] != null }
+            .forEach { stopWanting(it.adapter) }
+        if (!mayLoad || !ownership.mayOrder(now)) return
+        placePermitted(now)
+        addWants(now)
+    }
+
+    /** Renews announced numbers that changed; the permit owner orders the loads by them. */
+    fun renewAnnouncements(now: Long) {
+        wants.values.filter { !it.hasPermit && it.announced != queue.waitingFor(it.adapter) }.forEach {
+            announce(it, now)
+        }
+    }
+
+    /** Takes note of a permit; without a use for it, it is given back. */
+    fun permitted(adapter: AdapterVersion) {
+        val want = wants[adapter]
+        if (want == null) emit(AllocatorEffect.StopWanting(adapter)) else want.hasPermit = true
+    }
+
+    fun stopAll() {
+        wants.keys.toList().forEach(::stopWanting)
+    }
+
+    /** Ends a load that was ordered; returns the time from the wish to the end. */
+    fun loadEnded(adapter: AdapterVersion, now: Long): Long = now - (wantedSince.remove(adapter) ?: now)
+
+    /** Holds new loads back, because the server has fewer free slots than assumed. */
+    fun noFreeSlot(now: Long) {
+        noSlotUntil = now + policy.minimumLoadBackoffMillis
+    }
+
+    private fun freeSlots(): Int = health.slotLimit - slots.used
+
+    private fun isEvictable(slot: Slot): Boolean =
+        slot.state == SlotState.LOADED && isUnused(slot) && queue.waitingFor(slot.adapter) == 0
+
+    private fun isUnused(slot: Slot): Boolean = slot.idleReportAfter == null && runs.pins(slot.adapter) == 0
+
+    private fun cleanUncertain(now: Long) {
+        if (!ownership.mayEvict(now)) return
+        slots.all
+            .filter { it.state == SlotState.UNCERTAIN && isUnused(it) && now >= it.retryAt }
+            .forEach { unload(it, now) }
+    }
+
+    private fun placePermitted(now: Long) {
+        for (want in wants.values.filter { it.hasPermit }) {
+            if (freeSlots() > 0) {
+                wants.remove(want.adapter)
+                wantedSince[want.adapter] = want.since
+                slots.put(want.adapter, SlotState.LOADING, now).orderedFor = health.incarnation
+                emit(AllocatorEffect.Load(want.adapter))
+            }
+        }
+        val permitted = wants.values.filter { it.hasPermit }
+        var missing = permitted.size - slots.all.count { it.state == SlotState.UNLOADING }
+        for (want in permitted.reversed()) {
+            if (missing <= 0) break
+            val victim = if (ownership.mayEvict(now)) victim(now) else null
+            if (victim == null) stopWanting(want.adapter) else unload(victim, now)
+            missing--
+        }
+    }
+
+    private fun addWants(now: Long) {
+        if (now < noSlotUntil || wants.size >= policy.maximumWantedLoads || queue.blockedAdapters.isEmpty()) return
+        var places = freeSlots() - wants.size
+        if (ownership.mayEvict(now)) places += slots.all.count { isEvictable(it) || it.state == SlotState.UNLOADING }
+        while (places > 0 && wants.size < policy.maximumWantedLoads) {
+            val adapter = mostWanted(now) ?: return
+            val want = Want(adapter, now)
+            wants[adapter] = want
+            announce(want, now)
+            places--
+        }
+    }
+
+    private fun mostWanted(now: Long): AdapterVersion? = queue.blockedAdapters
+        .filter { it !in wants && slots[it] == null && backoff.remainingMillis(it, now) == 0L }
+        .minWithOrNull(compareBy({ -queue.waitingFor(it) }, { queue.oldestFor(it) }))
+
+    private fun victim(now: Long): Slot? = slots.all
+        .filter(::isEvictable)
+        .minWithOrNull(
+            compareBy({ frequencies.frequency(it.adapter, now) }, { frequencies.lastRequestAt(it.adapter) }),
+        )
+
+    private fun unload(slot: Slot, now: Long) {
+        slots.change(slot, SlotState.UNLOADING, now)
+        slot.orderedFor = health.incarnation
+        emit(AllocatorEffect.Unload(slot.adapter))
+    }
+
+    private fun announce(want: Want, now: Long) {
+        want.announced = queue.waitingFor(want.adapter)
+        val oldest = queue.oldestFor(want.adapter)
+        emit(AllocatorEffect.WantLoad(want.adapter, want.announced, (now - oldest).coerceAtLeast(0)))
+    }
+
+    private fun stopWanting(adapter: AdapterVersion) {
+        wants.remove(adapter)
+        emit(AllocatorEffect.StopWanting(adapter))
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/lentilquay/coordination/allocation/internal/WaitEstimator.kt
@@ -0,0 +1,43 @@
+/*
+ * Estimates how long a request would wait, from exponential averages of run and load times. The estimate steers
+ * spilling and early refusals; it never decides whether a run may start.
+ */
+package org.lentilquay.coordination.allocation.internal
+
+import org.lentilquay.coordination.allocation.AllocatorPolicy
+
+/** Averages of the server's recent runs and loads, in milliseconds and estimated tokens. */
+internal class WaitEstimator(private val policy: AllocatorPolicy) {
+    private var service: Double = policy.initialServiceMillis.toDouble()
+    private var load: Double = policy.initialLoadMillis.toDouble()
+    private var tokens: Double = 0.0
+
+    val serviceMillis: Long get() = service.toLong()
+    val loadMillis: Long get() = load.toLong()
+
+    fun observeRun(millis: Long, estimatedTokens: Long) {
+        service = average(service, millis.toDouble())
+        tokens = if (tokens == 0.0) estimatedTokens.toDouble() else average(tokens, estimatedTokens.toDouble())
+    }
+
+    fun observeLoad(millis: Long) {
+        load = average(load, millis.toDouble())
+    }
+
+    /** The wait behind [tokensAhead] queued tokens with [freePlaces] of [limit] places free. */
+    fun queueMillis(tokensAhead: Double, freePlaces: Int, limit: Int): Long {
+        val requestsAhead = if (tokens <= 0.0) 0.0 else tokensAhead / tokens
+        val ends = (requestsAhead + 1 - freePlaces).coerceAtLeast(0.0)
+        return (ends * service / limit.coerceAtLeast(1)).toLong()
+    }
+
+    /** The wait for a load behind [loadsAhead] others. */
+    fun loadMillis(loadsAhead: Int): Long = (load * (1 + loadsAhead.toDouble() / PARALLEL_LOADS)).toLong()
+
+    private fun average(old: Double, sample: Double): Double = old + policy.averageWeight * (sample - old)
+
+    private companion object {
+        /** The weight store serves two loads at once at full speed (docs/design.md, section 1.5). */
+        const val PARALLEL_LOADS = 2
+    }
+}
--- a/core/src/main/kotlin/org/lentilquay/protocol/PeerMessages.kt
+++ b/core/src/main/kotlin/org/lentilquay/protocol/PeerMessages.kt
@@ -253,7 +253,13 @@
 
 /** A run that a fronting VM has on a backend server. */
 @Serializable
-data class ActiveRun(val requestId: String, val adapter: AdapterVersion?, val fingerprint: String)
+data class ActiveRun(
+    val requestId: String,
+    val adapter: AdapterVersion?,
+    val fingerprint: String,
+    /** Whether the server began to answer; a run without an answer counts against the cold limit. */
+    val answered: Boolean = true,
+)
 
 /** What a VM knows of a non-repeatable call that it recorded. */
 @Serializable
