Add the sockets between VMs

Cause: reservations, tokens, probes and configuration travel between VMs over authenticated TCP connections with bounded queues.

Ruled out: a connection per call (a handshake each time); calls queueing behind an unbounded write queue; opening a connection in the coroutine of one call, because a call with a short time bound would abort the attempt for all others.

Unreachable says whether the request may have been sent.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/settings/Settings.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/settings/Settings.kt
@@ -130,11 +130,3 @@
 /** Says where a secret is: in a file or in an environment variable. The secret itself is never in the settings. */
 @Serializable
 data class SecretReference(val file: String? = null, val environment: String? = null)
-
-/** A secret that shows itself in no text. */
-class Secret(private val bytes: ByteArray) {
-    /** Runs [use] with the bytes of the secret. */
-    fun <T> reveal(use: (ByteArray) -> T): T = use(bytes)
-
-    override fun toString(): String = "(secret)"
-}
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/settings/SettingsReader.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/settings/SettingsReader.kt
@@ -8,6 +8,7 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonElement
+import org.lentilquay.transport.Secret
 import java.io.IOException
 import java.nio.file.Files
 import java.nio.file.Path
--- /dev/null
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/peer/Handshake.kt
@@ -0,0 +1,107 @@
+/*
+ * The handshake of a connection between VMs; see PeerHandshake in the protocol package for the frames. The accepting
+ * side proves itself first, so an opening side with another secret learns of it before it sends anything. Frames after
+ * the handshake are not authenticated one by one: the network between the VMs is trusted to keep a TCP connection
+ * intact, but not to keep strangers away.
+ */
+package org.lentilquay.transport.peer
+
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.ByteWriteChannel
+import kotlinx.serialization.encodeToByteArray
+import org.lentilquay.protocol.Hello
+import org.lentilquay.protocol.HelloAnswer
+import org.lentilquay.protocol.HelloProof
+import org.lentilquay.protocol.PEER_PROTOCOL_VERSION
+import org.lentilquay.state.Incarnation
+import org.lentilquay.state.VmId
+import org.lentilquay.transport.Secret
+import java.nio.ByteBuffer
+import java.security.MessageDigest
+import java.security.SecureRandom
+import javax.crypto.Mac
+import javax.crypto.spec.SecretKeySpec
+
+/** A frame from a side that has not proved itself may be only this long. */
+internal const val MAXIMUM_HANDSHAKE_BYTES: Int = 1_024
+
+private const val NONCE_BYTES = 32
+private const val ALGORITHM = "HmacSHA256"
+private const val OPENING_ROLE = "lentilquay-peer-open"
+private const val ACCEPTING_ROLE = "lentilquay-peer-accept"
+private val random = SecureRandom()
+
+/** A VM and the process on it, as given in the handshake. */
+data class PeerIdentity(val vm: VmId, val incarnation: Incarnation)
+
+/** Performs the handshake as the side that opened the connection to [expected]. */
+internal suspend fun openingHandshake(
+    input: ByteReadChannel,
+    output: ByteWriteChannel,
+    own: PeerIdentity,
+    expected: VmId,
+    secret: Secret,
+): PeerIdentity {
+    val ownHello = encodedHello(own, expected)
+    output.writeFrameBytes(ownHello)
+    output.flush()
+    val answer = decodePeer<HelloAnswer>(input.readFrameBytes(MAXIMUM_HANDSHAKE_BYTES))
+    val hello = decodePeer<Hello>(answer.hello)
+    requireVersion(hello)
+    if (hello.vm != expected) throw PeerProtocolException(CutReason.WRONG_VM, "reached VM ${hello.vm}")
+    requireProof(answer.proof, proof(secret, ACCEPTING_ROLE, ownHello, answer.hello))
+    output.writeFrameBytes(peerCbor.encodeToByteArray(HelloProof(proof(secret, OPENING_ROLE, ownHello, answer.hello))))
+    output.flush()
+    return PeerIdentity(hello.vm, hello.incarnation)
+}
+
+/** Performs the handshake as the side that accepted the connection. */
+internal suspend fun acceptingHandshake(
+    input: ByteReadChannel,
+    output: ByteWriteChannel,
+    own: PeerIdentity,
+    secret: Secret,
+): PeerIdentity {
+    val helloBytes = input.readFrameBytes(MAXIMUM_HANDSHAKE_BYTES)
+    val hello = decodePeer<Hello>(helloBytes)
+    val ownHello = encodedHello(own, expected = null)
+    val isAcceptable = hello.version == PEER_PROTOCOL_VERSION && hello.expected == own.vm
+    val ownProof = if (isAcceptable) proof(secret, ACCEPTING_ROLE, helloBytes, ownHello) else ByteArray(0)
+    // A refused side gets the hello as well, so that it can tell its operator why.
+    output.writeFrameBytes(peerCbor.encodeToByteArray(HelloAnswer(ownHello, ownProof)))
+    output.flush()
+    requireVersion(hello)
+    if (!isAcceptable) throw PeerProtocolException(CutReason.WRONG_VM, "VM ${hello.vm} meant ${hello.expected}")
+    val answer = decodePeer<HelloProof>(input.readFrameBytes(MAXIMUM_HANDSHAKE_BYTES))
+    requireProof(answer.proof, proof(secret, OPENING_ROLE, helloBytes, ownHello))
+    return PeerIdentity(hello.vm, hello.incarnation)
+}
+
+private fun encodedHello(own: PeerIdentity, expected: VmId?): ByteArray {
+    val nonce = ByteArray(NONCE_BYTES).also(random::nextBytes)
+    return peerCbor.encodeToByteArray(Hello(PEER_PROTOCOL_VERSION, own.vm, own.incarnation, expected, nonce))
+}
+
+private fun requireVersion(hello: Hello) {
+    if (hello.version != PEER_PROTOCOL_VERSION) {
+        throw PeerProtocolException(CutReason.WRONG_VERSION, "VM ${hello.vm} speaks version ${hello.version}")
+    }
+}
+
+/** Compares in a time that does not depend on where the proofs differ. */
+private fun requireProof(given: ByteArray, expected: ByteArray) {
+    if (!MessageDigest.isEqual(given, expected)) {
+        throw PeerProtocolException(CutReason.UNAUTHENTICATED, "the other side has another fleet secret")
+    }
+}
+
+/** Lengths are part of the input, so that no two pairs of hellos give the same bytes. */
+internal fun proof(secret: Secret, role: String, opening: ByteArray, accepting: ByteArray): ByteArray {
+    val mac = Mac.getInstance(ALGORITHM)
+    secret.reveal { mac.init(SecretKeySpec(it, ALGORITHM)) }
+    listOf(role.encodeToByteArray(), opening, accepting).forEach { part ->
+        mac.update(ByteBuffer.allocate(PREFIX_BYTES).putInt(part.size).array())
+        mac.update(part)
+    }
+    return mac.doFinal()
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/peer/PeerConnection.kt
@@ -0,0 +1,107 @@
+/*
+ * One open connection between two VMs after the handshake, the same on both sides: a reader that passes frames on, and
+ * one writer coroutine that takes encoded frames from a bounded queue and flushes once for all that are waiting.
+ */
+package org.lentilquay.transport.peer
+
+import io.ktor.network.sockets.Socket
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.ByteWriteChannel
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.encodeToByteArray
+import org.lentilquay.protocol.MAXIMUM_PEER_FRAME_BYTES
+import org.lentilquay.protocol.PeerFrame
+import org.lentilquay.transport.http.attempt
+
+private const val WRITE_QUEUE_FRAMES = 256
+
+/** The other side must take a batch of frames within this time, in milliseconds. */
+private const val WRITE_MILLIS = 10_000L
+private const val NANOS_PER_MILLI = 1_000_000L
+
+/** What became of a frame that was to be sent. */
+internal enum class SendResult { QUEUED, CLOSED, TOO_LARGE }
+
+internal class PeerConnection(
+    private val socket: Socket,
+    private val input: ByteReadChannel,
+    private val output: ByteWriteChannel,
+    val remote: PeerIdentity,
+    private val traffic: PeerTraffic,
+) {
+    private val queue = Channel<ByteArray>(WRITE_QUEUE_FRAMES)
+
+    @Volatile
+    private var lastReceivedNanos = System.nanoTime()
+
+    @Volatile
+    private var lastUsedNanos = System.nanoTime()
+
+    /** Milliseconds since a frame was received or, if none was, since the connection was opened. */
+    val silentMillis: Long get() = (System.nanoTime() - lastReceivedNanos) / NANOS_PER_MILLI
+
+    /** Milliseconds since a frame went in either direction. */
+    val unusedMillis: Long get() = (System.nanoTime() - lastUsedNanos) / NANOS_PER_MILLI
+
+    /** Runs reader and writer until the connection ends, and passes each frame to [onFrame]. */
+    suspend fun run(onFrame: suspend (PeerFrame) -> Unit) {
+        try {
+            attempt {
+                coroutineScope {
+                    launchWriter(this)
+                    read(onFrame)
+                    cancel()
+                }
+            }.onFailure { if (it is PeerProtocolException) traffic.cut(it.reason) }
+        } finally {
+            close()
+        }
+    }
+
+    /** Puts [frame] into the write queue, and waits while the queue is full. */
+    suspend fun send(frame: PeerFrame): SendResult {
+        val bytes = peerCbor.encodeToByteArray(frame)
+        if (bytes.size > MAXIMUM_PEER_FRAME_BYTES) return SendResult.TOO_LARGE
+        if (attempt { queue.send(bytes) }.isFailure) return SendResult.CLOSED
+        lastUsedNanos = System.nanoTime()
+        traffic.sent(frame.kind, bytes.size + PREFIX_BYTES)
+        return SendResult.QUEUED
+    }
+
+    /** Ends the connection. Frames that are still queued are dropped. */
+    fun close() {
+        // Cancelling, unlike closing, also wakes senders that wait for room in the queue.
+        queue.cancel()
+        socket.close()
+    }
+
+    private suspend fun read(onFrame: suspend (PeerFrame) -> Unit) {
+        while (true) {
+            val bytes = input.readFrameBytes()
+            lastReceivedNanos = System.nanoTime()
+            lastUsedNanos = lastReceivedNanos
+            val frame = decodeFrame(bytes)
+            traffic.received(frame.kind, bytes.size + PREFIX_BYTES)
+            onFrame(frame)
+        }
+    }
+
+    private fun launchWriter(scope: CoroutineScope): Job = scope.launch {
+        for (first in queue) {
+            withTimeoutOrNull(WRITE_MILLIS) {
+                var next: ByteArray? = first
+                while (next != null) {
+                    output.writeFrameBytes(next)
+                    next = queue.tryReceive().getOrNull()
+                }
+                output.flush()
+            } ?: throw PeerProtocolException(CutReason.STALLED, "data not taken within $WRITE_MILLIS ms")
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/peer/PeerLink.kt
@@ -0,0 +1,149 @@
+/*
+ * The connection of this VM to one other VM, opened on demand. After a failed attempt, calls fail at once until a short
+ * back-off has passed, so that a dead VM costs its callers no waiting.
+ */
+package org.lentilquay.transport.peer
+
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Semaphore
+import kotlinx.coroutines.sync.withPermit
+import kotlinx.coroutines.withTimeoutOrNull
+import org.lentilquay.protocol.PeerFrame
+import org.lentilquay.protocol.PeerRequest
+import org.lentilquay.state.VmId
+import org.lentilquay.transport.Secret
+import org.lentilquay.transport.http.IpAddress
+import org.lentilquay.transport.http.attempt
+import org.lentilquay.transport.http.describe
+import org.lentilquay.transport.http.ipAddressOf
+
+private const val FIRST_BACK_OFF_MILLIS = 50L
+private const val LONGEST_BACK_OFF_MILLIS = 800L
+private const val NANOS_PER_MILLI = 1_000_000L
+
+/**
+ * A connection on which a call timed out and nothing arrived for this long is given up. Without this, a connection to a
+ * VM that vanished without closing would stay in use for the many minutes of TCP retransmission.
+ */
+private const val SILENCE_MILLIS = 2_000L
+
+private sealed interface Opened {
+    class Ready(val connection: CallConnection) : Opened
+
+    data class Failed(val reason: String) : Opened
+}
+
+internal class PeerLink(
+    private val vm: VmId,
+    private val identity: PeerIdentity,
+    private val secret: Secret,
+    private val traffic: PeerTraffic,
+    private val options: PeerClientOptions,
+    private val selector: SelectorManager,
+    private val scope: CoroutineScope,
+) {
+    private val places = Semaphore(options.callsInProgress)
+    private val lock = Any()
+    private var address: String? = null
+    private var opening: Deferred<Opened>? = null
+    private var backOffMillis = 0L
+    private var retryAtNanos = 0L
+
+    val isOpen: Boolean get() = synchronized(lock) { ready()?.isOpen ?: false }
+
+    suspend fun call(address: String, request: PeerRequest): PeerCallResult = places.withPermit {
+        // A connection that closed before it took the frame has sent nothing, so one more attempt is safe.
+        attemptCall(address, request) ?: attemptCall(address, request)
+            ?: PeerCallResult.Unreachable("connection closed", sent = false)
+    }
+
+    fun closeIfIdle(idleMillis: Long) {
+        synchronized(lock) { ready() }?.closeIfIdle(idleMillis)
+    }
+
+    fun closeIfSilent() {
+        val connection = synchronized(lock) { ready() } ?: return
+        if (connection.silentMillis > SILENCE_MILLIS) {
+            traffic.cut(CutReason.STALLED)
+            connection.close("no data for $SILENCE_MILLIS ms")
+        }
+    }
+
+    fun close() {
+        synchronized(lock) { ready() }?.close("client closed")
+    }
+
+    private suspend fun attemptCall(address: String, request: PeerRequest): PeerCallResult? =
+        when (val opened = attempt { opened(address).await() }.getOrElse { Opened.Failed("client closed") }) {
+            is Opened.Failed -> PeerCallResult.Unreachable(opened.reason, sent = false)
+            is Opened.Ready -> opened.connection.call(request)
+        }
+
+    /** The present connection or the attempt to open one. The attempt does not belong to any single call. */
+    private fun opened(address: String): Deferred<Opened> = synchronized(lock) {
+        val present = opening
+        val ready = ready()
+        val isNewAddress = address != this.address
+        when {
+            present != null && !isNewAddress && (!present.isCompleted || ready?.isOpen == true) -> present
+            !isNewAddress && System.nanoTime() < retryAtNanos ->
+                CompletableDeferred(Opened.Failed("connecting failed less than $backOffMillis ms ago"))
+            else -> {
+                if (present != null) scope.launch { (present.await() as? Opened.Ready)?.connection?.close("replaced") }
+                this.address = address
+                scope.async { open(address) }.also { opening = it }
+            }
+        }
+    }
+
+    @OptIn(kotlinx.coroutines.ExperimentalCoroutinesApi::class)
+    private fun ready(): CallConnection? {
+        val completed = opening?.takeIf { it.isCompleted && it.getCompletionExceptionOrNull() == null }
+        return (completed?.getCompleted() as? Opened.Ready)?.connection
+    }
+
+    private suspend fun open(address: String): Opened {
+        val target = ipAddressOf(address) ?: return Opened.Failed("$address is not of the form ip:port")
+        val outcome = attempt {
+            withTimeoutOrNull(options.connectMillis) { connect(target) }
+                ?: throw PeerProtocolException(CutReason.STALLED, "not connected within ${options.connectMillis} ms")
+        }
+        val failure = outcome.exceptionOrNull()
+        if (failure is PeerProtocolException) traffic.cut(failure.reason)
+        noteAttempt(succeeded = failure == null)
+        return outcome.fold({ Opened.Ready(it) }, { Opened.Failed(describe(it)) })
+    }
+
+    private suspend fun connect(target: IpAddress): CallConnection {
+        val socket = aSocket(selector).tcp().connect(InetSocketAddress(target.ip, target.port)) { noDelay = true }
+        return attempt { shakeHands(socket) }.onFailure { socket.close() }.getOrThrow()
+    }
+
+    private suspend fun shakeHands(socket: Socket): CallConnection {
+        val input = socket.openReadChannel()
+        val output = socket.openWriteChannel()
+        val remote = openingHandshake(input, output, identity, vm, secret)
+        val connection = CallConnection(PeerConnection(socket, input, output, remote, traffic), traffic)
+        scope.launch { connection.run() }
+        return connection
+    }
+
+    private fun noteAttempt(succeeded: Boolean) = synchronized(lock) {
+        backOffMillis = when {
+            succeeded -> 0
+            backOffMillis == 0L -> FIRST_BACK_OFF_MILLIS
+            else -> minOf(backOffMillis * 2, LONGEST_BACK_OFF_MILLIS)
+        }
+        retryAtNanos = System.nanoTime() + backOffMillis * NANOS_PER_MILLI
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/peer/PeerServer.kt
@@ -0,0 +1,169 @@
+/*
+ * Accepts connections from other VMs and answers their requests. A side that breaks the protocol is cut and counted;
+ * nothing else depends on it. Bounds: handshakes at once, time of a handshake, requests in progress on a connection,
+ * time of a handler, and idle time.
+ */
+package org.lentilquay.transport.peer
+
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.ServerSocket
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Semaphore
+import kotlinx.coroutines.withTimeoutOrNull
+import org.lentilquay.protocol.PeerAnswer
+import org.lentilquay.protocol.PeerFrame
+import org.lentilquay.protocol.PeerRequest
+import org.lentilquay.state.ErrorKind
+import org.lentilquay.state.Failure
+import org.lentilquay.state.VmId
+import org.lentilquay.transport.Secret
+import org.lentilquay.transport.http.IpAddress
+import org.lentilquay.transport.http.attempt
+import org.lentilquay.transport.http.ipAddressOf
+import java.util.concurrent.ConcurrentHashMap
+
+private const val HANDSHAKES_AT_ONCE = 64
+private const val REQUESTS_IN_PROGRESS = 1_024
+private const val HANDSHAKE_MILLIS = 2_000L
+private const val HANDLER_MILLIS = 30_000L
+private const val ACCEPT_RETRY_MILLIS = 100L
+
+/** The opening side closes first, after 60 s; this bound is for sides that vanished without closing. */
+private const val IDLE_MILLIS = 120_000L
+
+/** Answers the requests of other VMs. Called from many coroutines at once. */
+fun interface PeerHandler {
+    /** Answers [request], which came from the authenticated VM [from]. */
+    suspend fun handle(from: VmId, request: PeerRequest): PeerAnswer
+}
+
+/** A listening peer server. */
+class RunningPeerServer internal constructor(
+    /** The address that the server is bound to, with the real port. */
+    val address: String,
+    private val scope: CoroutineScope,
+    private val listener: ServerSocket,
+    private val selector: SelectorManager,
+) : AutoCloseable {
+    /** Stops listening and cuts all connections. */
+    override fun close() {
+        listener.close()
+        scope.cancel()
+        selector.close()
+    }
+}
+
+/**
+ * Listens at [address] (`ip:port`) as [identity].
+ *
+ * @throws java.io.IOException if the address cannot be bound
+ */
+suspend fun startPeerServer(
+    address: String,
+    identity: PeerIdentity,
+    secret: Secret,
+    handler: PeerHandler,
+    traffic: PeerTraffic = PeerTrafficCounters(),
+): RunningPeerServer {
+    val target = requireNotNull(ipAddressOf(address)) { "$address is not of the form ip:port" }
+    val selector = SelectorManager(Dispatchers.IO)
+    val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    val listener = runCatching {
+        aSocket(selector).tcp().bind(InetSocketAddress(target.ip, target.port)) { reuseAddress = true }
+    }.onFailure { selector.close() }.getOrThrow()
+    val acceptor = PeerAcceptor(identity, secret, handler, traffic, scope)
+    scope.launch { acceptor.accept(listener) }
+    scope.launch { acceptor.closeIdle() }
+    val bound = listener.localAddress as InetSocketAddress
+    return RunningPeerServer(IpAddress(target.ip, bound.port).toString(), scope, listener, selector)
+}
+
+private class PeerAcceptor(
+    private val identity: PeerIdentity,
+    private val secret: Secret,
+    private val handler: PeerHandler,
+    private val traffic: PeerTraffic,
+    private val scope: CoroutineScope,
+) {
+    private val handshakes = Semaphore(HANDSHAKES_AT_ONCE)
+    private val connections = ConcurrentHashMap.newKeySet<PeerConnection>()
+
+    suspend fun accept(listener: ServerSocket) {
+        while (scope.isActive) {
+            val socket = attempt { listener.accept() }.getOrNull()
+            when {
+                // Accepting fails for a while when the process has no file descriptors left.
+                socket == null -> delay(ACCEPT_RETRY_MILLIS)
+                handshakes.tryAcquire() -> scope.launch { serve(socket) }
+                else -> {
+                    traffic.cut(CutReason.TOO_MANY)
+                    socket.close()
+                }
+            }
+        }
+    }
+
+    suspend fun closeIdle() {
+        while (scope.isActive) {
+            delay(IDLE_MILLIS / 2)
+            connections.filter { it.unusedMillis > IDLE_MILLIS }.forEach { it.close() }
+        }
+    }
+
+    private suspend fun serve(socket: Socket) = socket.use {
+        val input = socket.openReadChannel()
+        val output = socket.openWriteChannel()
+        val remote = try {
+            attempt {
+                withTimeoutOrNull(HANDSHAKE_MILLIS) { acceptingHandshake(input, output, identity, secret) }
+                    ?: throw PeerProtocolException(CutReason.STALLED, "handshake not finished")
+            }.onFailure { if (it is PeerProtocolException) traffic.cut(it.reason) }.getOrNull()
+        } finally {
+            handshakes.release()
+        }
+        if (remote != null) answerAll(PeerConnection(socket, input, output, remote, traffic))
+    }
+
+    private suspend fun answerAll(connection: PeerConnection) {
+        val places = Semaphore(REQUESTS_IN_PROGRESS)
+        connections += connection
+        try {
+            connection.run { frame ->
+                val request = frame.request
+                    ?: throw PeerProtocolException(CutReason.MALFORMED, "answer on a connection for requests")
+                // With all places taken, no more frames are read, and the other side's queue fills up.
+                places.acquire()
+                scope.launch {
+                    try {
+                        respond(connection, frame.correlation, request)
+                    } finally {
+                        places.release()
+                    }
+                }
+            }
+        } finally {
+            connections -= connection
+        }
+    }
+
+    private suspend fun respond(connection: PeerConnection, correlation: Long, request: PeerRequest) {
+        val answer = attempt { withTimeoutOrNull(HANDLER_MILLIS) { handler.handle(connection.remote.vm, request) } }
+            .getOrNull() ?: refused("the request could not be handled")
+        if (connection.send(PeerFrame(correlation, answer = answer)) == SendResult.TOO_LARGE) {
+            connection.send(PeerFrame(correlation, answer = refused("the answer is longer than a frame")))
+        }
+    }
+}
+
+private fun refused(message: String) = PeerAnswer.Refused(Failure(ErrorKind.INTERNAL, message))
