--- a/core/src/main/kotlin/org/lentilquay/protocol/PlatformMessages.kt
+++ b/core/src/main/kotlin/org/lentilquay/protocol/PlatformMessages.kt
@@ -92,14 +92,47 @@
 @Serializable
 data class VmList(val vms: List<ListedVm>)
 
+/** Parts of the platform that can have an outage of their own. */
+@Serializable
+enum class PlatformPart {
+    @SerialName("table")
+    TABLE,
+
+    @SerialName("objects")
+    OBJECTS,
+
+    @SerialName("list")
+    LIST,
+
+    @SerialName("weights")
+    WEIGHTS,
+}
+
+/** How the platform treats requests in an outage. */
+@Serializable
+enum class OutageMode {
+    /** Requests are answered with status 503. */
+    @SerialName("refuse")
+    REFUSE,
+
+    /** Requests get no answer. */
+    @SerialName("hang")
+    HANG,
+}
+
 /** Body of `POST /control` of the platform stand-in; absent fields stay as they are. */
 @Serializable
 data class PlatformControl(
     val outage: Boolean? = null,
+    @SerialName("outage_mode") val outageMode: OutageMode? = null,
+    /** The parts that an outage or a cut-off concerns; initially all. */
+    @SerialName("outage_of") val outageOf: Set<PlatformPart>? = null,
     @SerialName("delay_ms") val delayMillis: Long? = null,
     /** The next this many writes take effect but their answers are lost. */
     @SerialName("lose_answers") val loseAnswers: Int? = null,
     @SerialName("list_lag_ms") val listLagMillis: Long? = null,
     /** Callers, by the `X-Vm-Id` header, whose requests are refused. */
     @SerialName("cut_off") val cutOff: Set<String>? = null,
+    /** Reads of the table show the state of this long ago. */
+    @SerialName("stale_reads_ms") val staleReadsMillis: Long? = null,
 )
