Add first versions of the engine and service stand-ins

Cause: the daemon needs engines and services to run against early.

Change: model engine (chat, completions, streams, resume, cancel, orders, cold start, crash marker, reports) and plain service.

--- a/standins/src/main/kotlin/org/lentilquay/standins/Platform.kt
+++ b/standins/src/main/kotlin/org/lentilquay/standins/Platform.kt
@@ -21,18 +21,18 @@
 import org.lentilquay.protocol.PlatformControl
 import org.lentilquay.protocol.PlatformPart
 import org.lentilquay.protocol.VmList
+import org.lentilquay.standins.internal.Counters
 import org.lentilquay.standins.internal.LaggingList
 import org.lentilquay.standins.internal.Listener
 import org.lentilquay.standins.internal.Pacer
 import org.lentilquay.standins.internal.Table
 import org.lentilquay.standins.internal.WeightStore
 import org.lentilquay.standins.internal.cutConnection
+import org.lentilquay.standins.internal.monotonicMillis
 import org.lentilquay.standins.internal.receiveJson
 import org.lentilquay.standins.internal.refuse
 import org.lentilquay.standins.internal.respondJson
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.TimeUnit
-import java.util.concurrent.atomic.AtomicLong
 
 private const val DEFAULT_PAGE = 1_000
 private const val OUTAGE_POLL_MILLIS = 20L
@@ -85,7 +85,7 @@
     }
     private val reads = Pacer(options.readsPerSecond, options.readsPerSecond.toInt() / BURST_DIVISOR)
     private val writes = Pacer(options.writesPerSecond, options.writesPerSecond.toInt() / BURST_DIVISOR)
-    private val counts = ConcurrentHashMap<String, AtomicLong>()
+    private val counters = Counters()
     private val listener = Listener(options.port) { routes() }
 
     @Volatile
@@ -102,11 +102,11 @@
         switches = switches.with(control)
     }
 
-    override fun register(vm: ListedVm) = list.put(vm, now())
+    override fun register(vm: ListedVm) = list.put(vm, monotonicMillis())
 
-    override fun deregister(id: String) = list.remove(id, now())
+    override fun deregister(id: String) = list.remove(id, monotonicMillis())
 
-    override fun counters(): Map<String, Long> = counts.mapValues { it.value.get() } + mapOf(
+    override fun counters(): Map<String, Long> = counters.snapshot() + mapOf(
         "weight_fetches" to weights.fetches.get(),
         "weight_fetches_delayed" to weights.delayedByRate.get(),
         "weight_fetches_slowed" to weights.slowedByOthers.get(),
@@ -120,8 +120,8 @@
         objectRoutes()
         get("/vms") {
             guarded(PlatformPart.LIST) {
-                count("list_reads")
-                call.respondJson(VmList(list.at(now() - (switches.listLagMillis ?: 0))))
+                counters.count("list_reads")
+                call.respondJson(VmList(list.at(monotonicMillis() - (switches.listLagMillis ?: 0))))
             }
         }
         get("/weights/{adapter}/{version}") {
@@ -129,7 +129,7 @@
                 call.respondBytes(weights.fetch("${call.parameters["adapter"]}@${call.parameters["version"]}"))
             }
         }
-        put("/vms") { done(list.replace(call.receiveJson<VmList>().vms, now())) }
+        put("/vms") { done(list.replace(call.receiveJson<VmList>().vms, monotonicMillis())) }
         post("/vms/register") { done(register(call.receiveJson())) }
         delete("/vms/{id}") { done(deregister(call.parameters["id"].orEmpty())) }
         post("/control") { done(control(call.receiveJson())) }
@@ -141,8 +141,8 @@
         post("/table/transact") {
             guarded(PlatformPart.TABLE) {
                 writes.await()
-                val answer = table.transact(call.receiveJson(), now())
-                count(if (answer.committed) "table_writes" else "table_conflicts")
+                val answer = table.transact(call.receiveJson(), monotonicMillis())
+                counters.count(if (answer.committed) "table_writes" else "table_conflicts")
                 if (answer.committed) loseAnswerIfTold()
                 call.respondJson(answer, if (answer.committed) HttpStatusCode.OK else HttpStatusCode.Conflict)
             }
@@ -150,7 +150,7 @@
         get("/table/item") {
             guarded(PlatformPart.TABLE) {
                 reads.await()
-                count("table_reads")
+                counters.count("table_reads")
                 val item = table.read(call.request.queryParameters["key"].orEmpty(), readTime())
                 if (item == null) call.refuse(HttpStatusCode.NotFound, "item_absent") else call.respondJson(item)
             }
@@ -158,7 +158,7 @@
         get("/table/scan") {
             guarded(PlatformPart.TABLE) {
                 reads.await()
-                count("table_scans")
+                counters.count("table_scans")
                 val parameters = call.request.queryParameters
                 val limit = parameters["limit"]?.toInt() ?: DEFAULT_PAGE
                 call.respondJson(table.scan(parameters["prefix"].orEmpty(), parameters["after"], limit, readTime()))
@@ -171,7 +171,7 @@
             guarded(PlatformPart.OBJECTS) {
                 writes.await()
                 objects[call.objectName()] = call.receive<ByteArray>()
-                count("object_writes")
+                counters.count("object_writes")
                 loseAnswerIfTold()
                 call.respondJson(emptyMap<String, String>())
             }
@@ -179,7 +179,7 @@
         get("/objects/{name...}") {
             guarded(PlatformPart.OBJECTS) {
                 reads.await()
-                count("object_reads")
+                counters.count("object_reads")
                 val content = objects[call.objectName()]
                 if (content == null) {
                     call.refuse(HttpStatusCode.NotFound, "object_absent")
@@ -192,7 +192,7 @@
             guarded(PlatformPart.OBJECTS) {
                 writes.await()
                 objects.remove(call.objectName())
-                count("object_writes")
+                counters.count("object_writes")
                 loseAnswerIfTold()
                 call.respondJson(emptyMap<String, String>())
             }
@@ -203,17 +203,17 @@
     private suspend fun RoutingContext.guarded(part: PlatformPart, answer: suspend RoutingContext.() -> Unit) {
         switches.delayMillis?.takeIf { it > 0 }?.let { delay(it) }
         val caller = call.request.header(VM_HEADER)
-        if (caller != null) count("requests_of_$caller")
+        if (caller != null) counters.count("requests_of_$caller")
         when {
             !switches.isClosed(part, caller) -> answer()
             switches.outageMode == OutageMode.HANG -> {
-                count("requests_hanging")
+                counters.count("requests_hanging")
                 // The caller's connection is cut at the end of the outage, so that hanging requests do not pile up.
                 while (switches.isClosed(part, caller)) delay(OUTAGE_POLL_MILLIS)
                 cutConnection()
             }
             else -> {
-                count("requests_refused")
+                counters.count("requests_refused")
                 call.refuse(HttpStatusCode.ServiceUnavailable, "platform_outage")
             }
         }
@@ -221,7 +221,7 @@
 
     private suspend fun loseAnswerIfTold() {
         if (takeLostAnswer()) {
-            count("answers_lost")
+            counters.count("answers_lost")
             cutConnection()
         }
     }
@@ -233,17 +233,11 @@
         return left > 0
     }
 
-    private fun count(name: String) {
-        counts.computeIfAbsent(name) { AtomicLong() }.incrementAndGet()
-    }
-
-    private fun readTime(): Long = now() - (switches.staleReadsMillis ?: 0)
+    private fun readTime(): Long = monotonicMillis() - (switches.staleReadsMillis ?: 0)
 
     private companion object {
         /** A tenth of a second's reads or writes may come at once. */
         const val BURST_DIVISOR = 10
-
-        fun now(): Long = TimeUnit.NANOSECONDS.toMillis(System.nanoTime())
     }
 }
 
--- /dev/null
+++ b/standins/src/main/kotlin/org/lentilquay/standins/internal/InferenceRequest.kt
@@ -0,0 +1,130 @@
+/*
+ * A request for chat or text completion as the published engines accept it, and the answers to it: one JSON document, or
+ * server-sent events.
+ */
+package org.lentilquay.standins.internal
+
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonObjectBuilder
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.addJsonObject
+import kotlinx.serialization.json.booleanOrNull
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.contentOrNull
+import kotlinx.serialization.json.intOrNull
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import kotlinx.serialization.json.putJsonObject
+import org.lentilquay.standins.chatPrompt
+import org.lentilquay.standins.promptTokens
+import java.util.UUID
+
+/** The bound on the answer of a request that names none, as in the published interface. */
+private const val DEFAULT_MAXIMUM_TOKENS = 16
+
+internal data class InferenceRequest(
+    val id: String,
+    val isChat: Boolean,
+    val model: String,
+    val prompt: String,
+    /** Bound on the whole answer, including tokens that another engine generated. */
+    val maximumTokens: Int,
+    val isStream: Boolean,
+    /** A lower number is served first. */
+    val priority: Int,
+    /** Index of the first token to generate; above 0 when the request continues a run of another engine. */
+    val fromIndex: Int,
+    val headers: Map<String, List<String>>,
+    val body: String,
+)
+
+/** Reads a request; throws [IllegalArgumentException] if [body] is not a JSON object with a model. */
+internal fun inferenceRequest(
+    body: String,
+    isChat: Boolean,
+    id: String?,
+    headers: Map<String, List<String>>,
+): InferenceRequest {
+    val fields = wireJson.parseToJsonElement(body).jsonObject
+    return InferenceRequest(
+        id = id ?: UUID.randomUUID().toString(),
+        isChat = isChat,
+        model = requireNotNull(fields.text("model")) { "no model" },
+        prompt = if (isChat) chatPrompt(fields["messages"] as? JsonArray ?: JsonArray(emptyList())) else fields.prompt(),
+        maximumTokens = fields.number("max_completion_tokens") ?: fields.number("max_tokens") ?: DEFAULT_MAXIMUM_TOKENS,
+        isStream = (fields["stream"] as? JsonPrimitive)?.booleanOrNull == true,
+        priority = fields.number("priority") ?: 0,
+        fromIndex = (fields["continuation"] as? JsonObject)?.number("from_index") ?: 0,
+        headers = headers,
+        body = body,
+    )
+}
+
+/** The chunk for the token at [index]; the last one carries the finish reason and the usage. */
+internal fun Run.chunk(index: Int, isLast: Boolean): String {
+    val content = if (index < totalTokens) output.token(index) else ""
+    val reason = if (isLast) JsonPrimitive(finishReason) else JsonNull
+    return buildJsonObject {
+        head(this@chunk, if (request.isChat) "chat.completion.chunk" else "text_completion")
+        put("index", index)
+        putJsonArray("choices") {
+            addJsonObject {
+                put("index", 0)
+                if (request.isChat) putJsonObject("delta") { message(content) } else put("text", content)
+                put("finish_reason", reason)
+            }
+        }
+        if (isLast) put("usage", usage())
+    }.toString()
+}
+
+/** The answer without streaming. */
+internal fun Run.wholeAnswer(): String {
+    val content = output.text(request.fromIndex, totalTokens)
+    return buildJsonObject {
+        head(this@wholeAnswer, if (request.isChat) "chat.completion" else "text_completion")
+        putJsonArray("choices") {
+            addJsonObject {
+                put("index", 0)
+                if (request.isChat) putJsonObject("message") { message(content) } else put("text", content)
+                put("finish_reason", finishReason)
+            }
+        }
+        put("usage", usage())
+    }.toString()
+}
+
+private val Run.finishReason: String get() = if (isStoppedBySize) "stop" else "length"
+
+private fun JsonObjectBuilder.head(run: Run, kind: String) {
+    put("id", run.identity.requestId)
+    put("object", kind)
+    put("model", run.identity.model)
+}
+
+private fun JsonObjectBuilder.message(content: String) {
+    put("role", "assistant")
+    put("content", content)
+}
+
+private fun Run.usage(): JsonObject {
+    val promptTokens = promptTokens(identity.prompt)
+    return buildJsonObject {
+        put("prompt_tokens", promptTokens)
+        put("completion_tokens", totalTokens)
+        put("total_tokens", promptTokens + totalTokens)
+    }
+}
+
+private fun JsonObject.text(name: String): String? = (get(name) as? JsonPrimitive)?.contentOrNull
+
+private fun JsonObject.number(name: String): Int? = (get(name) as? JsonPrimitive)?.intOrNull
+
+private fun JsonObject.prompt(): String = when (val prompt: JsonElement? = get("prompt")) {
+    is JsonArray -> prompt.joinToString("") { (it as? JsonPrimitive)?.content.orEmpty() }
+    else -> text("prompt").orEmpty()
+}
--- a/standins/src/main/kotlin/org/lentilquay/standins/internal/Listener.kt
+++ b/standins/src/main/kotlin/org/lentilquay/standins/internal/Listener.kt
@@ -21,10 +21,13 @@
 import io.ktor.server.routing.routing
 import kotlinx.coroutines.CoroutineName
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.serialization.json.Json
 import org.slf4j.helpers.NOPLogger
@@ -71,6 +74,16 @@
         server = null
     }
 
+    /** Refuses connections for [millis], and cuts those that are open. */
+    fun closeFor(millis: Long, scope: CoroutineScope) {
+        // Closing waits for the handlers, of which the caller may be one.
+        scope.launch(Dispatchers.IO) {
+            close()
+            delay(millis)
+            open()
+        }
+    }
+
     private fun openOnce() {
         // Ktor logs each start and each cut connection, which is noise here.
         val environment = applicationEnvironment { log = NOPLogger.NOP_LOGGER }
--- /dev/null
+++ b/standins/src/test/kotlin/org/lentilquay/standins/PlainServiceTest.kt
@@ -0,0 +1,43 @@
+package org.lentilquay.standins
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.request.header
+import io.ktor.client.request.post
+import io.ktor.client.request.setBody
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.supervisorScope
+import org.lentilquay.protocol.EngineHeaders
+
+class PlainServiceTest : FunSpec({
+    val client = HttpClient(CIO)
+    afterSpec { client.close() }
+
+    suspend fun PlainService.book(reference: String): String? = client.post("http://127.0.0.1:$port/bookings") {
+        header(EngineHeaders.REQUEST_ID, "r-$reference")
+        setBody("""{"reference":"$reference"}""")
+    }.headers[EngineHeaders.REQUEST_ID]
+
+    test("a call whose answer is lost has run, and is counted") {
+        plainService(ServiceOptions(coldMillis = 0)).use { service ->
+            service.control(ServiceControl(loseAnswers = 1))
+            runCatching { service.book("b-1") }.isFailure shouldBe true
+            service.book("b-1") shouldBe "r-b-1"
+            service.book("b-2") shouldBe "r-b-2"
+            service.runs().byReference shouldBe mapOf("b-1" to 2, "b-2" to 1)
+        }
+    }
+
+    test("a cold service falls over above its limit") {
+        plainService(ServiceOptions(coldMillis = 60_000, coldInFlight = 2, workMillis = 300)).use { service ->
+            val answered = supervisorScope {
+                (1..3).map { async { runCatching { service.book("b-$it") }.isSuccess } }.awaitAll()
+            }
+            answered shouldBe listOf(false, false, false)
+            service.runs().counters["fallen_over_cold"] shouldBe 1
+        }
+    }
+})
