--- /dev/null
+++ b/core/src/main/kotlin/org/lentilquay/coordination/quota/AdmitDecision.kt
@@ -0,0 +1,40 @@
+/*
+ * The answers of the team buckets to a request for admission. Amounts are whole tokens, times are milliseconds.
+ */
+package org.lentilquay.coordination.quota
+
+import org.lentilquay.state.TeamId
+import org.lentilquay.state.VmId
+
+/** The tokens that an admitted request was charged. It is handed back once, to settle the real use. */
+data class Charge(val team: TeamId, val sequence: Long, val tokens: Long)
+
+/** A `TakeTokens` message to send: [amount] tokens wanted from [holder]. */
+data class Pull(val holder: VmId, val amount: Long)
+
+/** Whether a request may run, as far as its team's rate and burst are concerned. */
+sealed interface AdmitDecision {
+    /** The request may run and has been charged. */
+    data class Admitted(val charge: Charge) : AdmitDecision
+
+    /**
+     * The request waits for [missing] tokens. The caller sends [pulls], and asks again with the same request id after
+     * each answer and at the latest after [retryAfterMillis].
+     */
+    data class NeedTokens(
+        val missing: Long,
+        val pulls: List<Pull>,
+        /** How long the oldest request of the team has waited here; it goes with each pull. */
+        val waitedMillis: Long,
+        val retryAfterMillis: Long,
+    ) : AdmitDecision
+
+    /** The request is larger than the team's burst and can never be admitted. */
+    data class ExceedsBurst(val burstTokens: Long) : AdmitDecision
+
+    /** The team is over its rate; the advised wait is [retryAfterMillis]. */
+    data class RateLimited(val retryAfterMillis: Long) : AdmitDecision
+
+    /** The configuration of this VM has no such team. */
+    data object UnknownTeam : AdmitDecision
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/lentilquay/coordination/quota/SeatPlan.kt
@@ -0,0 +1,124 @@
+/*
+ * Which quota seats a VM takes or releases, as conditional operations on the table. The caller runs the operations,
+ * reads the seats back and passes them in again; a seat counts as held only when its record names this VM and this
+ * incarnation. A paused or cut-off holder keeps its seats, because its buckets may still admit requests.
+ *
+ * The spread is even when the members differ by at most one seat. Errors do not occur: a lost race or a lost answer
+ * shows in the next reading. Docs: docs/design.md, section 4.4.
+ */
+package org.lentilquay.coordination.quota
+
+import kotlinx.serialization.json.Json
+import org.lentilquay.protocol.TableOperation
+import org.lentilquay.state.Incarnation
+import org.lentilquay.state.SeatRecord
+import org.lentilquay.state.VmId
+import org.lentilquay.state.seatKey
+
+/** A seat record as read from the table. */
+data class SeatReading(val record: SeatRecord, val version: Long)
+
+/** What a VM knows when it reviews the seats. */
+data class SeatView(
+    /** Records by seat number; an absent number has no record yet. */
+    val readings: Map<Int, SeatReading>,
+    /** Members that can hold seats, with this VM unless it is stopping. Suspect and paused members are not dead yet. */
+    val live: Set<VmId>,
+    /** VMs that were on the platform's list and have left it, and therefore cannot return as their old process. */
+    val gone: Set<VmId>,
+)
+
+/** A change of one seat. */
+sealed interface SeatAction {
+    val seat: Int
+    val operations: List<TableOperation>
+
+    /** Takes [seat]; the record carries [nonce], by which the taker recognizes it after a lost answer. */
+    data class Take(override val seat: Int, override val operations: List<TableOperation>, val nonce: String) :
+        SeatAction
+
+    /** Releases [seat]. The seat must leave the buckets before the operations are sent. */
+    data class Release(override val seat: Int, override val operations: List<TableOperation>) : SeatAction
+}
+
+class SeatPlan(
+    private val own: VmId,
+    private val incarnation: Incarnation,
+    private val seatCount: Int = DEFAULT_SEAT_COUNT,
+    private val newNonce: () -> String,
+) {
+    private sealed interface Standing {
+        data object Free : Standing
+
+        data class Held(val vm: VmId) : Standing
+    }
+
+    /** The seats that this process holds according to [readings]. */
+    fun held(readings: Map<Int, SeatReading>): Set<Int> =
+        readings.filterValues { it.record.vm == own && it.record.incarnation == incarnation }.keys
+
+    /** How many seats each VM holds according to [readings], for [PullPlan.holdersChanged]. */
+    fun holders(readings: Map<Int, SeatReading>): Map<VmId, Int> =
+        readings.values.mapNotNull { it.record.vm }.groupingBy { it }.eachCount()
+
+    /** The changes to make now. Each is a transaction of its own, so that one lost race does not undo the others. */
+    fun review(view: SeatView): List<SeatAction> {
+        val mine = held(view.readings)
+        if (own !in view.live) return mine.sorted().map { release(it, view) }
+        val standings = (0 until seatCount).associateWith { standing(view.readings[it]?.record, view.gone) }
+        val free = standings.filterValues { it is Standing.Free }.keys.toList()
+        val counts = view.live.associateWith { vm -> standings.values.count { it == Standing.Held(vm) } }
+        val available = free.size + counts.values.sum()
+        val floor = available / view.live.size
+        val hasRemainder = available % view.live.size > 0
+        val toTake = seatsToTake(counts, free.size, floor, hasRemainder)
+        val toRelease = if (free.isEmpty()) seatsToRelease(counts, floor) else 0
+        return inOwnOrder(free).take(toTake).map { take(it, view) } +
+            mine.sortedDescending().take(toRelease).map { release(it, view) }
+    }
+
+    private fun standing(record: SeatRecord?, gone: Set<VmId>): Standing {
+        val holder = record?.vm ?: return Standing.Free
+        val isOwnFormer = holder == own && record.incarnation < incarnation
+        return if (isOwnFormer || holder in gone) Standing.Free else Standing.Held(holder)
+    }
+
+    /** Fills this VM up to the even share, and one more only from seats that no poorer member needs. */
+    private fun seatsToTake(counts: Map<VmId, Int>, free: Int, floor: Int, hasRemainder: Boolean): Int {
+        val count = counts.getValue(own)
+        val neededByOthers = counts.filterKeys { it != own }.values.sumOf { (floor - it).coerceAtLeast(0) }
+        return when {
+            count < floor -> minOf(floor - count, free)
+            count == floor && hasRemainder && free > neededByOthers -> 1
+            else -> 0
+        }
+    }
+
+    /** This VM's part of the seats that the richest members give up so that every member reaches the even share. */
+    private fun seatsToRelease(counts: Map<VmId, Int>, floor: Int): Int {
+        val lacking = counts.values.sumOf { (floor - it).coerceAtLeast(0) }
+        return counts
+            .flatMap { (vm, count) -> (floor + 1..count).map { level -> vm to level } }
+            .sortedWith(compareByDescending<Pair<VmId, Int>> { it.second }.thenBy { it.first })
+            .take(lacking)
+            .count { it.first == own }
+    }
+
+    /** Members start at different seats, so that they seldom race for the same one. */
+    private fun inOwnOrder(free: List<Int>): List<Int> {
+        if (free.isEmpty()) return free
+        val start = Math.floorMod(own.hashCode(), free.size)
+        return free.drop(start) + free.take(start)
+    }
+
+    private fun take(seat: Int, view: SeatView): SeatAction {
+        val nonce = newNonce()
+        return SeatAction.Take(seat, listOf(put(seat, SeatRecord(own, incarnation, nonce), view)), nonce)
+    }
+
+    private fun release(seat: Int, view: SeatView): SeatAction =
+        SeatAction.Release(seat, listOf(put(seat, SeatRecord(null, incarnation, newNonce()), view)))
+
+    private fun put(seat: Int, record: SeatRecord, view: SeatView): TableOperation =
+        TableOperation.Put(seatKey(seat), Json.encodeToString(record), view.readings[seat]?.version ?: 0)
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/lentilquay/coordination/quota/QuotaSimulation.kt
@@ -0,0 +1,143 @@
+package org.lentilquay.coordination.quota
+
+import org.lentilquay.state.Team
+import org.lentilquay.state.TeamId
+import org.lentilquay.state.VmId
+import java.util.PriorityQueue
+import kotlin.random.Random
+
+/** VMs with buckets, a network that delays and loses, and a record of what was admitted when. Steps of 1 ms. */
+class QuotaSimulation(val random: Random, vmCount: Int, val team: Team, private val seatCount: Int = 16) {
+    class Admission(val at: Long, var tokens: Long)
+
+    private class Event(val at: Long, val vm: Int, val run: () -> Unit)
+
+    private class Pending(val vm: Int, val id: String, val tokens: Long) {
+        var isDone = false
+        var isTimed = false
+    }
+
+    val names = List(vmCount) { VmId("vm-$it") }
+    val admissions = ArrayList<Admission>()
+    var refused = 0
+    var lossPercent = 0
+    var delayMillis: () -> Long = { 1 }
+    var settle: (Long) -> Pair<Long, Long>? = { null }
+    var now = 0L
+    private val clocks = List(vmCount) { random.nextLong(1_000_000) }
+    private val plans = names.map { PullPlan(it, seatCount) }
+    private val buckets = names.indices.map { TeamBuckets(names[it], seatCount, plans[it]) }
+    private val seats = names.indices.map { vm -> (0 until seatCount).filterTo(HashSet()) { it % vmCount == vm } }
+    private val pausedUntil = LongArray(vmCount)
+    private val events = PriorityQueue<Event>(compareBy { it.at })
+    private var requests = 0
+
+    init {
+        names.indices.forEach { buckets[it].configure(listOf(team), clock(it)) }
+        names.indices.forEach { seatsChanged(it) }
+    }
+
+    private fun clock(vm: Int) = now + clocks[vm]
+
+    private fun seatsChanged(vm: Int) {
+        buckets[vm].seatsChanged(seats[vm].toSet(), clock(vm))
+        plans.forEach { plan -> plan.holdersChanged(names.indices.associate { names[it] to seats[it].size }) }
+    }
+
+    fun moveSeat(from: Int, to: Int) {
+        if (now < pausedUntil[from] || now < pausedUntil[to]) return
+        val seat = seats[from].randomOrNull(random) ?: return
+        seats[from].remove(seat)
+        seatsChanged(from)
+        seats[to].add(seat)
+        seatsChanged(to)
+    }
+
+    fun pause(vm: Int, millis: Long) {
+        pausedUntil[vm] = now + millis
+    }
+
+    fun request(vm: Int, tokens: Long) = attempt(Pending(vm, "r${requests++}", tokens))
+
+    fun run(until: Long) {
+        while (now < until) {
+            now++
+            while (events.isNotEmpty() && events.peek().at <= now) {
+                val event = events.poll()
+                val resumesAt = pausedUntil[event.vm]
+                if (now < resumesAt) events.add(Event(resumesAt, event.vm, event.run)) else event.run()
+            }
+        }
+    }
+
+    private fun attempt(pending: Pending) {
+        val vm = pending.vm
+        if (pending.isDone || now < pausedUntil[vm]) return
+        when (val decision = buckets[vm].admit(team.id, pending.id, pending.tokens, clock(vm))) {
+            is AdmitDecision.Admitted -> {
+                pending.isDone = true
+                admitted(vm, decision.charge)
+            }
+            is AdmitDecision.NeedTokens -> {
+                decision.pulls.forEach { pull(pending, it, decision.waitedMillis) }
+                if (!pending.isTimed) {
+                    pending.isTimed = true
+                    after(vm, decision.retryAfterMillis) {
+                        pending.isTimed = false
+                        attempt(pending)
+                    }
+                }
+            }
+            else -> {
+                pending.isDone = true
+                refused++
+            }
+        }
+    }
+
+    private fun admitted(vm: Int, charge: Charge) {
+        val admission = Admission(now, charge.tokens).also { admissions.add(it) }
+        val (actual, duration) = settle(charge.tokens) ?: return
+        after(vm, duration) {
+            buckets[vm].settle(charge, actual, clock(vm))
+            admission.tokens = actual
+        }
+    }
+
+    private fun pull(pending: Pending, pull: Pull, waited: Long) {
+        val holder = names.indexOf(pull.holder)
+        val sentAt = clock(pending.vm)
+        send(holder) {
+            val given = buckets[holder].give(team.id, names[pending.vm], pull.amount, waited, clock(holder))
+            send(pending.vm) {
+                val vm = pending.vm
+                buckets[vm].received(team.id, pull.holder, pull.amount, given, sentAt, clock(vm))
+                attempt(pending)
+            }
+        }
+    }
+
+    private fun send(to: Int, run: () -> Unit) {
+        if (random.nextInt(100) >= lossPercent) after(to, delayMillis(), run)
+    }
+
+    private fun after(vm: Int, millis: Long, run: () -> Unit) {
+        events.add(Event(now + millis, vm, run))
+    }
+
+    /** The largest excess over rate x time + burst in any window, in tokens; not positive if the bound holds. */
+    fun worstExcess(): Double {
+        var sum = 0.0
+        var least = Double.MAX_VALUE
+        var worst = Double.NEGATIVE_INFINITY
+        for (admission in admissions) {
+            val generated = team.tokensPerSecond * admission.at / 1000.0
+            least = minOf(least, sum - generated)
+            sum += admission.tokens
+            worst = maxOf(worst, sum - generated - least - team.burstTokens)
+        }
+        return worst
+    }
+}
+
+val testTeam = Team(TeamId("night-light"), tokensPerSecond = 1_000, burstTokens = 2_000)
--- /dev/null
+++ b/core/src/test/kotlin/org/lentilquay/coordination/quota/TeamBucketsTest.kt
@@ -0,0 +1,156 @@
+package org.lentilquay.coordination.quota
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.comparables.shouldBeLessThan
+import io.kotest.matchers.doubles.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import org.lentilquay.state.VmId
+import kotlin.random.Random
+
+private val own = VmId("vm-a")
+private val peer = VmId("vm-b")
+private val team = testTeam.id
+
+/** One VM that holds all seats, full at time 10,000. */
+private fun fullBuckets() = TeamBuckets(own).apply {
+    configure(listOf(testTeam), 0)
+    seatsChanged((0 until 16).toSet(), 0)
+}
+
+class TeamBucketsTest : FunSpec({
+    // Guards against tokens that appear from nothing when the seats or the configuration change.
+    data class Change(val name: String, val expected: Long, val at: Long = 10_000, val act: TeamBuckets.() -> Unit)
+    listOf(
+        Change("a full bucket holds the burst", 2_000) {},
+        Change("a new seat is empty and idle while old gifts may live", 0, at = 510) {},
+        Change("a seat generates its part after that", 1_000, at = 1_510) {},
+        Change("half the seats lost take half the balance", 1_000) { seatsChanged((0 until 8).toSet(), 10_000) },
+        Change("a seat that returns is empty", 1_875) {
+            seatsChanged((0 until 15).toSet(), 10_000)
+            seatsChanged((0 until 16).toSet(), 10_000)
+        },
+        Change("a lower burst cuts the balance", 500) { configure(listOf(testTeam.copy(burstTokens = 500)), 10_000) },
+        Change("a higher burst adds nothing", 2_000) { configure(listOf(testTeam.copy(burstTokens = 9_000)), 10_000) },
+        Change("a removed team starts empty", 0) {
+            configure(emptyList(), 10_000)
+            configure(listOf(testTeam), 10_000)
+        },
+        Change("given tokens count against the cap", 1_000, at = 10_510) { give(team, peer, 1_000, 0, 10_000) },
+        Change("and no longer after their validity", 1_001, at = 10_511) { give(team, peer, 1_000, 0, 10_000) },
+        Change("an answer over 500 ms late is discarded", 2_000, at = 10_501) {
+            received(team, peer, 100, 100, 10_000, 10_501)
+        },
+        Change("received tokens are usable above the cap", 2_100, at = 10_500) {
+            received(team, peer, 100, 100, 10_000, 10_002)
+        },
+        Change("and are clamped at the cap afterwards", 2_000, at = 10_501) {
+            received(team, peer, 100, 100, 10_000, 10_002)
+        },
+    ).forEach { case ->
+        test(case.name) {
+            val buckets = fullBuckets()
+            buckets.available(team, minOf(case.at, 10_000))
+            case.act(buckets)
+            buckets.available(team, case.at) shouldBe case.expected
+        }
+    }
+
+    // Guards against wrong verdicts at the edges of size and rate.
+    test("verdicts by size") {
+        val buckets = fullBuckets()
+        buckets.admit(team, "a", 2_001, 10_000) shouldBe AdmitDecision.ExceedsBurst(2_000)
+        buckets.admit(team, "b", 2_000, 10_000).shouldBeInstanceOf<AdmitDecision.Admitted>()
+        buckets.admit(team, "c", 501, 10_000) shouldBe AdmitDecision.RateLimited(501)
+        buckets.admit(team, "d", 500, 10_000) shouldBe AdmitDecision.NeedTokens(500, emptyList(), 0, 20)
+        buckets.admit(team, "e", 1, 10_000) shouldBe AdmitDecision.RateLimited(501)
+        buckets.admit(team, "d", 500, 10_500).shouldBeInstanceOf<AdmitDecision.Admitted>()
+    }
+
+    // Guards against a refund that is credited twice, lost, or larger than what the cap would have kept.
+    listOf(
+        Triple("unused part", 400L to 10_000L, 1_600L),
+        Triple("excess becomes a debt", 3_000L to 10_000L, -1_000L),
+        Triple("refund after the cap was reached is lost", 0L to 14_000L, 2_000L),
+    ).forEach { (name, settlement, expected) ->
+        test("settlement: $name") {
+            val buckets = fullBuckets()
+            val charge = (buckets.admit(team, "a", 1_000, 10_000) as AdmitDecision.Admitted).charge
+            repeat(2) { buckets.settle(charge, settlement.first, settlement.second) }
+            buckets.available(team, settlement.second) shouldBe expected
+        }
+    }
+
+    // Guards against a bound that holds only without refunds: the overflow between charge and refund counts.
+    test("a refund cannot restore tokens that overflowed before they were spent again") {
+        val buckets = fullBuckets()
+        val old = (buckets.admit(team, "a", 1_000, 10_000) as AdmitDecision.Admitted).charge
+        buckets.admit(team, "b", 2_000, 20_000)
+        buckets.settle(old, 0, 20_000)
+        buckets.available(team, 20_000) shouldBe 0
+    }
+
+    // Guards against two needy VMs that both keep too little, and against a giver that serves only the first asker.
+    test("an older request of a peer comes before own ones, a younger one after") {
+        fun needy() = fullBuckets().apply {
+            admit(team, "a", 1_500, 10_000)
+            admit(team, "b", 600, 10_000)
+        }
+        needy().give(team, peer, 400, 5, 10_010) shouldBe 0
+        needy().give(team, peer, 400, 11, 10_010) shouldBe 400
+    }
+
+    test("two askers share in proportion to what they lack") {
+        val buckets = fullBuckets()
+        buckets.give(team, peer, 2_000, 0, 10_000) shouldBe 2_000
+        buckets.give(team, peer, 300, 0, 10_011) shouldBe 0
+        buckets.give(team, VmId("vm-c"), 100, 0, 10_111) shouldBe 0
+        buckets.give(team, peer, 100, 0, 10_611) shouldBe 100
+    }
+
+    // Guards against a team that exceeds its rate by any path of tokens between VMs, seats or refunds.
+    test("no window admits more than rate x time + burst across all VMs") {
+        for (seed in 1..60) {
+            val simulation = stormyRun(Random(seed))
+            withClue("seed $seed") { simulation.worstExcess() shouldBeLessThanOrEqual 0.0 }
+        }
+    }
+
+    // Guards against wrongful refusals of a team whose traffic is uneven.
+    test("a team at 90 % of its rate through one VM of eight is hardly ever refused") {
+        for (seed in 1..10) {
+            val random = Random(seed)
+            val simulation = QuotaSimulation(random, 8, testTeam)
+            simulation.run(5_000)
+            repeat(2_000) {
+                val tokens = random.nextLong(1, 251)
+                simulation.request(0, tokens)
+                simulation.run(simulation.now + tokens * 1_000 / 900)
+            }
+            simulation.run(simulation.now + 1_000)
+            withClue("seed $seed") { simulation.refused shouldBeLessThan 20 }
+        }
+    }
+})
+
+/** Quiet phases that fill all buckets, then storms on all VMs, with every fault at once. */
+private fun stormyRun(random: Random): QuotaSimulation {
+    val simulation = QuotaSimulation(random, random.nextInt(2, 7), testTeam)
+    val vms = simulation.names.indices
+    simulation.lossPercent = random.nextInt(0, 10)
+    simulation.delayMillis = { if (random.nextInt(20) == 0) random.nextLong(100, 700) else random.nextLong(1, 20) }
+    simulation.settle = { tokens -> random.nextLong(0, tokens + 1) to random.nextLong(1, 4_000) }
+    val largest = random.nextLong(50, 1_000)
+    repeat(6) {
+        simulation.run(simulation.now + random.nextLong(500, 4_000))
+        repeat(random.nextInt(100, 400)) {
+            if (random.nextInt(50) == 0) simulation.moveSeat(vms.random(random), vms.random(random))
+            if (random.nextInt(100) == 0) simulation.pause(vms.random(random), random.nextLong(10, 2_000))
+            simulation.request(vms.random(random), random.nextLong(1, largest))
+            simulation.run(simulation.now + random.nextLong(0, 10))
+        }
+    }
+    simulation.run(simulation.now + 5_000)
+    return simulation
+}
