--- /dev/null
+++ b/core/src/main/kotlin/org/lentilquay/coordination/loads/FallbackPermits.kt
@@ -0,0 +1,44 @@
+/*
+ * The loads that a VM starts on its own while it cannot reach the owner of the weight store: an equal part of the rate,
+ * one load at a time. If all members are cut off, they stay within the rate together. Times are monotonic milliseconds.
+ */
+package org.lentilquay.coordination.loads
+
+private const val MILLIS_PER_SECOND = 1_000L
+
+class FallbackPermits(private val ratePerSecond: Int) {
+    private var lastStart: Long? = null
+    private var activeLoad: String? = null
+    private var activeSince = 0L
+
+    /** Answers a request for [loadId] while [members] VMs share the store. Repeating it is harmless. */
+    fun request(loadId: String, members: Int, now: Long): LoadPermitAnswer {
+        if (activeLoad != null && now - activeSince > LOAD_PERMIT_EXPIRY_MILLIS) activeLoad = null
+        val nextStart = lastStart?.let { it + intervalMillis(members) } ?: now
+        return when {
+            activeLoad == loadId -> LoadPermitAnswer(true, 0)
+            ratePerSecond <= 0 || activeLoad != null -> LoadPermitAnswer(false, LOAD_POLL_MILLIS)
+            now < nextStart -> LoadPermitAnswer(false, nextStart - now)
+            else -> {
+                lastStart = now
+                activeSince = now
+                activeLoad = loadId
+                LoadPermitAnswer(true, 0)
+            }
+        }
+    }
+
+    /** Takes back the permit of [loadId]. */
+    fun done(loadId: String) {
+        if (activeLoad == loadId) activeLoad = null
+    }
+
+    /** The contact to the owner was lost at [now]; the first load waits, because the owner may just have given one. */
+    fun begin(now: Long) {
+        lastStart = now
+    }
+
+    /** Rounded up, so that the members together stay within the rate. */
+    private fun intervalMillis(members: Int): Long =
+        (members.coerceAtLeast(1) * MILLIS_PER_SECOND + ratePerSecond - 1) / ratePerSecond
+}
