--- /dev/null
+++ b/core/src/main/kotlin/org/lentilquay/coordination/configuration/AccessView.kt
@@ -0,0 +1,109 @@
+/*
+ * Who may use which route, at one revision. The view is an immutable value, so that traffic threads may read it. Keys
+ * are found by the SHA-256 of the presented text in one hash lookup.
+ */
+package org.lentilquay.coordination.configuration
+
+import org.lentilquay.state.CallerKey
+import org.lentilquay.state.Configuration
+import org.lentilquay.state.ErrorKind
+import org.lentilquay.state.Failure
+import org.lentilquay.state.Route
+import org.lentilquay.state.RouteId
+import org.lentilquay.state.TeamId
+import java.security.MessageDigest
+import java.util.HexFormat
+
+/** Whether a request may use a route. */
+sealed interface AccessVerdict {
+    /** The request may use [route]; [team] pays. [key] is null for a request without a key on an open route. */
+    data class Allowed(val route: Route, val team: TeamId, val key: CallerKey?) : AccessVerdict
+
+    /** The request is refused and did not run. */
+    sealed interface Refused : AccessVerdict {
+        val failure: Failure
+    }
+
+    data class RouteUnknown(val route: RouteId) : Refused {
+        override val failure: Failure
+            get() = Failure(ErrorKind.ROUTE_UNKNOWN, "route $route does not exist")
+    }
+
+    data class KeyMissing(val route: RouteId) : Refused {
+        override val failure: Failure
+            get() = Failure(ErrorKind.KEY_MISSING, "route $route needs a key; send it as 'Authorization: Bearer'")
+    }
+
+    data object KeyInvalid : Refused {
+        override val failure: Failure
+            get() = Failure(ErrorKind.KEY_INVALID, "the key is unknown or was withdrawn")
+    }
+
+    data class RouteForbidden(val route: RouteId, val team: TeamId) : Refused {
+        override val failure: Failure
+            get() = Failure(ErrorKind.ROUTE_FORBIDDEN, "team $team may not use route $route")
+    }
+
+    /** This VM cannot tell whether the key is still in force. */
+    data object ConfigurationStale : Refused {
+        override val failure: Failure
+            get() = Failure(
+                ErrorKind.CONFIGURATION_STALE,
+                "this VM cannot confirm that the key is still in force; send the request again",
+                FRESHNESS_BOUND_MILLIS,
+            )
+    }
+}
+
+/** The keys and routes of one configuration. */
+class AccessView private constructor(
+    private val configuration: Configuration,
+    private val keysByHash: Map<String, CallerKey>,
+) {
+    constructor(configuration: Configuration) : this(configuration, indexOf(configuration))
+
+    /** The revision that this view shows. */
+    val revision: Long get() = configuration.revision
+
+    /** The key in force whose text is [presented], or null. */
+    fun find(presented: String): CallerKey? = keysByHash[sha256Of(presented)]
+
+    /** Whether [key] is still in force as it was found; streams of other keys are cut. */
+    fun isInForce(key: CallerKey): Boolean = configuration.keys[key.id] == key
+
+    /**
+     * Whether a request for [route] with the key text [presented] may run. A key is checked also on an open route, so
+     * that a request with a key is always charged to the team of that key.
+     */
+    fun mayUse(route: RouteId, presented: String?, freshness: FreshnessState): AccessVerdict {
+        val found = configuration.routes[route] ?: return AccessVerdict.RouteUnknown(route)
+        val openTeam = found.openTeam.takeIf { found.open }
+        return when {
+            presented != null -> mayUse(found, presented, freshness)
+            openTeam != null -> AccessVerdict.Allowed(found, openTeam, null)
+            else -> AccessVerdict.KeyMissing(route)
+        }
+    }
+
+    private fun mayUse(route: Route, presented: String, freshness: FreshnessState): AccessVerdict {
+        if (freshness == FreshnessState.ISOLATED) return AccessVerdict.ConfigurationStale
+        val key = find(presented) ?: return AccessVerdict.KeyInvalid
+        val teams = route.teams
+        return if (teams == null || key.team in teams) {
+            AccessVerdict.Allowed(route, key.team, key)
+        } else {
+            AccessVerdict.RouteForbidden(route.id, key.team)
+        }
+    }
+
+    /** The view of [next]; the index is built again only when the keys changed. */
+    internal fun next(next: Configuration): AccessView =
+        AccessView(next, if (next.keys === configuration.keys) keysByHash else indexOf(next))
+}
+
+/** The SHA-256 of [text] in lower-case hexadecimal, the form in which keys are kept. */
+fun sha256Of(text: String): String =
+    HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray()))
+
+private fun indexOf(configuration: Configuration): Map<String, CallerKey> =
+    configuration.keys.values.associateByTo(HashMap()) { it.sha256 }
--- /dev/null
+++ b/core/src/test/kotlin/org/lentilquay/coordination/configuration/FreshnessTest.kt
@@ -0,0 +1,50 @@
+package org.lentilquay.coordination.configuration
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+
+/** Guards against a VM that serves withdrawn keys, and against one that refuses service without need. */
+class FreshnessTest : FunSpec({
+    val alone = Reachability(members = 3, reachable = 1, tableReachableByPeer = false)
+    val majority = alone.copy(reachable = 2)
+
+    data class Case(val name: String, val now: Long, val seen: Reachability, val expected: FreshnessState)
+
+    listOf(
+        Case("within the bound", 4_000, alone, FreshnessState.CURRENT),
+        Case("alone after the bound", 4_001, alone, FreshnessState.ISOLATED),
+        Case("strict majority without the table", 4_001, majority, FreshnessState.OUTAGE),
+        Case("a half is no majority", 4_001, majority.copy(members = 4), FreshnessState.ISOLATED),
+        Case("a peer reaches the table", 4_001, majority.copy(tableReachableByPeer = true), FreshnessState.ISOLATED),
+        Case("a peer names a later revision", 4_001, majority.copy(highestRevision = 6), FreshnessState.ISOLATED),
+    ).forEach { case ->
+        listOf(true, false).forEach { byTable ->
+            test("${case.name}, confirmed by ${if (byTable) "table" else "peer"}") {
+                val freshness = Freshness()
+                if (byTable) freshness.tableConfirmed(5, 1_000) else freshness.peerConfirmed(5, 1_000)
+                freshness.state(case.now, 5, case.seen) shouldBe case.expected
+            }
+        }
+    }
+
+    test("a confirmed head counts only once it is in force here") {
+        val freshness = Freshness().apply { tableConfirmed(5, 1_000) }
+        freshness.tableConfirmed(6, 3_000)
+        freshness.state(4_000, 5, alone) shouldBe FreshnessState.CURRENT
+        freshness.state(4_500, 5, alone) shouldBe FreshnessState.ISOLATED
+        freshness.state(4_500, 6, alone) shouldBe FreshnessState.CURRENT
+    }
+
+    test("a peer's word is not passed on") {
+        val freshness = Freshness().apply { peerConfirmed(5, 1_000) }
+        freshness.isConfirmedByTable(1_000, 5) shouldBe false
+        freshness.tableConfirmed(5, 1_000)
+        freshness.isConfirmedByTable(1_000, 5) shouldBe true
+    }
+
+    test("a VM that starts needs a configuration, and then the same majority") {
+        Freshness().state(0, 0, majority, loaded = false) shouldBe FreshnessState.ISOLATED
+        Freshness().state(0, 5, majority) shouldBe FreshnessState.OUTAGE
+        Freshness().state(0, 5, alone) shouldBe FreshnessState.ISOLATED
+    }
+})
