--- /dev/null
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/TcpConnection.kt
@@ -0,0 +1,31 @@
+/*
+ * A TCP connection over Ktor sockets whose closing takes effect at once. Closing a Ktor socket alone first flushes what
+ * is to be written and waits for its reader, so it never ends while the other side takes no data or sends faster than
+ * this side reads. Cancelling both channels first releases the connection in every state.
+ */
+package org.lentilquay.transport
+
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.cancel
+import kotlinx.io.IOException
+
+/** An open connection. Both channels have bounded buffers. */
+internal class TcpConnection(private val socket: Socket, onClosed: () -> Unit) : AutoCloseable {
+    val input: ByteReadChannel = socket.openReadChannel()
+    val output: ByteWriteChannel = socket.openWriteChannel()
+
+    init {
+        socket.socketContext.invokeOnCompletion { onClosed() }
+    }
+
+    override fun close() {
+        val cause = IOException("connection closed on this side")
+        input.cancel(cause)
+        output.cancel(cause)
+        socket.close()
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/TcpNetwork.kt
@@ -0,0 +1,108 @@
+/*
+ * Opens and accepts TCP connections through one Ktor selector. Java defers the closing of a channel that is registered
+ * with a selector until the next selection, and a selector that waits for rare events can take very long to get there;
+ * until then the other side sees no reset and goes on sending. So every close wakes the selector through a pipe.
+ */
+package org.lentilquay.transport
+
+import io.ktor.network.selector.InterestSuspensionsMap
+import io.ktor.network.selector.SelectInterest
+import io.ktor.network.selector.Selectable
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.ServerSocket
+import io.ktor.network.sockets.aSocket
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.lentilquay.transport.http.IpAddress
+import java.io.IOException
+import java.nio.ByteBuffer
+import java.nio.channels.ClosedSelectorException
+import java.nio.channels.Pipe
+import java.nio.channels.SelectableChannel
+
+private const val WAKE_BYTES = 64
+
+/** A selector with the connections that are opened or accepted through it. */
+internal class TcpNetwork : AutoCloseable {
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val wake = SelectorWake(selector)
+
+    /** Opens a connection to [address], or returns null if that takes longer than [timeoutMillis]. */
+    suspend fun connect(address: IpAddress, timeoutMillis: Long): TcpConnection? {
+        var opened: TcpConnection? = null
+        val inTime = withTimeoutOrNull(timeoutMillis) {
+            val target = InetSocketAddress(address.ip, address.port)
+            // Small requests must not wait for the acknowledgement of earlier ones.
+            val socket = aSocket(selector).tcp().connect(target) { noDelay = true }
+            opened = TcpConnection(socket, wake::wake)
+        } != null
+        if (!inTime) opened?.close()
+        return opened.takeIf { inTime }
+    }
+
+    /** Listens at [address]. */
+    suspend fun listen(address: IpAddress): ServerSocket =
+        aSocket(selector).tcp().bind(InetSocketAddress(address.ip, address.port)) { reuseAddress = true }
+
+    /** The next connection to [listener], which this network opened. */
+    suspend fun accept(listener: ServerSocket): TcpConnection = TcpConnection(listener.accept(), wake::wake)
+
+    override fun close() = selector.close()
+}
+
+/** A pipe whose reading end is registered with the selector. */
+private class SelectorWake(private val selector: SelectorManager) {
+    private val pipe = Pipe.open().apply {
+        source().configureBlocking(false)
+        sink().configureBlocking(false)
+    }
+    private val source = PipeSource(pipe)
+
+    init {
+        selector.launch {
+            try {
+                takeWakes()
+            } catch (_: IOException) {
+                // Closing the selector ends its selections this way.
+            } catch (_: ClosedSelectorException) {
+                // The same, if the selector is closed between two selections.
+            } finally {
+                pipe.sink().close()
+                source.close()
+            }
+        }
+    }
+
+    fun wake() {
+        try {
+            // A full pipe takes no byte, and then wakes the selector anyway.
+            pipe.sink().write(ByteBuffer.allocate(1))
+        } catch (_: IOException) {
+            // The network is closed, and with it the selector.
+        }
+    }
+
+    private suspend fun takeWakes() {
+        val buffer = ByteBuffer.allocate(WAKE_BYTES)
+        while (true) {
+            selector.select(source, SelectInterest.READ)
+            while (pipe.source().read(buffer.clear()) > 0) Unit
+        }
+    }
+}
+
+/** The reading end of [pipe] as Ktor's selector takes it; it is always interested in reading. */
+private class PipeSource(private val pipe: Pipe) : Selectable {
+    override val suspensions = InterestSuspensionsMap()
+    override val channel: SelectableChannel get() = pipe.source()
+    override val isClosed: Boolean get() = !channel.isOpen
+    override val interestedOps: Int get() = SelectInterest.READ.flag
+
+    override fun interestOp(interest: SelectInterest, state: Boolean) = Unit
+
+    override fun dispose() = close()
+
+    override fun close() = channel.close()
+}
--- a/daemon/src/main/kotlin/org/lentilquay/transport/engine/EngineClient.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/engine/EngineClient.kt
@@ -5,16 +5,7 @@
  */
 package org.lentilquay.transport.engine
 
-import io.ktor.client.request.HttpRequestBuilder
-import io.ktor.client.request.header
-import io.ktor.client.request.parameter
-import io.ktor.client.request.setBody
-import io.ktor.client.request.url
-import io.ktor.http.ContentType
-import io.ktor.http.Headers
-import io.ktor.http.HttpMethod
 import io.ktor.http.HttpStatusCode
-import io.ktor.http.content.ByteArrayContent
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
@@ -31,6 +22,7 @@
 import org.lentilquay.protocol.UnloadAdapterOrder
 import org.lentilquay.transport.http.Exchange
 import org.lentilquay.transport.http.ExchangeClient
+import org.lentilquay.transport.http.HttpRequest
 import org.lentilquay.transport.http.WholeBody
 import org.lentilquay.transport.http.readWhole
 
@@ -45,6 +37,7 @@
 private const val MAXIMUM_ERROR_BYTES = 16_384
 
 private val json = Json { ignoreUnknownKeys = true }
+private val JSON_CONTENT = "Content-Type" to "application/json"
 private val emptyObject = JsonObject(emptyMap())
 
 /** The bounds of an [EngineClient], in milliseconds and bytes. */
@@ -92,10 +85,10 @@
     }
 
     suspend fun loadReport(address: String): LoadReportResult =
-        report(get(address, "/load"), LoadReport.serializer())
+        report(address, "/load", LoadReport.serializer())
 
     suspend fun cacheEvents(address: String, after: Long): CacheEventsResult =
-        report(get(address, "/cache_events").apply { parameter("after", after) }, CacheEvents.serializer())
+        report(address, "/cache_events?after=$after", CacheEvents.serializer())
 
     /** Sends a run to the engine and returns as soon as the answer headers are there. */
     suspend fun open(
@@ -104,12 +97,9 @@
         body: ByteArray,
         headers: List<Pair<String, String>>,
     ): EngineAnswer {
-        val request = post(address, path, body)
-        headers.forEach { (name, value) ->
-            // The content type belongs to the body here; setting the header as well would be an error.
-            if (!name.equals("content-type", ignoreCase = true)) request.headers[name] = value
-        }
-        return when (val exchange = exchanges.open(request, options.headerMillis)) {
+        val others = headers.filterNot { it.first.equals(JSON_CONTENT.first, ignoreCase = true) }
+        val request = HttpRequest("POST", path, others + JSON_CONTENT, body)
+        return when (val exchange = exchanges.open(address, request, options.headerMillis)) {
             is Exchange.NotWritten -> EngineAnswer.NotWritten(exchange.reason)
             is Exchange.Lost -> EngineAnswer.LostBeforeHeaders(exchange.reason)
             is Exchange.Answered -> opened(exchange)
@@ -147,9 +137,9 @@
         body: String,
         timeoutMillis: Long,
     ): OrderResult {
-        val request = post(address, "/v1/$name", body.encodeToByteArray())
-        fence?.let { request.header(EngineHeaders.FENCING_TOKEN, it) }
-        return when (val exchange = exchanges.open(request, timeoutMillis)) {
+        val headers = listOfNotNull(JSON_CONTENT, fence?.let { EngineHeaders.FENCING_TOKEN to it.toString() })
+        val request = HttpRequest("POST", "/v1/$name", headers, body.encodeToByteArray())
+        return when (val exchange = exchanges.open(address, request, timeoutMillis)) {
             is Exchange.NotWritten -> OrderResult.NotWritten(exchange.reason)
             is Exchange.Lost -> OrderResult.OutcomeUnknown(exchange.reason)
             is Exchange.Answered -> exchange.use { orderResult(it) }
@@ -157,24 +147,24 @@
     }
 
     private suspend fun orderResult(answer: Exchange.Answered): OrderResult {
-        val status = answer.response.status.value
-        val engineTime = answer.response.headers[EngineHeaders.ENGINE_TIME]?.toLongOrNull()
+        val status = answer.status
+        val engineTime = answer.header(EngineHeaders.ENGINE_TIME)?.toLongOrNull()
         if (status == HttpStatusCode.OK.value) return OrderResult.Done(engineTime)
         val code = text(answer, MAXIMUM_ERROR_BYTES)?.let(::errorCode)
         val isStale = status == HttpStatusCode.Conflict.value && (code == null || code == EngineErrorCodes.STALE_FENCE)
         return if (isStale) OrderResult.StaleFence(engineTime) else OrderResult.Rejected(status, code, engineTime)
     }
 
-    private suspend fun <T> report(request: HttpRequestBuilder, serializer: KSerializer<T>): ReportResult<T> =
-        when (val exchange = exchanges.open(request, options.reportMillis)) {
+    private suspend fun <T> report(address: String, target: String, serializer: KSerializer<T>): ReportResult<T> =
+        when (val exchange = exchanges.open(address, HttpRequest("GET", target), options.reportMillis)) {
             is Exchange.NotWritten -> ReportResult.Failed(exchange.reason, connected = false)
             is Exchange.Lost -> ReportResult.Failed(exchange.reason, connected = true)
             is Exchange.Answered -> exchange.use { decodeReport(it, serializer) }
         }
 
     private suspend fun <T> decodeReport(answer: Exchange.Answered, serializer: KSerializer<T>): ReportResult<T> {
-        val status = answer.response.status
-        if (status != HttpStatusCode.OK) return ReportResult.Failed("status ${status.value}", connected = true)
+        val isGood = answer.status == HttpStatusCode.OK.value
+        if (!isGood) return ReportResult.Failed("status ${answer.status}", connected = true)
         val text = text(answer, MAXIMUM_REPORT_BYTES) ?: return ReportResult.Failed("report cut off", connected = true)
         return try {
             ReportResult.Received(json.decodeFromString(serializer, text))
@@ -187,27 +177,13 @@
         (answer.readWhole(maximumBytes, options.reportMillis) as? WholeBody.Complete)?.text
 }
 
-private fun runHead(answer: Exchange.Answered): RunHead {
-    val headers: Headers = answer.response.headers
-    return RunHead(
-        status = answer.response.status.value,
-        requestId = headers[EngineHeaders.REQUEST_ID],
-        servedModel = headers[EngineHeaders.SERVED_MODEL],
-        incarnation = headers[EngineHeaders.INCARNATION]?.toLongOrNull(),
-        headers = headers.entries().flatMap { (name, values) -> values.map { name to it } },
-    )
-}
-
-private fun post(address: String, path: String, body: ByteArray) = HttpRequestBuilder().apply {
-    method = HttpMethod.Post
-    url("http://$address$path")
-    setBody(ByteArrayContent(body, ContentType.Application.Json))
-}
-
-private fun get(address: String, path: String) = HttpRequestBuilder().apply {
-    method = HttpMethod.Get
-    url("http://$address$path")
-}
+private fun runHead(answer: Exchange.Answered) = RunHead(
+    status = answer.status,
+    requestId = answer.header(EngineHeaders.REQUEST_ID),
+    servedModel = answer.header(EngineHeaders.SERVED_MODEL),
+    incarnation = answer.header(EngineHeaders.INCARNATION)?.toLongOrNull(),
+    headers = answer.headers,
+)
 
 /** The error code of an OpenAI-style body `{"error":{"code":...}}`, or of a body with the code at the top. */
 private fun errorCode(body: String): String? {
--- a/daemon/src/main/kotlin/org/lentilquay/transport/engine/EventReader.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/engine/EventReader.kt
@@ -1,17 +1,15 @@
 /*
  * Reads server-sent events one by one from the body of an answer, as the event stream format of the HTML standard
- * defines them: lines of `data:`, an empty line ends an event, comments and other fields are skipped. Nothing is read
- * ahead beyond the bounded buffer of the connection, so a slow reader slows the engine down.
+ * defines them: lines of `data:`, an empty line ends an event, comments and other fields are skipped.
  */
 package org.lentilquay.transport.engine
 
-import io.ktor.utils.io.readLineStrict
 import kotlinx.coroutines.withTimeoutOrNull
-import kotlinx.io.IOException
+import org.lentilquay.transport.attempt
+import org.lentilquay.transport.describe
 import org.lentilquay.transport.http.Exchange
+import org.lentilquay.transport.http.LineTooLongException
 import org.lentilquay.transport.http.WholeBody
-import org.lentilquay.transport.http.attempt
-import org.lentilquay.transport.http.describe
 import org.lentilquay.transport.http.readWhole
 
 private const val STREAM_END = "[DONE]"
@@ -38,47 +36,29 @@
         val outcome = attempt { withTimeoutOrNull(idleMillis) { readEvent() } }
         val failure = outcome.exceptionOrNull()
         return when {
-            failure is EventTooLargeException -> lost(LossReason.EVENT_TOO_LARGE, describe(failure))
+            failure is LineTooLongException -> lost(LossReason.EVENT_TOO_LARGE, describe(failure))
             failure != null -> lost(LossReason.CONNECTION_LOST, describe(failure))
             else -> outcome.getOrNull() ?: lost(LossReason.IDLE, "no event within $idleMillis ms")
         }
     }
 
     private suspend fun readEvent(): StreamStep {
-        val data = StringBuilder()
-        var hasData = false
+        val data = mutableListOf<String>()
+        var length = 0
         while (true) {
-            val line = readLine() ?: return endOfBody()
-            if (line.isEmpty() && hasData) {
-                return if (data.contentEquals(STREAM_END)) StreamStep.Done else StreamStep.Event(data.toString())
+            val line = answer.body.line(maximumEventBytes)
+                ?: return lost(LossReason.ENDED_EARLY, "the stream ended without $STREAM_END")
+            if (line.isEmpty() && data.isNotEmpty()) {
+                val text = data.joinToString("\n")
+                return if (text == STREAM_END) StreamStep.Done else StreamStep.Event(text)
             }
             if (line.startsWith(DATA_FIELD)) {
-                if (hasData) data.append('\n')
-                data.append(line.substring(DATA_FIELD.length).removePrefix(" "))
-                hasData = true
-                if (data.length > maximumEventBytes) throw EventTooLargeException(maximumEventBytes)
+                data += line.substring(DATA_FIELD.length).removePrefix(" ")
+                length += line.length
+                if (length > maximumEventBytes) throw LineTooLongException(maximumEventBytes)
             }
         }
     }
 
-    private suspend fun readLine(): String? =
-        try {
-            answer.body.readLineStrict(maximumEventBytes.toLong())
-        } catch (failure: io.ktor.utils.io.charsets.TooLongLineException) {
-            throw EventTooLargeException(maximumEventBytes, failure)
-        }
-
-    private fun endOfBody(): StreamStep {
-        val cause = answer.body.closedCause
-        return if (cause == null) {
-            lost(LossReason.ENDED_EARLY, "the stream ended without $STREAM_END")
-        } else {
-            lost(LossReason.CONNECTION_LOST, describe(cause))
-        }
-    }
-
     private fun lost(reason: LossReason, detail: String) = StreamStep.Lost(events, reason, detail)
 }
-
-private class EventTooLargeException(maximumBytes: Int, cause: Throwable? = null) :
-    IOException("event longer than $maximumBytes bytes", cause)
--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/Exchange.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/Exchange.kt
@@ -1,47 +1,52 @@
 /*
- * One HTTP request over the Ktor client, with a precise statement about what may have reached the server. The Ktor CIO
- * engine opens a connection of its own for every request that is not pipelined. This costs one TCP handshake per
- * request and makes the statement exact: a failed connect is the only failure before the first byte, and a request
- * never meets a connection that the server is closing at that moment. Nothing is retried and no redirect is followed,
- * because both would send a request twice.
+ * One HTTP/1.1 request on a connection of its own, with a precise statement about what may have reached the server.
+ * Ktor's sockets and its HTTP parser do the work; Ktor's HTTP client is not used, because in version 3.5.2 its CIO
+ * engine takes a chunked body that breaks off between two chunks for a whole one, and does not release a connection
+ * that is closed while the server sends faster than it is read.
+ *
+ * A connection serves one request. This costs one TCP handshake per request and makes the statement exact: a failed
+ * connect is the only failure before the first byte, and a request never meets a kept connection that the server is
+ * closing at that moment. Nothing is retried and no redirect is followed, because both would send a request twice.
  *
  * Times are in milliseconds. Failures are results, not exceptions; only the cancellation of the caller is thrown.
  */
 package org.lentilquay.transport.http
 
-import io.ktor.client.HttpClient
-import io.ktor.client.engine.cio.CIO
-import io.ktor.client.engine.cio.FailToConnectException
-import io.ktor.client.engine.cio.endpoint
-import io.ktor.client.request.HttpRequestBuilder
-import io.ktor.client.request.prepareRequest
-import io.ktor.client.statement.HttpResponse
-import io.ktor.client.statement.bodyAsChannel
-import io.ktor.client.statement.request
-import io.ktor.http.HttpHeaders
-import io.ktor.http.HttpMethod
 import io.ktor.http.HttpStatusCode
-import io.ktor.utils.io.ByteReadChannel
-import kotlinx.coroutines.CompletableDeferred
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
-import kotlinx.coroutines.Job
-import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.awaitCancellation
-import kotlinx.coroutines.cancel
-import kotlinx.coroutines.currentCoroutineContext
-import kotlinx.coroutines.ensureActive
-import kotlinx.coroutines.job
-import kotlinx.coroutines.launch
+import io.ktor.http.cio.CIOHeaders
+import io.ktor.http.cio.Response
+import io.ktor.http.cio.parseResponse
+import io.ktor.utils.io.writeFully
 import kotlinx.coroutines.withTimeoutOrNull
-import java.net.ConnectException
-import java.net.NoRouteToHostException
-import java.nio.channels.UnresolvedAddressException
+import kotlinx.io.IOException
+import org.lentilquay.transport.TcpConnection
+import org.lentilquay.transport.TcpNetwork
+import org.lentilquay.transport.attempt
+import org.lentilquay.transport.describe
+
+private const val FIRST_FINAL_STATUS = 200
+private const val CONTENT_LENGTH = "Content-Length"
+private const val TRANSFER_ENCODING = "Transfer-Encoding"
+private const val HEAD = "HEAD"
+
+/** Answers with these statuses have no body. */
+private val BODILESS_STATUSES = setOf(HttpStatusCode.NoContent.value, HttpStatusCode.NotModified.value)
+private val METHOD = Regex("[A-Z]{1,16}")
 
-/** Connections at once over all servers; far above the in-flight limits, which are the real bound. */
-private const val MAXIMUM_CONNECTIONS = 20_000
+/** The path and query of a request as they may stand in a request line: printable ASCII without blanks and fragment. */
+private val TARGET = Regex("/[\\x21\\x22\\x24-\\x7e]*")
+private val HEADER_NAME = Regex("[A-Za-z0-9!#$%&'*+.^_`|~-]+")
 
-private val BODILESS = setOf(HttpStatusCode.NoContent, HttpStatusCode.NotModified)
+/** Headers that the exchange itself sets; given ones are dropped. */
+private val OWN_HEADERS = setOf("host", "content-length", "transfer-encoding", "connection")
+
+/** A request; [target] is path and query, already encoded. */
+internal class HttpRequest(
+    val method: String,
+    val target: String,
+    val headers: List<Pair<String, String>> = emptyList(),
+    val body: ByteArray = ByteArray(0),
+)
 
 /** How one HTTP request went up to the answer headers. */
 internal sealed interface Exchange {
@@ -51,87 +56,86 @@
     /** The connection stood and no answer headers came; the request may have reached the server. */
     data class Lost(val reason: String) : Exchange
 
-    /** Answer headers arrived; the body is still to be read. */
-    class Answered(val response: HttpResponse, val body: ByteReadChannel, private val connection: Job) :
-        Exchange, AutoCloseable {
-        /** The length of the body that the server declared, or null if it declared none or the answer has no body. */
-        val declaredLength: Long? = response.headers[HttpHeaders.ContentLength]?.toLongOrNull()
-            ?.takeUnless { response.request.method == HttpMethod.Head || response.status in BODILESS }
-
-        /** Cuts the connection, whether or not the body was read to its end. */
-        override fun close() = connection.cancel()
+    /** Answer headers arrived; the body is still to be read. Closing cuts the connection in any state. */
+    class Answered(
+        val status: Int,
+        val headers: List<Pair<String, String>>,
+        val body: BodyReader,
+        private val connection: TcpConnection,
+    ) : Exchange, AutoCloseable by connection {
+        fun header(name: String): String? = headers.firstOrNull { it.first.equals(name, ignoreCase = true) }?.second
     }
 }
 
-/** Sends HTTP requests, each on a connection of its own that lives until the answer is closed. */
-internal class ExchangeClient(connectMillis: Long) : AutoCloseable {
-    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
-    private val client = HttpClient(CIO) {
-        expectSuccess = false
-        followRedirects = false
-        engine {
-            // The engine's own bound on the whole exchange would cut long streams.
-            requestTimeout = 0
-            maxConnectionsCount = MAXIMUM_CONNECTIONS
-            endpoint {
-                maxConnectionsPerRoute = MAXIMUM_CONNECTIONS
-                connectAttempts = 1
-                connectTimeout = connectMillis
-            }
-        }
-    }
+/** Sends HTTP requests to addresses of the form `ip:port`. Closing it does not cut answers that are still open. */
+internal class ExchangeClient(private val connectMillis: Long) : AutoCloseable {
+    private val network = TcpNetwork()
 
     /** Sends [request] and waits up to [answerMillis] for the answer headers. The caller closes the answer. */
-    suspend fun open(request: HttpRequestBuilder, answerMillis: Long): Exchange {
-        val head = CompletableDeferred<Exchange>()
-        val connection = scope.launch {
-            val failure = attempt {
-                client.prepareRequest(request).execute { response ->
-                    val connection = currentCoroutineContext().job
-                    if (head.complete(Exchange.Answered(response, response.bodyAsChannel(), connection))) {
-                        awaitCancellation()
-                    }
-                }
-            }.exceptionOrNull()
-            head.complete(failureOf(failure))
-        }
-        val exchange = try {
-            withTimeoutOrNull(answerMillis) { head.await() }
+    suspend fun open(address: String, request: HttpRequest, answerMillis: Long): Exchange {
+        val target = ipAddressOf(address) ?: return Exchange.NotWritten("$address is not of the form ip:port")
+        val head = encodedHead(address, request) ?: return Exchange.NotWritten("the request cannot be sent as it is")
+        val connection = attempt { network.connect(target, connectMillis) }
+            .getOrElse { return Exchange.NotWritten(describe(it)) }
+            ?: return Exchange.NotWritten("not connected within $connectMillis ms")
+        var exchange: Exchange? = null
+        try {
+            exchange = withTimeoutOrNull(answerMillis) { send(connection, head, request) }
         } finally {
-            if (!head.isCompleted) connection.cancel()
+            if (exchange !is Exchange.Answered) connection.close()
         }
-        if (exchange == null) connection.cancel()
         return exchange ?: Exchange.Lost("no answer within $answerMillis ms")
     }
 
-    override fun close() {
-        scope.cancel()
-        client.close()
+    override fun close() = network.close()
+
+    private suspend fun send(connection: TcpConnection, head: ByteArray, request: HttpRequest): Exchange {
+        val written = attempt {
+            connection.output.writeFully(head + request.body)
+            connection.output.flush()
+        }
+        // A server may refuse a long body early: its answer counts even if it did not take all of the request.
+        return attempt { receive(connection, request) }.getOrElse {
+            Exchange.Lost(describe(written.exceptionOrNull() ?: it))
+        }
     }
 
-    private fun failureOf(failure: Throwable?): Exchange =
-        if (failure != null && isConnectFailure(failure)) {
-            Exchange.NotWritten(describe(failure))
-        } else {
-            Exchange.Lost(if (failure == null) "the answer ended early" else describe(failure))
+    private suspend fun receive(connection: TcpConnection, request: HttpRequest): Exchange {
+        while (true) {
+            val response = parseResponse(connection.input) ?: throw IOException("no answer")
+            response.use {
+                if (it.status >= FIRST_FINAL_STATUS) return answered(it, connection, request)
+            }
         }
-}
+    }
 
-/** Whether [failure] arose while the connection was being opened, before any byte of the request was written. */
-internal fun isConnectFailure(failure: Throwable): Boolean = generateSequence(failure) { it.cause }.any {
-    it is ConnectException || it is FailToConnectException || it is NoRouteToHostException ||
-        it is UnresolvedAddressException
+    private fun answered(response: Response, connection: TcpConnection, request: HttpRequest): Exchange {
+        val headers = CIOHeaders(response.headers).entries().flatMap { (name, values) -> values.map { name to it } }
+        val encoding = headers.lastOrNull { it.first.equals(TRANSFER_ENCODING, ignoreCase = true) }?.second
+        val length = headers.firstOrNull { it.first.equals(CONTENT_LENGTH, ignoreCase = true) }?.second
+        val framing = when {
+            request.method == HEAD || response.status in BODILESS_STATUSES -> BodyFraming.Length(0)
+            encoding != null && encoding.trim().endsWith("chunked", ignoreCase = true) -> BodyFraming.Chunked
+            length != null -> BodyFraming.Length(
+                length.trim().toLongOrNull()?.takeIf { it >= 0 } ?: throw IOException("unreadable length of the body"),
+            )
+            else -> BodyFraming.UntilClose
+        }
+        return Exchange.Answered(response.status, headers, BodyReader(connection.input, framing), connection)
+    }
 }
 
-/**
- * Runs [block] and returns its failure as a result, unless the calling coroutine itself was cancelled. Ktor reports
- * some lost connections as cancellation exceptions, which must not be mistaken for the cancellation of the caller.
- */
-internal suspend inline fun <T> attempt(block: () -> T): Result<T> = runCatching(block).onFailure { failure ->
-    if (failure is Error) throw failure
-    currentCoroutineContext().ensureActive()
+/** The request line and headers, or null if a part could be read as something else than it is. */
+private fun encodedHead(address: String, request: HttpRequest): ByteArray? {
+    val headers = request.headers.filter { it.first.lowercase() !in OWN_HEADERS }
+    val isPlain = METHOD.matches(request.method) && TARGET.matches(request.target) &&
+        headers.all { (name, value) -> HEADER_NAME.matches(name) && value.none { it.isISOControl() && it != '\t' } }
+    if (!isPlain) return null
+    return buildString {
+        append(request.method).append(' ').append(request.target).append(" HTTP/1.1\r\n")
+        append("Host: ").append(address).append("\r\nConnection: close\r\n")
+        append(CONTENT_LENGTH).append(": ").append(request.body.size).append("\r\n")
+        headers.forEach { (name, value) -> append(name).append(": ").append(value).append("\r\n") }
+        append("\r\n")
+    }.encodeToByteArray()
 }
-
-/** The class and message of [failure] on one line. */
-internal fun describe(failure: Throwable): String =
-    listOfNotNull(failure::class.simpleName, failure.message?.lineSequence()?.first()).joinToString(": ")
--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/WholeBody.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/WholeBody.kt
@@ -3,12 +3,11 @@
  */
 package org.lentilquay.transport.http
 
-import io.ktor.utils.io.readAvailable
 import kotlinx.coroutines.withTimeoutOrNull
+import org.lentilquay.transport.attempt
+import org.lentilquay.transport.describe
 import java.io.ByteArrayOutputStream
 
-private const val READ_BUFFER_BYTES = 8_192
-
 /** A body that was read to its end, or why it was not. */
 sealed interface WholeBody {
     class Complete(val bytes: ByteArray) : WholeBody {
@@ -24,24 +23,21 @@
 
 /** Reads the rest of the body; a body shorter than its declared length is lost, not complete. */
 internal suspend fun Exchange.Answered.readWhole(maximumBytes: Int, timeoutMillis: Long): WholeBody {
-    val declared = declaredLength
     val collected = ByteArrayOutputStream()
     val finished = attempt {
         withTimeoutOrNull(timeoutMillis) {
-            val buffer = ByteArray(READ_BUFFER_BYTES)
-            var count = body.readAvailable(buffer)
-            while (count >= 0 && collected.size() <= maximumBytes) {
-                collected.write(buffer, 0, count)
-                count = body.readAvailable(buffer)
+            var bytes = body.next()
+            while (bytes != null && collected.size() <= maximumBytes) {
+                collected.write(bytes)
+                bytes = body.next()
             }
         } != null
     }
-    val failure = finished.exceptionOrNull() ?: body.closedCause
+    val failure = finished.exceptionOrNull()
     return when {
         failure != null -> WholeBody.Lost(describe(failure))
         finished.getOrNull() != true -> WholeBody.Lost("body incomplete after $timeoutMillis ms")
         collected.size() > maximumBytes -> WholeBody.TooLarge(maximumBytes)
-        declared != null && declared != collected.size().toLong() -> WholeBody.Lost("body shorter than declared")
         else -> WholeBody.Complete(collected.toByteArray())
     }
 }
--- a/daemon/src/main/kotlin/org/lentilquay/transport/peer/Frames.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/peer/Frames.kt
@@ -9,7 +9,6 @@
 import io.ktor.utils.io.readInt
 import io.ktor.utils.io.writeFully
 import io.ktor.utils.io.writeInt
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.decodeFromByteArray
 import org.lentilquay.protocol.MAXIMUM_PEER_FRAME_BYTES
@@ -42,16 +41,13 @@
     writeFully(bytes)
 }
 
-/** Reads [bytes] as a value of type [T]. */
+/**
+ * Reads [bytes] as a value of type [T]. For bytes that are not valid CBOR the library throws exceptions of several
+ * kinds, not only its own; all of them mean the same here.
+ */
 internal inline fun <reified T> decodePeer(bytes: ByteArray): T =
-    try {
-        peerCbor.decodeFromByteArray<T>(bytes)
-    } catch (failure: SerializationException) {
-        throw PeerProtocolException(CutReason.MALFORMED, "unreadable frame", failure)
-    } catch (failure: IllegalArgumentException) {
-        throw PeerProtocolException(CutReason.MALFORMED, "unreadable frame", failure)
-    } catch (failure: IndexOutOfBoundsException) {
-        // The CBOR reader of the library reports some truncated lengths this way.
+    runCatching { peerCbor.decodeFromByteArray<T>(bytes) }.getOrElse { failure ->
+        if (failure is Error) throw failure
         throw PeerProtocolException(CutReason.MALFORMED, "unreadable frame", failure)
     }
 
--- a/daemon/src/main/kotlin/org/lentilquay/transport/peer/PeerClient.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/peer/PeerClient.kt
@@ -4,7 +4,6 @@
  */
 package org.lentilquay.transport.peer
 
-import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -17,6 +16,7 @@
 import org.lentilquay.protocol.PeerRequest
 import org.lentilquay.state.VmId
 import org.lentilquay.transport.Secret
+import org.lentilquay.transport.TcpNetwork
 import java.util.concurrent.ConcurrentHashMap
 
 private const val DEFAULT_IDLE_MILLIS = 60_000L
@@ -39,7 +39,7 @@
 data class PeerClientOptions(
     /** A connection without use for this long is closed. */
     val idleMillis: Long = DEFAULT_IDLE_MILLIS,
-    /** Bound on opening a connection, including the handshake. */
+    /** Bound on opening a connection, and again on the handshake. */
     val connectMillis: Long = DEFAULT_CONNECT_MILLIS,
     /** Calls in progress to one VM; further calls wait within their own time bounds. */
     val callsInProgress: Int = DEFAULT_CALLS_IN_PROGRESS,
@@ -52,7 +52,7 @@
     private val traffic: PeerTraffic = PeerTrafficCounters(),
     private val options: PeerClientOptions = PeerClientOptions(),
 ) : AutoCloseable {
-    private val selector = SelectorManager(Dispatchers.IO)
+    private val network = TcpNetwork()
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val links = ConcurrentHashMap<VmId, PeerLink>()
 
@@ -70,7 +70,7 @@
 
     /** Sends [request] to [vm] at [address] (`ip:port`) and waits up to [timeoutMillis] for the answer. */
     suspend fun call(vm: VmId, address: String, request: PeerRequest, timeoutMillis: Long): PeerCallResult {
-        val link = links.computeIfAbsent(vm) { PeerLink(it, identity, secret, traffic, options, selector, scope) }
+        val link = links.computeIfAbsent(vm) { PeerLink(it, identity, secret, traffic, options, network, scope) }
         val result = withTimeoutOrNull(timeoutMillis) { link.call(address, request) }
         if (result == null) link.closeIfSilent()
         return result ?: PeerCallResult.TimedOut
@@ -80,6 +80,6 @@
     override fun close() {
         links.values.forEach { it.close() }
         scope.cancel()
-        selector.close()
+        network.close()
     }
 }
--- a/daemon/src/main/kotlin/org/lentilquay/transport/peer/PeerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/peer/PeerConnection.kt
@@ -4,9 +4,6 @@
  */
 package org.lentilquay.transport.peer
 
-import io.ktor.network.sockets.Socket
-import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.ByteWriteChannel
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.cancel
@@ -17,7 +14,8 @@
 import kotlinx.serialization.encodeToByteArray
 import org.lentilquay.protocol.MAXIMUM_PEER_FRAME_BYTES
 import org.lentilquay.protocol.PeerFrame
-import org.lentilquay.transport.http.attempt
+import org.lentilquay.transport.TcpConnection
+import org.lentilquay.transport.attempt
 
 private const val WRITE_QUEUE_FRAMES = 256
 
@@ -29,9 +27,7 @@
 internal enum class SendResult { QUEUED, CLOSED, TOO_LARGE }
 
 internal class PeerConnection(
-    private val socket: Socket,
-    private val input: ByteReadChannel,
-    private val output: ByteWriteChannel,
+    private val connection: TcpConnection,
     val remote: PeerIdentity,
     private val traffic: PeerTraffic,
 ) {
@@ -78,12 +74,12 @@
     fun close() {
         // Cancelling, unlike closing, also wakes senders that wait for room in the queue.
         queue.cancel()
-        socket.close()
+        connection.close()
     }
 
     private suspend fun read(onFrame: suspend (PeerFrame) -> Unit) {
         while (true) {
-            val bytes = input.readFrameBytes()
+            val bytes = connection.input.readFrameBytes()
             lastReceivedNanos = System.nanoTime()
             lastUsedNanos = lastReceivedNanos
             val frame = decodeFrame(bytes)
@@ -97,10 +93,10 @@
             withTimeoutOrNull(WRITE_MILLIS) {
                 var next: ByteArray? = first
                 while (next != null) {
-                    output.writeFrameBytes(next)
+                    connection.output.writeFrameBytes(next)
                     next = queue.tryReceive().getOrNull()
                 }
-                output.flush()
+                connection.output.flush()
             } ?: throw PeerProtocolException(CutReason.STALLED, "data not taken within $WRITE_MILLIS ms")
         }
     }
--- a/daemon/src/main/kotlin/org/lentilquay/transport/peer/PeerLink.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/peer/PeerLink.kt
@@ -4,12 +4,6 @@
  */
 package org.lentilquay.transport.peer
 
-import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.InetSocketAddress
-import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.aSocket
-import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Deferred
@@ -18,13 +12,14 @@
 import kotlinx.coroutines.sync.Semaphore
 import kotlinx.coroutines.sync.withPermit
 import kotlinx.coroutines.withTimeoutOrNull
-import org.lentilquay.protocol.PeerFrame
+import kotlinx.io.IOException
 import org.lentilquay.protocol.PeerRequest
 import org.lentilquay.state.VmId
 import org.lentilquay.transport.Secret
-import org.lentilquay.transport.http.IpAddress
-import org.lentilquay.transport.http.attempt
-import org.lentilquay.transport.http.describe
+import org.lentilquay.transport.TcpConnection
+import org.lentilquay.transport.TcpNetwork
+import org.lentilquay.transport.attempt
+import org.lentilquay.transport.describe
 import org.lentilquay.transport.http.ipAddressOf
 
 private const val FIRST_BACK_OFF_MILLIS = 50L
@@ -49,7 +44,7 @@
     private val secret: Secret,
     private val traffic: PeerTraffic,
     private val options: PeerClientOptions,
-    private val selector: SelectorManager,
+    private val network: TcpNetwork,
     private val scope: CoroutineScope,
 ) {
     private val places = Semaphore(options.callsInProgress)
@@ -115,8 +110,9 @@
     private suspend fun open(address: String): Opened {
         val target = ipAddressOf(address) ?: return Opened.Failed("$address is not of the form ip:port")
         val outcome = attempt {
-            withTimeoutOrNull(options.connectMillis) { connect(target) }
-                ?: throw PeerProtocolException(CutReason.STALLED, "not connected within ${options.connectMillis} ms")
+            val connection = network.connect(target, options.connectMillis)
+                ?: throw IOException("not connected within ${options.connectMillis} ms")
+            attempt { shakeHands(connection) }.onFailure { connection.close() }.getOrThrow()
         }
         val failure = outcome.exceptionOrNull()
         if (failure is PeerProtocolException) traffic.cut(failure.reason)
@@ -124,18 +120,11 @@
         return outcome.fold({ Opened.Ready(it) }, { Opened.Failed(describe(it)) })
     }
 
-    private suspend fun connect(target: IpAddress): CallConnection {
-        val socket = aSocket(selector).tcp().connect(InetSocketAddress(target.ip, target.port)) { noDelay = true }
-        return attempt { shakeHands(socket) }.onFailure { socket.close() }.getOrThrow()
-    }
-
-    private suspend fun shakeHands(socket: Socket): CallConnection {
-        val input = socket.openReadChannel()
-        val output = socket.openWriteChannel()
-        val remote = openingHandshake(input, output, identity, vm, secret)
-        val connection = CallConnection(PeerConnection(socket, input, output, remote, traffic), traffic)
-        scope.launch { connection.run() }
-        return connection
+    private suspend fun shakeHands(connection: TcpConnection): CallConnection {
+        val remote = withTimeoutOrNull(options.connectMillis) {
+            openingHandshake(connection.input, connection.output, identity, vm, secret)
+        } ?: throw PeerProtocolException(CutReason.STALLED, "handshake not finished")
+        return CallConnection(PeerConnection(connection, remote, traffic), traffic).also { scope.launch { it.run() } }
     }
 
     private fun noteAttempt(succeeded: Boolean) = synchronized(lock) {
--- a/daemon/src/main/kotlin/org/lentilquay/transport/peer/PeerServer.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/peer/PeerServer.kt
@@ -5,13 +5,8 @@
  */
 package org.lentilquay.transport.peer
 
-import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.ServerSocket
-import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.aSocket
-import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -28,8 +23,10 @@
 import org.lentilquay.state.Failure
 import org.lentilquay.state.VmId
 import org.lentilquay.transport.Secret
+import org.lentilquay.transport.TcpConnection
+import org.lentilquay.transport.TcpNetwork
+import org.lentilquay.transport.attempt
 import org.lentilquay.transport.http.IpAddress
-import org.lentilquay.transport.http.attempt
 import org.lentilquay.transport.http.ipAddressOf
 import java.util.concurrent.ConcurrentHashMap
 
@@ -54,13 +51,13 @@
     val address: String,
     private val scope: CoroutineScope,
     private val listener: ServerSocket,
-    private val selector: SelectorManager,
+    private val network: TcpNetwork,
 ) : AutoCloseable {
     /** Stops listening and cuts all connections. */
     override fun close() {
         listener.close()
         scope.cancel()
-        selector.close()
+        network.close()
     }
 }
 
@@ -77,16 +74,14 @@
     traffic: PeerTraffic = PeerTrafficCounters(),
 ): RunningPeerServer {
     val target = requireNotNull(ipAddressOf(address)) { "$address is not of the form ip:port" }
-    val selector = SelectorManager(Dispatchers.IO)
+    val network = TcpNetwork()
     val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    val listener = runCatching {
-        aSocket(selector).tcp().bind(InetSocketAddress(target.ip, target.port)) { reuseAddress = true }
-    }.onFailure { selector.close() }.getOrThrow()
-    val acceptor = PeerAcceptor(identity, secret, handler, traffic, scope)
+    val listener = runCatching { network.listen(target) }.onFailure { network.close() }.getOrThrow()
+    val acceptor = PeerAcceptor(identity, secret, handler, traffic, network, scope)
     scope.launch { acceptor.accept(listener) }
     scope.launch { acceptor.closeIdle() }
     val bound = listener.localAddress as InetSocketAddress
-    return RunningPeerServer(IpAddress(target.ip, bound.port).toString(), scope, listener, selector)
+    return RunningPeerServer(IpAddress(target.ip, bound.port).toString(), scope, listener, network)
 }
 
 private class PeerAcceptor(
@@ -94,6 +89,7 @@
     private val secret: Secret,
     private val handler: PeerHandler,
     private val traffic: PeerTraffic,
+    private val network: TcpNetwork,
     private val scope: CoroutineScope,
 ) {
     private val handshakes = Semaphore(HANDSHAKES_AT_ONCE)
@@ -101,14 +97,14 @@
 
     suspend fun accept(listener: ServerSocket) {
         while (scope.isActive) {
-            val socket = attempt { listener.accept() }.getOrNull()
+            val connection = attempt { network.accept(listener) }.getOrNull()
             when {
                 // Accepting fails for a while when the process has no file descriptors left.
-                socket == null -> delay(ACCEPT_RETRY_MILLIS)
-                handshakes.tryAcquire() -> scope.launch { serve(socket) }
+                connection == null -> delay(ACCEPT_RETRY_MILLIS)
+                handshakes.tryAcquire() -> scope.launch { serve(connection) }
                 else -> {
                     traffic.cut(CutReason.TOO_MANY)
-                    socket.close()
+                    connection.close()
                 }
             }
         }
@@ -121,18 +117,16 @@
         }
     }
 
-    private suspend fun serve(socket: Socket) = socket.use {
-        val input = socket.openReadChannel()
-        val output = socket.openWriteChannel()
+    private suspend fun serve(connection: TcpConnection) = connection.use {
         val remote = try {
             attempt {
-                withTimeoutOrNull(HANDSHAKE_MILLIS) { acceptingHandshake(input, output, identity, secret) }
+                withTimeoutOrNull(HANDSHAKE_MILLIS) { acceptingHandshake(it.input, it.output, identity, secret) }
                     ?: throw PeerProtocolException(CutReason.STALLED, "handshake not finished")
             }.onFailure { if (it is PeerProtocolException) traffic.cut(it.reason) }.getOrNull()
         } finally {
             handshakes.release()
         }
-        if (remote != null) answerAll(PeerConnection(socket, input, output, remote, traffic))
+        if (remote != null) answerAll(PeerConnection(it, remote, traffic))
     }
 
     private suspend fun answerAll(connection: PeerConnection) {
--- a/daemon/src/main/kotlin/org/lentilquay/transport/platform/PlatformClient.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/platform/PlatformClient.kt
@@ -5,18 +5,9 @@
  */
 package org.lentilquay.transport.platform
 
-import io.ktor.client.request.HttpRequestBuilder
-import io.ktor.client.request.header
-import io.ktor.client.request.parameter
-import io.ktor.client.request.setBody
-import io.ktor.client.request.url
-import io.ktor.http.ContentType
-import io.ktor.http.HttpMethod
 import io.ktor.http.HttpStatusCode
-import io.ktor.http.URLBuilder
-import io.ktor.http.appendPathSegments
-import io.ktor.http.content.ByteArrayContent
-import io.ktor.http.takeFrom
+import io.ktor.http.encodeURLParameter
+import io.ktor.http.encodeURLPathPart
 import kotlinx.coroutines.sync.Semaphore
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.KSerializer
@@ -33,6 +24,7 @@
 import org.lentilquay.state.VmId
 import org.lentilquay.transport.http.Exchange
 import org.lentilquay.transport.http.ExchangeClient
+import org.lentilquay.transport.http.HttpRequest
 import org.lentilquay.transport.http.WholeBody
 import org.lentilquay.transport.http.readWhole
 import java.util.concurrent.atomic.LongAdder
@@ -47,6 +39,8 @@
 private const val CLIENT_ERRORS = 400
 private const val SERVER_ERRORS = 500
 
+private val JSON_CONTENT = "Content-Type" to "application/json"
+private val BINARY_CONTENT = "Content-Type" to "application/octet-stream"
 private val json = Json { ignoreUnknownKeys = true }
 
 /** The bounds of a [PlatformClient]. */
@@ -60,9 +54,10 @@
 /** Calls the platform at `ip:port` [address] as [vm]. */
 class PlatformClient(
     private val address: String,
-    private val vm: VmId,
+    vm: VmId,
     private val options: PlatformOptions = PlatformOptions(),
 ) : AutoCloseable {
+    private val headers = listOf(VM_ID_HEADER to vm.text)
     private val exchanges = ExchangeClient(options.connectMillis)
     private val places = Semaphore(options.concurrentCalls)
     private val readCount = LongAdder()
@@ -78,8 +73,7 @@
     suspend fun transact(operations: List<TableOperation>): TransactResult {
         writeCount.increment()
         val body = json.encodeToString(TableTransaction.serializer(), TableTransaction(operations)).encodeToByteArray()
-        val request = request(HttpMethod.Post, listOf("table", "transact"))
-        request.setBody(ByteArrayContent(body, ContentType.Application.Json))
+        val request = HttpRequest("POST", "/table/transact", headers + JSON_CONTENT, body)
         return when (val reply = send(request)) {
             is Reply.NoEffect -> TransactResult.Unavailable(reply.reason)
             is Reply.Unknown -> TransactResult.OutcomeUnknown(reply.reason)
@@ -90,8 +84,7 @@
     /** The item at [key], or null when there is none. */
     suspend fun item(key: String): ReadResult<TableItem?> {
         readCount.increment()
-        val request = request(HttpMethod.Get, listOf("table", "item")).apply { parameter("key", key) }
-        return read(request) { decode(TableItem.serializer().nullable, it) }
+        return read(get("/table/item", "key" to key)) { decode(TableItem.serializer().nullable, it) }
     }
 
     /** One page of the items whose keys start with [prefix] and come after [after], at most [limit]. */
@@ -101,11 +94,7 @@
         limit: Int = DEFAULT_PAGE_SIZE,
     ): ReadResult<ScanAnswer> {
         readCount.increment()
-        val request = request(HttpMethod.Get, listOf("table", "scan")).apply {
-            parameter("prefix", prefix)
-            parameter("after", after)
-            parameter("limit", limit)
-        }
+        val request = get("/table/scan", "prefix" to prefix, "after" to after, "limit" to limit.toString())
         return required(read(request) { decode(ScanAnswer.serializer(), it) })
     }
 
@@ -128,29 +117,27 @@
 
     /** Writes the object; slashes in [name] stay slashes in the path. */
     suspend fun putObject(name: String, content: ByteArray): WriteResult = write(
-        objectRequest(HttpMethod.Put, name).apply {
-            setBody(ByteArrayContent(content, ContentType.Application.OctetStream))
-        },
+        HttpRequest("PUT", objectPath(name), headers + BINARY_CONTENT, content),
     )
 
     /** Deletes the object; deleting an absent object counts as written. */
-    suspend fun deleteObject(name: String): WriteResult = write(objectRequest(HttpMethod.Delete, name))
+    suspend fun deleteObject(name: String): WriteResult = write(HttpRequest("DELETE", objectPath(name), headers))
 
     /** The content of the object, or null when there is none. */
     suspend fun getObject(name: String): ReadResult<ByteArray?> {
         readCount.increment()
-        return read(objectRequest(HttpMethod.Get, name)) { it }
+        return read(get(objectPath(name))) { it }
     }
 
     /** The platform's list of live and leaving VMs, which lags behind. */
     suspend fun vmList(): ReadResult<List<ListedVm>> {
         readCount.increment()
-        return required(read(request(HttpMethod.Get, listOf("vms"))) { decode(VmList.serializer(), it).vms })
+        return required(read(get("/vms")) { decode(VmList.serializer(), it).vms })
     }
 
     override fun close() = exchanges.close()
 
-    private suspend fun write(request: HttpRequestBuilder): WriteResult {
+    private suspend fun write(request: HttpRequest): WriteResult {
         writeCount.increment()
         return when (val reply = send(request)) {
             is Reply.NoEffect -> WriteResult.Unavailable(reply.reason)
@@ -163,7 +150,7 @@
         }
     }
 
-    private suspend fun <T> read(request: HttpRequestBuilder, decode: (ByteArray) -> T): ReadResult<T?> =
+    private suspend fun <T> read(request: HttpRequest, decode: (ByteArray) -> T): ReadResult<T?> =
         when (val reply = send(request)) {
             is Reply.NoEffect -> ReadResult.Unavailable(reply.reason)
             is Reply.Unknown -> ReadResult.Unavailable(reply.reason)
@@ -174,11 +161,11 @@
             }
         }
 
-    private suspend fun send(request: HttpRequestBuilder): Reply {
+    private suspend fun send(request: HttpRequest): Reply {
         withTimeoutOrNull(options.timeoutMillis) { places.acquire() }
             ?: return Reply.NoEffect("${options.concurrentCalls} calls already in progress")
         return try {
-            when (val exchange = exchanges.open(request, options.timeoutMillis)) {
+            when (val exchange = exchanges.open(address, request, options.timeoutMillis)) {
                 is Exchange.NotWritten -> Reply.NoEffect(exchange.reason)
                 is Exchange.Lost -> Reply.Unknown(exchange.reason)
                 is Exchange.Answered -> exchange.use { reply(it) }
@@ -189,7 +176,7 @@
     }
 
     private suspend fun reply(answer: Exchange.Answered): Reply {
-        val status = answer.response.status.value
+        val status = answer.status
         return when (val body = answer.readWhole(MAXIMUM_ANSWER_BYTES, options.timeoutMillis)) {
             is WholeBody.Complete -> Reply.Whole(status, body.bytes)
             is WholeBody.TooLarge -> Reply.Unknown("answer larger than ${body.maximumBytes} bytes")
@@ -197,13 +184,11 @@
         }
     }
 
-    private fun objectRequest(method: HttpMethod, name: String) =
-        request(method, listOf("objects") + name.split('/'))
-
-    private fun request(method: HttpMethod, path: List<String>) = HttpRequestBuilder().apply {
-        this.method = method
-        url(URLBuilder().takeFrom("http://$address").appendPathSegments(path).build())
-        header(VM_ID_HEADER, vm.text)
+    /** A read of [path]; parameters without a value are left out. */
+    private fun get(path: String, vararg parameters: Pair<String, String?>): HttpRequest {
+        val given = parameters.filter { it.second != null }
+            .joinToString("&") { (name, value) -> "$name=${value.orEmpty().encodeURLParameter()}" }
+        return HttpRequest("GET", if (given.isEmpty()) path else "$path?$given", headers)
     }
 }
 
@@ -238,8 +223,11 @@
     }
 }
 
-private fun isAbsentDelete(request: HttpRequestBuilder, reply: Reply.Whole): Boolean =
-    request.method == HttpMethod.Delete && reply.status == HttpStatusCode.NotFound.value
+/** Slashes in the name of an object are part of the path; everything else that is not plain is encoded. */
+private fun objectPath(name: String) = "/objects/" + name.split('/').joinToString("/") { it.encodeURLPathPart() }
+
+private fun isAbsentDelete(request: HttpRequest, reply: Reply.Whole): Boolean =
+    request.method == "DELETE" && reply.status == HttpStatusCode.NotFound.value
 
 private fun <T> decode(serializer: KSerializer<T>, bytes: ByteArray): T =
     json.decodeFromString(serializer, bytes.decodeToString())
--- /dev/null
+++ b/daemon/src/test/kotlin/org/lentilquay/transport/engine/EngineClientTest.kt
@@ -0,0 +1,202 @@
+package org.lentilquay.transport.engine
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.ints.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import org.lentilquay.protocol.LoadAdapterOrder
+import org.lentilquay.transport.http.ScriptedServer
+import org.lentilquay.transport.http.WholeBody
+import org.lentilquay.transport.http.answer
+import org.lentilquay.transport.http.answering
+import org.lentilquay.transport.http.closedAddress
+import org.lentilquay.transport.http.write
+import java.net.Socket
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+
+private val options = EngineOptions(headerMillis = 300, idleMillis = 300, orderMillis = 300, maximumEventBytes = 1_000)
+private const val STREAM_HEAD = "HTTP/1.1 200 OK\nContent-Type: text/event-stream\nX-Incarnation: 5\n" +
+    "X-Request-Id: r1\nX-Served-Model: stove@3\nTransfer-Encoding: chunked\n\n"
+
+private fun errorBody(code: String) = """{"error":{"message":"m","type":"t","code":"$code"}}"""
+
+private fun Socket.chunk(text: String) {
+    val bytes = text.encodeToByteArray()
+    getOutputStream().write("${bytes.size.toString(16)}\r\n".encodeToByteArray() + bytes + "\r\n".encodeToByteArray())
+    getOutputStream().flush()
+}
+
+private suspend fun EngineClient.chat(address: String, body: String = "{}") =
+    open(address, "/v1/chat/completions", body.encodeToByteArray(), listOf("X-Request-Id" to "r1"))
+
+private suspend fun EngineRun.steps(): List<StreamStep> = use {
+    generateSequence { }.fold(emptyList()) { steps, _ ->
+        val next = next()
+        if (next is StreamStep.Event) steps + next else return steps + next
+    }
+}
+
+/** Guards against false statements about whether a run was started, and against taking a broken stream for a whole. */
+class EngineClientTest : FunSpec({
+    mapOf(
+        "adapter not loaded" to (answering(404, errorBody("adapter_not_loaded")) to EngineAnswer.NotLoaded::class),
+        "overloaded" to (answering(503, errorBody("engine_overloaded")) to EngineAnswer.Overloaded::class),
+        "404 without the code" to (answering(404, "no such path") to EngineAnswer.WrongStatus::class),
+        "503 of something else" to (answering(503, errorBody("other")) to EngineAnswer.WrongStatus::class),
+        "server fault" to (answering(500, errorBody("fault")) to EngineAnswer.WrongStatus::class),
+        "redirect" to (answering(307, "", "Location: /elsewhere\n") to EngineAnswer.WrongStatus::class),
+        "cut before headers" to (ScriptedServer { _, _ -> } to EngineAnswer.LostBeforeHeaders::class),
+        "cut in headers" to
+            (ScriptedServer { _, to -> to.write("HTTP/1.1 200 OK\nX-In") } to EngineAnswer.LostBeforeHeaders::class),
+        "no headers in time" to
+            (ScriptedServer { _, _ -> Thread.sleep(2_000) } to EngineAnswer.LostBeforeHeaders::class),
+    ).forEach { (name, case) ->
+        test("opening a run: $name") {
+            case.first.use { server ->
+                EngineClient(options).use { it.chat(server.address)::class shouldBe case.second }
+                // A second request would be a retry behind the back of the caller.
+                server.requests shouldHaveSize 1
+            }
+        }
+    }
+
+    test("an engine that cannot be reached was certainly not written to") {
+        EngineClient(options).use {
+            it.chat(closedAddress()).shouldBeInstanceOf<EngineAnswer.NotWritten>()
+            it.claim(closedAddress(), fence = 1).shouldBeInstanceOf<OrderResult.NotWritten>()
+            it.loadReport(closedAddress()).shouldBeInstanceOf<ReportResult.Failed>().connected shouldBe false
+        }
+    }
+
+    mapOf<String, Pair<(Socket) -> Unit, StreamStep>>(
+        "whole" to Pair({ it.chunk("data: [DONE]\n\n") }, StreamStep.Done),
+        "cut between events" to
+            Pair({ }, StreamStep.Lost(2, LossReason.CONNECTION_LOST, "")),
+        "cut inside an event" to
+            Pair({ it.chunk("data: {\"inde") }, StreamStep.Lost(2, LossReason.CONNECTION_LOST, "")),
+        "ended without the end mark" to
+            Pair({ it.write("0\n\n") }, StreamStep.Lost(2, LossReason.ENDED_EARLY, "")),
+        "silent" to Pair({ Thread.sleep(2_000) }, StreamStep.Lost(2, LossReason.IDLE, "")),
+        "event too large" to
+            Pair({ it.chunk("data: ${"x".repeat(2_000)}\n\n") }, StreamStep.Lost(2, LossReason.EVENT_TOO_LARGE, "")),
+    ).forEach { (name, case) ->
+        test("stream: $name") {
+            val server = ScriptedServer { _, socket ->
+                socket.write(STREAM_HEAD)
+                socket.chunk("data: {\"index\":0}\n\n: comment\r\nevent: x\r\nda")
+                socket.chunk("ta: {\"index\":1}\r\n\r\n")
+                case.first(socket)
+            }
+            EngineClient(options).use { client ->
+                val accepted = client.chat(server.address).shouldBeInstanceOf<EngineAnswer.Accepted>()
+                accepted.head.incarnation shouldBe 5
+                accepted.head.servedModel shouldBe "stove@3"
+                val steps = accepted.run.steps().map { if (it is StreamStep.Lost) it.copy(detail = "") else it }
+                steps shouldContainExactly
+                    listOf(StreamStep.Event("{\"index\":0}"), StreamStep.Event("{\"index\":1}"), case.second)
+            }
+        }
+    }
+
+    test("headers come before the first event, and many streams run at once") {
+        val allOpen = CountDownLatch(100)
+        val server = ScriptedServer { request, socket ->
+            socket.write(STREAM_HEAD)
+            allOpen.await(5, TimeUnit.SECONDS)
+            socket.chunk("data: ${request.body}\n\ndata: [DONE]\n\n")
+        }
+        EngineClient(options.copy(headerMillis = 5_000, idleMillis = 5_000)).use { client ->
+            coroutineScope {
+                (1..100).map { number ->
+                    async {
+                        val accepted = client.chat(server.address, "$number") as EngineAnswer.Accepted
+                        allOpen.countDown()
+                        accepted.run.steps().first() shouldBe StreamStep.Event("$number")
+                    }
+                }.awaitAll()
+            }
+        }
+    }
+
+    test("a slow reader holds the engine back, and closing cuts the connection") {
+        val written = AtomicInteger()
+        val cut = CountDownLatch(1)
+        val server = ScriptedServer { _, socket ->
+            socket.write(STREAM_HEAD)
+            try {
+                repeat(100_000) {
+                    socket.chunk("data: ${"x".repeat(900)}\n\n")
+                    written.incrementAndGet()
+                }
+            } finally {
+                cut.countDown()
+            }
+        }
+        EngineClient(options).use { client ->
+            val accepted = client.chat(server.address) as EngineAnswer.Accepted
+            accepted.run.next().shouldBeInstanceOf<StreamStep.Event>()
+            delay(1_000)
+            val before = written.get()
+            delay(500)
+            written.get() shouldBe before
+            before shouldBeLessThan 20_000
+            accepted.run.close()
+            cut.await(2, TimeUnit.SECONDS) shouldBe true
+        }
+    }
+
+    test("a body that is not a stream is whole only with all its bytes") {
+        EngineClient(options).use { client ->
+            answering(200, "{\"a\":1}").use {
+                (client.chat(it.address) as EngineAnswer.Accepted).run.whole(100)
+                    .shouldBeInstanceOf<WholeBody.Complete>().text shouldBe "{\"a\":1}"
+            }
+            ScriptedServer { _, to -> to.write("HTTP/1.1 200 OK\nContent-Length: 50\n\n{\"a\":1}") }.use {
+                (client.chat(it.address) as EngineAnswer.Accepted).run.whole(100).shouldBeInstanceOf<WholeBody.Lost>()
+            }
+            answering(200, "x".repeat(200)).use {
+                (client.chat(it.address) as EngineAnswer.Accepted).run.whole(100) shouldBe WholeBody.TooLarge(100)
+            }
+        }
+    }
+
+    val time = "X-Engine-Time-Ms: 777\n"
+    listOf(
+        Triple("done", answering(200, "{}", time), OrderResult.Done(777)),
+        Triple("old number", answering(409, errorBody("stale_fencing_token"), time), OrderResult.StaleFence(777)),
+        Triple("no slot", answering(409, errorBody("no_free_slot")), OrderResult.Rejected(409, "no_free_slot", null)),
+        Triple("failed", answering(500, errorBody("load_failed")), OrderResult.Rejected(500, "load_failed", null)),
+    ).forEach { (name, server, expected) ->
+        test("order: $name") {
+            server.use {
+                EngineClient(options).use { client ->
+                    client.load(it.address, fence = 42, LoadAdapterOrder("stove@3", "stove/3")) shouldBe expected
+                }
+                it.requests.single().head shouldContain "X-Fencing-Token: 42"
+                it.requests.single().body shouldBe """{"lora_name":"stove@3","lora_path":"stove/3"}"""
+            }
+        }
+    }
+
+    test("an order whose answer is lost may have taken effect") {
+        ScriptedServer { _, socket -> socket.close() }.use {
+            EngineClient(options).use { client ->
+                client.claim(it.address, fence = 1).shouldBeInstanceOf<OrderResult.OutcomeUnknown>()
+            }
+        }
+        ScriptedServer { _, socket -> socket.answer(200, "not json") }.use {
+            EngineClient(options).use { client ->
+                client.loadReport(it.address).shouldBeInstanceOf<ReportResult.Failed>().connected shouldBe true
+            }
+        }
+    }
+})
--- a/daemon/src/test/kotlin/org/lentilquay/transport/peer/PeerCallTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/transport/peer/PeerCallTest.kt
@@ -19,7 +19,7 @@
 private val here = PeerIdentity(VmId("vm-1"), Incarnation(1))
 private val there = PeerIdentity(VmId("vm-2"), Incarnation(7))
 private const val LONG_MILLIS = 5_000L
-private val STEP_MILLIS = 20L
+private const val STEP_MILLIS = 20L
 
 internal fun secretOf(text: String) = Secret(text.encodeToByteArray())
 
@@ -33,6 +33,7 @@
 
 private fun take(amount: Long) = PeerRequest.TakeTokens(TeamId("stoves"), amount)
 
+/** Guards against crossed answers, calls that hang, and false statements about what was sent. */
 class PeerCallTest : FunSpec({
     test("answers in another order reach their own calls") {
         startPeerServer("127.0.0.1:0", there, secret, answerWithAmount).use { server ->
