--- a/daemon/src/main/kotlin/org/lentilquay/daemon/timer/SystemTimer.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/timer/SystemTimer.kt
@@ -27,12 +27,14 @@
             var wallDue = wallMillis() + everyMillis
             while (true) {
                 delay(due - now())
-                val gap = maxOf(now() - due, wallMillis() - wallDue)
-                if (gap > PAUSE_MILLIS) emit(TimerEvent.Paused(now(), gap))
-                emit(TimerEvent.Tick(now()))
-                // The next tick keeps the rhythm unless it is already overdue.
-                due = maxOf(due + everyMillis, now())
-                wallDue = wallMillis() + (due - now())
+                val now = now()
+                val gap = maxOf(now - due, wallMillis() - wallDue)
+                // The next tick keeps the rhythm unless it is already overdue. It is set before the collector runs, so
+                // that a pause while the collector runs shows at the next tick.
+                due = maxOf(due + everyMillis, now)
+                wallDue = wallMillis() + (due - now)
+                if (gap > PAUSE_MILLIS) emit(TimerEvent.Paused(now, gap))
+                emit(TimerEvent.Tick(now))
             }
         }
     }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/timer/Timer.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/timer/Timer.kt
@@ -16,8 +16,8 @@
     data class Tick(override val now: Long) : TimerEvent
 
     /**
-     * The process did not run for about [gapMillis]. Whatever it held before, such as ownership of backend servers, may
-     * have passed to others in the meantime. A tick follows.
+     * The process, or the collector of this stream, did not run for about [gapMillis]. Whatever it held before, such as
+     * ownership of backend servers, may have passed to others in the meantime. A tick follows.
      */
     data class Paused(override val now: Long, val gapMillis: Long) : TimerEvent
 }
--- a/daemon/src/main/kotlin/org/lentilquay/transport/peer/Handshake.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/peer/Handshake.kt
@@ -69,9 +69,12 @@
     val ownProof = if (isAcceptable) proof(secret, ACCEPTING_ROLE, helloBytes, ownHello) else ByteArray(0)
     // A refused side gets the hello as well, so that it can tell its operator why.
     output.writeFrameBytes(peerCbor.encodeToByteArray(HelloAnswer(ownHello, ownProof)))
+    if (!isAcceptable) {
+        output.flushAndClose()
+        requireVersion(hello)
+        throw PeerProtocolException(CutReason.WRONG_VM, "VM ${hello.vm} meant ${hello.expected}")
+    }
     output.flush()
-    requireVersion(hello)
-    if (!isAcceptable) throw PeerProtocolException(CutReason.WRONG_VM, "VM ${hello.vm} meant ${hello.expected}")
     val answer = decodePeer<HelloProof>(input.readFrameBytes(MAXIMUM_HANDSHAKE_BYTES))
     requireProof(answer.proof, proof(secret, OPENING_ROLE, helloBytes, ownHello))
     return PeerIdentity(hello.vm, hello.incarnation)
