--- a/daemon/src/main/kotlin/org/lentilquay/transport/TcpNetwork.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/TcpNetwork.kt
@@ -5,19 +5,20 @@
  */
 package org.lentilquay.transport
 
+import io.ktor.network.selector.InterestSuspensionsMap
 import io.ktor.network.selector.SelectInterest
-import io.ktor.network.selector.SelectableBase
+import io.ktor.network.selector.Selectable
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.aSocket
 import kotlinx.coroutines.Dispatchers
-import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.lentilquay.transport.http.IpAddress
 import java.io.IOException
 import java.nio.ByteBuffer
+import java.nio.channels.ClosedSelectorException
 import java.nio.channels.Pipe
 import java.nio.channels.SelectableChannel
 
@@ -48,29 +49,28 @@
     /** The next connection to [listener], which this network opened. */
     suspend fun accept(listener: ServerSocket): TcpConnection = TcpConnection(listener.accept(), wake::wake)
 
-    override fun close() {
-        wake.close()
-        selector.close()
-    }
+    override fun close() = selector.close()
 }
 
 /** A pipe whose reading end is registered with the selector. */
-private class SelectorWake(private val selector: SelectorManager) : AutoCloseable {
+private class SelectorWake(private val selector: SelectorManager) {
     private val pipe = Pipe.open().apply {
         source().configureBlocking(false)
         sink().configureBlocking(false)
     }
-    private val source = object : SelectableBase() {
-        override val channel: SelectableChannel get() = pipe.source()
-    }
+    private val source = PipeSource(pipe)
 
     init {
-        source.interestOp(SelectInterest.READ, true)
         selector.launch {
-            val buffer = ByteBuffer.allocate(WAKE_BYTES)
-            while (isActive) {
-                selector.select(source, SelectInterest.READ)
-                while (pipe.source().read(buffer.clear()) > 0) Unit
+            try {
+                takeWakes()
+            } catch (_: IOException) {
+                // Closing the selector ends its selections this way.
+            } catch (_: ClosedSelectorException) {
+                // The same, if the selector is closed between two selections.
+            } finally {
+                pipe.sink().close()
+                source.close()
             }
         }
     }
@@ -84,9 +84,25 @@
         }
     }
 
-    override fun close() {
-        pipe.sink().close()
-        pipe.source().close()
-        source.close()
+    private suspend fun takeWakes() {
+        val buffer = ByteBuffer.allocate(WAKE_BYTES)
+        while (true) {
+            selector.select(source, SelectInterest.READ)
+            while (pipe.source().read(buffer.clear()) > 0) Unit
+        }
     }
 }
+
+/** The reading end of [pipe] as Ktor's selector takes it; it is always interested in reading. */
+private class PipeSource(private val pipe: Pipe) : Selectable {
+    override val suspensions = InterestSuspensionsMap()
+    override val channel: SelectableChannel get() = pipe.source()
+    override val isClosed: Boolean get() = !channel.isOpen
+    override val interestedOps: Int get() = SelectInterest.READ.flag
+
+    override fun interestOp(interest: SelectInterest, state: Boolean) = Unit
+
+    override fun dispose() = close()
+
+    override fun close() = channel.close()
+}
--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/Exchange.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/Exchange.kt
@@ -12,6 +12,7 @@
  */
 package org.lentilquay.transport.http
 
+import io.ktor.http.HttpStatusCode
 import io.ktor.http.cio.CIOHeaders
 import io.ktor.http.cio.Response
 import io.ktor.http.cio.parseResponse
@@ -29,7 +30,7 @@
 private const val HEAD = "HEAD"
 
 /** Answers with these statuses have no body. */
-private val BODILESS_STATUSES = setOf(204, 304)
+private val BODILESS_STATUSES = setOf(HttpStatusCode.NoContent.value, HttpStatusCode.NotModified.value)
 private val METHOD = Regex("[A-Z]{1,16}")
 
 /** The path and query of a request as they may stand in a request line: printable ASCII without blanks and fragment. */
--- a/daemon/src/main/kotlin/org/lentilquay/transport/peer/PeerServer.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/peer/PeerServer.kt
@@ -25,8 +25,8 @@
 import org.lentilquay.transport.Secret
 import org.lentilquay.transport.TcpConnection
 import org.lentilquay.transport.TcpNetwork
-import org.lentilquay.transport.http.IpAddress
 import org.lentilquay.transport.attempt
+import org.lentilquay.transport.http.IpAddress
 import org.lentilquay.transport.http.ipAddressOf
 import java.util.concurrent.ConcurrentHashMap
 
--- a/daemon/src/test/kotlin/org/lentilquay/transport/engine/EngineClientTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/transport/engine/EngineClientTest.kt
@@ -56,8 +56,9 @@
         "redirect" to (answering(307, "", "Location: /elsewhere\n") to EngineAnswer.WrongStatus::class),
         "cut before headers" to (ScriptedServer { _, _ -> } to EngineAnswer.LostBeforeHeaders::class),
         "cut in headers" to
-            (ScriptedServer { _, it -> it.write("HTTP/1.1 200 OK\nX-In") } to EngineAnswer.LostBeforeHeaders::class),
-        "no headers in time" to (ScriptedServer { _, _ -> Thread.sleep(2_000) } to EngineAnswer.LostBeforeHeaders::class),
+            (ScriptedServer { _, to -> to.write("HTTP/1.1 200 OK\nX-In") } to EngineAnswer.LostBeforeHeaders::class),
+        "no headers in time" to
+            (ScriptedServer { _, _ -> Thread.sleep(2_000) } to EngineAnswer.LostBeforeHeaders::class),
     ).forEach { (name, case) ->
         test("opening a run: $name") {
             case.first.use { server ->
@@ -99,7 +100,8 @@
                 val accepted = client.chat(server.address).shouldBeInstanceOf<EngineAnswer.Accepted>()
                 accepted.head.incarnation shouldBe 5
                 accepted.head.servedModel shouldBe "stove@3"
-                accepted.run.steps().map { if (it is StreamStep.Lost) it.copy(detail = "") else it } shouldContainExactly
+                val steps = accepted.run.steps().map { if (it is StreamStep.Lost) it.copy(detail = "") else it }
+                steps shouldContainExactly
                     listOf(StreamStep.Event("{\"index\":0}"), StreamStep.Event("{\"index\":1}"), case.second)
             }
         }
@@ -158,7 +160,7 @@
                 (client.chat(it.address) as EngineAnswer.Accepted).run.whole(100)
                     .shouldBeInstanceOf<WholeBody.Complete>().text shouldBe "{\"a\":1}"
             }
-            ScriptedServer { _, it -> it.write("HTTP/1.1 200 OK\nContent-Length: 50\n\n{\"a\":1}") }.use {
+            ScriptedServer { _, to -> to.write("HTTP/1.1 200 OK\nContent-Length: 50\n\n{\"a\":1}") }.use {
                 (client.chat(it.address) as EngineAnswer.Accepted).run.whole(100).shouldBeInstanceOf<WholeBody.Lost>()
             }
             answering(200, "x".repeat(200)).use {
