Let engine and service counters be read without the record of runs

Cause: after a long experiment the record of runs is large, and tools poll only the counters.

Change: GET /counters on engine and service, as on the platform.

--- a/standins/src/main/kotlin/org/lentilquay/standins/ModelEngine.kt
+++ b/standins/src/main/kotlin/org/lentilquay/standins/ModelEngine.kt
@@ -109,6 +109,7 @@
         }
         get("/v1/models") { call.respondJson(ModelList(core.models.map(::ModelEntry))) }
         get("/runs") { call.respondJson(runs()) }
+        get("/counters") { call.respondJson(core.counts()) }
         post("/control") {
             control(call.receiveJson())
             call.respondJson(emptyMap<String, String>())
--- a/standins/src/main/kotlin/org/lentilquay/standins/PlainService.kt
+++ b/standins/src/main/kotlin/org/lentilquay/standins/PlainService.kt
@@ -117,6 +117,7 @@
     private fun Route.routes() {
         get("/load") { call.respondJson(report()) }
         get("/runs") { call.respondJson(runs()) }
+        get("/counters") { call.respondJson(counters.snapshot()) }
         post("/control") {
             control(call.receiveJson())
             call.respondJson(emptyMap<String, String>())
--- a/standins/src/main/kotlin/org/lentilquay/standins/internal/EngineCore.kt
+++ b/standins/src/main/kotlin/org/lentilquay/standins/internal/EngineCore.kt
@@ -165,8 +165,9 @@
         CacheEvents(incarnations.current, cache.eventsAfter(after, monotonicMillis()))
 
     // Not under the lock, which a long record would hold for long.
-    fun runs(): EngineRuns =
-        EngineRuns(incarnation, records.all(), counters.snapshot() + ("records_dropped" to records.dropped.toLong()))
+    fun runs(): EngineRuns = EngineRuns(incarnation, records.all(), counts())
+
+    fun counts(): Map<String, Long> = counters.snapshot() + ("records_dropped" to records.dropped.toLong())
 
     fun count(name: String) = counters.count(name)
 
