--- /dev/null
+++ b/core/src/main/kotlin/org/lentilquay/coordination/configuration/PlanDescription.kt
@@ -0,0 +1,211 @@
+/*
+ * Says in plain sentences what a change does and what an operator should know before confirming it. Effects state what
+ * changes; warnings state what stops working or is probably a mistake.
+ */
+package org.lentilquay.coordination.configuration
+
+import org.lentilquay.state.Adapter
+import org.lentilquay.state.BackendServer
+import org.lentilquay.state.CallerKey
+import org.lentilquay.state.Configuration
+import org.lentilquay.state.ConfigurationChange
+import org.lentilquay.state.DomainId
+import org.lentilquay.state.DomainState
+import org.lentilquay.state.KeyId
+import org.lentilquay.state.Route
+import org.lentilquay.state.ServerId
+import org.lentilquay.state.ServerKind
+import org.lentilquay.state.ServerState
+import org.lentilquay.state.Target
+import org.lentilquay.state.Team
+import org.lentilquay.state.TeamId
+import org.lentilquay.state.VmId
+import org.lentilquay.state.internal.ConfigurationDraft
+import org.lentilquay.state.internal.listed
+import org.lentilquay.state.mayTakeWork
+
+/** The effects and warnings of one change. */
+internal class PlanDescription {
+    val effects = mutableListOf<String>()
+    val warnings = mutableListOf<String>()
+}
+
+/** Describes [change] from [before] to [after]; [vms] are the members and their failure domains. */
+internal fun describe(
+    change: ConfigurationChange,
+    before: Configuration,
+    after: Configuration,
+    vms: Map<VmId, DomainId>,
+): PlanDescription {
+    val description = PlanDescription()
+    val describer = ChangeDescriber(description, vms)
+    if (change is ConfigurationChange.Batch) {
+        // Each change is described on top of those before it, so that a later one sees what an earlier one created.
+        val draft = ConfigurationDraft(before)
+        change.changes.forEach {
+            val step = draft.toConfiguration(before.revision)
+            describer.describe(it, step)
+            draft.make(it)
+        }
+    } else {
+        describer.describe(change, before)
+    }
+    if (before.copy(revision = after.revision) == after) description.warnings += "Nothing changes; it is so already."
+    describer.warnOfLostCapacity(before, after)
+    return description
+}
+
+private class ChangeDescriber(private val out: PlanDescription, private val vms: Map<VmId, DomainId>) {
+    @Suppress("CyclomaticComplexMethod") // One branch for each kind of change.
+    fun describe(change: ConfigurationChange, at: Configuration) = when (change) {
+        is ConfigurationChange.PutTeam -> putTeam(change.team, at)
+        is ConfigurationChange.RemoveTeam -> effect("Team ${change.team} is removed.")
+        is ConfigurationChange.GrantKey -> effect("Key ${change.key.id} of team ${change.key.team} starts to work.")
+        is ConfigurationChange.WithdrawKey -> withdrawKey(change.key, at)
+        is ConfigurationChange.PutAdapter -> putAdapter(change.adapter, at)
+        is ConfigurationChange.RemoveAdapter -> effect("Adapter ${change.adapter} is removed.")
+        is ConfigurationChange.PutRoute -> putRoute(change.route, at)
+        is ConfigurationChange.RemoveRoute ->
+            effect("Route ${change.route} is removed; requests for it get route_unknown.")
+        is ConfigurationChange.PutServer -> putServer(change.server, at)
+        is ConfigurationChange.SetServerState -> setServerState(change.server, change.state, at)
+        is ConfigurationChange.RemoveServer -> effect("Backend server ${change.server} is removed.")
+        is ConfigurationChange.SetDomainState -> setDomainState(change.domain, change.state, at)
+        is ConfigurationChange.Batch -> Unit
+    }
+
+    private fun effect(text: String) {
+        out.effects += text
+    }
+
+    private fun warning(text: String) {
+        out.warnings += text
+    }
+
+    private fun putTeam(team: Team, at: Configuration) {
+        val former = at.teams[team.id]
+        val limits = "${team.tokensPerSecond} tokens a second, a burst of ${team.burstTokens} and weight ${team.weight}"
+        if (former == null) {
+            effect("Team ${team.id} is created with $limits.")
+        } else {
+            effect(
+                "Team ${team.id} gets $limits, after ${former.tokensPerSecond} tokens a second, " +
+                    "a burst of ${former.burstTokens} and weight ${former.weight}.",
+            )
+        }
+    }
+
+    private fun withdrawKey(id: KeyId, at: Configuration) {
+        val key: CallerKey = at.keys[id] ?: return
+        effect("Key $id of team ${key.team} stops working within seconds, and its streams are cut.")
+        if (at.keys.values.none { it.team == key.team && it.id != id }) {
+            warning("$id is the last key of team ${key.team}; the team can then use open routes only.")
+        }
+    }
+
+    private fun putAdapter(adapter: Adapter, at: Configuration) {
+        val former = at.adapters[adapter.name]
+        val routes = routesOf(adapter.name, at)
+        if (former == null) {
+            effect(
+                "Adapter ${adapter.name} of base model ${adapter.baseModel} is created " +
+                    "with current version ${adapter.current}.",
+            )
+        } else {
+            describeVersions(former, adapter, routes)
+        }
+        if (at.servers.values.none { it.kind == ServerKind.ENGINE && it.serves == adapter.baseModel }) {
+            warning("No engine serves base model ${adapter.baseModel}; requests for ${adapter.name} get no_capacity.")
+        }
+    }
+
+    private fun describeVersions(former: Adapter, adapter: Adapter, routes: List<Route>) {
+        val added = adapter.versions - former.versions
+        val removed = former.versions - adapter.versions
+        if (added.isNotEmpty()) effect("Adapter ${adapter.name} gets versions ${listed(added)}.")
+        if (removed.isNotEmpty()) {
+            effect("Adapter ${adapter.name} loses versions ${listed(removed)}; requests that name them are refused.")
+        }
+        if (former.current != adapter.current) {
+            val following = routes.filter { (it.target as Target.AdapterTarget).version == null }.map { it.id }
+            val followers = if (following.isEmpty()) "no route follows it" else "routes ${listed(following)} follow it"
+            effect(
+                "The current version of adapter ${adapter.name} changes from ${former.current} to " +
+                    "${adapter.current}; $followers.",
+            )
+        }
+        if (former.current in removed) {
+            warning("Version ${former.current} of adapter ${adapter.name} is in use as the current one and is removed.")
+        }
+    }
+
+    private fun putRoute(route: Route, at: Configuration) {
+        val target = when (val it = route.target) {
+            is Target.AdapterTarget -> "adapter ${it.adapter}, version ${it.version ?: "current"}"
+            is Target.ServiceTarget -> "service ${it.service}"
+        }
+        effect("Route ${route.id} ${if (route.id in at.routes) "now leads" else "is created and leads"} to $target.")
+        if (route.open) {
+            warning("Route ${route.id} is open: anybody can use it without a key, and team ${route.openTeam} pays.")
+        }
+        val former = at.routes[route.id] ?: return
+        val losing = at.teams.keys.filter { former.admits(it) && !route.admits(it) }
+        if (losing.isNotEmpty()) warning("Teams ${listed(losing)} can no longer use route ${route.id}.")
+    }
+
+    private fun Route.admits(team: TeamId) = open || teams?.contains(team) != false
+
+    private fun putServer(server: BackendServer, at: Configuration) {
+        val former = at.servers[server.id]
+        val place = "at ${server.address} in failure domain ${server.domain}, for ${server.serves}"
+        effect("Backend server ${server.id} ${if (former == null) "is added" else "is changed"}: $place.")
+        if (former != null && former.address != server.address) {
+            warning("Backend server ${server.id} moves from ${former.address}; its running requests are lost track of.")
+        }
+        if (at.domains[server.domain] == DomainState.DRAINED) {
+            warning("Failure domain ${server.domain} is drained, so backend server ${server.id} gets no work yet.")
+        }
+    }
+
+    private fun setServerState(id: ServerId, state: ServerState, at: Configuration) {
+        val server = at.servers[id] ?: return
+        when (state) {
+            ServerState.STOPPED -> effect("Backend server $id gets no new work after a few seconds; its runs finish.")
+            ServerState.SERVING -> effect("Backend server $id takes new work for ${server.serves}.")
+        }
+    }
+
+    private fun setDomainState(domain: DomainId, state: DomainState, at: Configuration) {
+        val servers = at.servers.values.filter { it.domain == domain }.map { it.id }
+        val members = vms.filterValues { it == domain }.keys
+        val what = "backend servers ${listed(servers).ifEmpty { "none" }}; VMs ${listed(members).ifEmpty { "none" }}"
+        when (state) {
+            DomainState.DRAINED -> effect("Failure domain $domain gets no new work after a few seconds: $what.")
+            DomainState.SERVING -> effect("Failure domain $domain takes new work: $what.")
+        }
+        if (servers.isEmpty() && members.isEmpty()) {
+            warning("No backend server and no VM is in failure domain $domain; check the name.")
+        }
+        if (state == DomainState.DRAINED) {
+            val remaining = vms.size - vms.values.count { it == domain || at.domains[it] == DomainState.DRAINED }
+            if (vms.isNotEmpty() && remaining == 0) warning("No VM remains outside drained failure domains.")
+        }
+    }
+
+    /** Per base model and service that loses backend servers: what remains, with a warning if nothing does. */
+    fun warnOfLostCapacity(before: Configuration, after: Configuration) {
+        val working = before.servers.values.filter(before::mayTakeWork).groupBy { it.kind to it.serves }
+        val left = after.servers.values.filter(after::mayTakeWork).groupBy { it.kind to it.serves }
+        working.forEach { (what, servers) ->
+            val remaining = left[what].orEmpty()
+            val lost = servers.map { it.id }.toSet() - remaining.map { it.id }.toSet()
+            if (lost.isEmpty()) return@forEach
+            val name = if (what.first == ServerKind.ENGINE) "Base model ${what.second}" else "Service ${what.second}"
+            effect("$name keeps ${remaining.size} of ${servers.size} backend servers, without ${listed(lost)}.")
+            if (remaining.isEmpty()) warning("$name has no backend server left; its requests get no_capacity.")
+        }
+    }
+
+    private fun routesOf(adapter: String, at: Configuration): List<Route> =
+        at.routes.values.filter { (it.target as? Target.AdapterTarget)?.adapter == adapter }
+}
