Find members by probing in the manner of SWIM

Cause: every VM needs to know which VMs live, at a cost that does not grow with the fleet.

Ruled out: counting the 2 s to death from the end of the indirect probes (too slow for 2 s at 8 VMs); one probe of a suspect before its death (at 40 members and 5 % loss, live members were declared dead).

Change: Membership with direct and indirect probes, refutation, restarts, planned stops, the platform's list and recovery after a partition. MemberUpdate carries readiness, absent in the encoding while it is true.

Found by the property test with a paused member: a resumed VM spent all transmissions of its refutation on answers that came too late, and stayed DEAD. It now answers every false state again.

Conclusion: a killed VM is dead everywhere within 3.5 s at 8 and 5 s at 40 members in the simulated fleet with a tick of 100 ms.

--- /dev/null
+++ b/core/src/main/kotlin/org/lentilquay/coordination/membership/MemberDirectory.kt
@@ -0,0 +1,243 @@
+/*
+ * The table of members behind [Membership]: merges news, keeps suspicions and the platform's list, and chooses the
+ * updates that ride on a message.
+ */
+package org.lentilquay.coordination.membership
+
+import org.lentilquay.protocol.ListedKind
+import org.lentilquay.protocol.ListedVm
+import org.lentilquay.protocol.MemberState
+import org.lentilquay.protocol.MemberUpdate
+import org.lentilquay.state.DomainId
+import org.lentilquay.state.Incarnation
+import org.lentilquay.state.VmId
+import kotlin.random.Random
+
+/** A VM that joined within this time gets messages filled up with members that it may not know. */
+private const val NEWCOMER_MILLIS = 30_000L
+
+/** A dead or departed VM that was never on the platform's list is forgotten after this time. */
+private const val FORGET_MILLIS = 60_000L
+
+/** Gives a suspect three or four chances to refute, so that one lost message does not make it dead. */
+private const val SUSPECT_PROBE_INTERVAL_MILLIS = 300L
+
+internal class MemberDirectory(private val own: OwnIdentity, private val random: Random) {
+    private val members = LinkedHashMap<VmId, Member>()
+    private val suspects = LinkedHashMap<VmId, Long>()
+    private val introducedTo = HashMap<VmId, Incarnation>()
+    private val gone = HashMap<VmId, Incarnation>()
+    private val queue = UpdateQueue()
+    private var isUrgent = false
+    private var fillAt = random.nextInt(Int.MAX_VALUE)
+
+    var ownUpdate = MemberUpdate(own.vm, own.incarnation, 0, MemberState.ALIVE, own.address, own.domain, ready = false)
+        private set
+
+    init {
+        queue.add(ownUpdate)
+    }
+
+    val all: Collection<Member> get() = members.values
+    val ids: Set<VmId> get() = members.keys
+
+    operator fun get(vm: VmId): Member? = members[vm]
+
+    fun isGone(vm: VmId): Boolean = vm in gone && vm !in members
+
+    fun random(count: Int, condition: (Member) -> Boolean): List<Member> =
+        members.values.filter(condition).shuffled(random).take(count)
+
+    fun setOwnReady(ready: Boolean) = renewSelf(ownUpdate.copy(refutation = ownUpdate.refutation + 1, ready = ready))
+
+    fun leaveSelf() = renewSelf(ownUpdate.copy(state = MemberState.LEFT, ready = false))
+
+    private fun renewSelf(update: MemberUpdate) {
+        ownUpdate = update
+        queue.add(update)
+    }
+
+    fun merge(updates: List<MemberUpdate>, now: Long): List<MembershipEffect> = updates.flatMap { merge(it, now) }
+
+    private fun merge(update: MemberUpdate, now: Long): List<MembershipEffect> {
+        if (update.vm == own.vm) return mergeOwn(update)
+        val known = members[update.vm]
+        val lastGone = gone[update.vm]
+        return when {
+            known == null && lastGone != null && update.incarnation <= lastGone -> emptyList()
+            known == null -> add(Member(update, now), now)
+            !update.supersedes(known.update) -> emptyList()
+            else -> replace(known, update, now)
+        }
+    }
+
+    private fun mergeOwn(update: MemberUpdate): List<MembershipEffect> {
+        if (update.incarnation > own.incarnation) return listOf(MembershipEffect.Replaced(update.incarnation))
+        val isFalse = update.incarnation == own.incarnation && update.state != ownUpdate.state
+        if (isFalse && ownUpdate.state == MemberState.ALIVE) {
+            // An older refutation may have been sent in answers that came too late to be read, so it is sent again.
+            renewSelf(ownUpdate.copy(refutation = maxOf(ownUpdate.refutation, update.refutation + 1)))
+            isUrgent = true
+        }
+        return emptyList()
+    }
+
+    private fun add(member: Member, now: Long): List<MembershipEffect> {
+        members[member.vm] = member
+        gone.remove(member.vm)
+        noteState(member, now)
+        if (member.update.incarnation != unknownIncarnation) queue.add(member.update)
+        return listOf(MembershipEffect.StateChanged(member.vm, null, member.state))
+    }
+
+    private fun replace(member: Member, update: MemberUpdate, now: Long): List<MembershipEffect> {
+        val from = member.state
+        val previous = member.update.incarnation
+        member.update = update
+        if (update.incarnation > previous) member.knownSince = now
+        noteState(member, now)
+        if (update.incarnation != unknownIncarnation) queue.add(update)
+        val effects = mutableListOf<MembershipEffect>()
+        if (previous != unknownIncarnation && update.incarnation > previous) {
+            effects += MembershipEffect.Restarted(member.vm, previous, update.incarnation)
+        }
+        if (from != member.state) effects += MembershipEffect.StateChanged(member.vm, from, member.state)
+        return effects
+    }
+
+    private fun noteState(member: Member, now: Long) {
+        if (member.update.state == MemberState.SUSPECT) {
+            member.suspectSince = now
+            suspects.putIfAbsent(member.vm, now)
+        } else {
+            member.suspectSince = null
+            member.suspectedHere = false
+            suspects.remove(member.vm)
+        }
+        val isAlive = member.update.state == MemberState.ALIVE
+        member.notAliveSince = if (isAlive) null else member.notAliveSince ?: now
+    }
+
+    /** Suspects [vm], whose failed probe was sent at [sentAt]. */
+    fun suspect(vm: VmId, sentAt: Long, now: Long): List<MembershipEffect> {
+        val member = members[vm] ?: return emptyList()
+        val update = member.update.copy(state = MemberState.SUSPECT)
+        val isAnsweredSince = (member.contactAt ?: Long.MIN_VALUE) >= sentAt
+        if (isAnsweredSince || !update.supersedes(member.update)) return emptyList()
+        return replace(member, update, now).also {
+            member.suspectSince = sentAt
+            member.suspectedHere = true
+            suspects[vm] = now - SUSPECT_PROBE_INTERVAL_MILLIS
+        }
+    }
+
+    fun restartSuspicions(now: Long) = suspects.keys.forEach { members.getValue(it).suspectSince = now }
+
+    /** Whether news came up that members should hear without waiting for the next probes. Reading it clears it. */
+    fun takeUrgent(): Boolean = isUrgent.also { isUrgent = false }
+
+    /** Makes suspects dead whose time is over, and forgets what was never listed. */
+    fun expire(now: Long): List<MembershipEffect> {
+        val over = suspects.keys.map(members::getValue).filter { now - (it.suspectSince ?: now) >= SUSPICION_MILLIS }
+        if (over.isNotEmpty()) isUrgent = true
+        val effects = over.flatMap { replace(it, it.update.copy(state = MemberState.DEAD), now) }
+        val forgotten = members.values.filter {
+            it.listed == null && now - (it.notAliveSince ?: now) > FORGET_MILLIS
+        }
+        forgotten.forEach { forget(it) }
+        return effects + expireAbsent(now)
+    }
+
+    /** The suspects of this VM that are to be asked again, so that they can refute. */
+    fun suspectsToProbe(now: Long): List<Member> = suspects
+        .filter { (_, probedAt) -> now - probedAt >= SUSPECT_PROBE_INTERVAL_MILLIS }
+        .map { members.getValue(it.key) }
+        .filter { it.suspectedHere }
+
+    fun probed(member: Member, now: Long) {
+        suspects.computeIfPresent(member.vm) { _, _ -> now }
+        introducedTo[member.vm] = member.update.incarnation
+    }
+
+    /** Whether [vm] in its present incarnation has not been told by this VM who it is. */
+    fun isNewTo(vm: VmId): Boolean {
+        val incarnation = members[vm]?.update?.incarnation
+        return incarnation == null || incarnation == unknownIncarnation || introducedTo[vm] != incarnation
+    }
+
+    fun statusOf(vm: VmId, at: Long, incarnation: Incarnation, revision: Long, tableReachable: Boolean) {
+        val member = members[vm] ?: return
+        if (incarnation < member.update.incarnation) return
+        member.contacted(at)
+        if (at < (member.statusAt ?: at)) return
+        member.statusAt = at
+        member.revision = revision
+        member.tableReachable = tableReachable
+    }
+
+    /** The updates for a message to [to]: what it must refute first, then news, then members for a newcomer. */
+    fun updatesFor(to: VmId?, withSelf: Boolean, now: Long): List<MemberUpdate> {
+        val chosen = LinkedHashMap<VmId, MemberUpdate>()
+        val receiver = to?.let(members::get)
+        if (receiver != null && receiver.update.state != MemberState.ALIVE) chosen[receiver.vm] = receiver.update
+        if (withSelf) chosen[own.vm] = ownUpdate
+        queue.take(MAXIMUM_UPDATES - chosen.size, members.size + 1).forEach { chosen.putIfAbsent(it.vm, it) }
+        if (receiver != null && now - receiver.knownSince <= NEWCOMER_MILLIS) fill(chosen)
+        return chosen.values.toList()
+    }
+
+    private fun fill(chosen: MutableMap<VmId, MemberUpdate>) {
+        val known = members.values.filter { it.update.incarnation != unknownIncarnation }
+        repeat(minOf(known.size, MAXIMUM_UPDATES)) {
+            if (chosen.size >= MAXIMUM_UPDATES) return
+            val update = known[Math.floorMod(fillAt++, known.size)].update
+            chosen.putIfAbsent(update.vm, update)
+        }
+    }
+
+    fun platformList(vms: List<ListedVm>, now: Long): List<MembershipEffect> {
+        val listed = vms.filter { it.kind == ListedKind.VM && it.id != own.vm.text }
+        val effects = listed.flatMap { noteListed(it, now) }
+        val present = listed.mapTo(HashSet()) { VmId(it.id) }
+        members.values.filter { it.listed != null }.forEach { it.absentFromList = it.vm !in present }
+        return effects + expireAbsent(now)
+    }
+
+    private fun noteListed(vm: ListedVm, now: Long): List<MembershipEffect> {
+        val id = VmId(vm.id)
+        val known = members[id]
+        if (known == null) {
+            val domain = DomainId(vm.domain)
+            val update =
+                MemberUpdate(id, unknownIncarnation, 0, MemberState.ALIVE, vm.address, domain, ready = false)
+            val member = Member(update, now).apply { listed = vm.state }
+            return add(member, now)
+        }
+        val from = known.state
+        known.listed = vm.state
+        return if (known.state == from) emptyList() else listOf(MembershipEffect.StateChanged(id, from, known.state))
+    }
+
+    /**
+     * Takes out members that left the list. One that answered within the reachable time stays for now: a stale list
+     * from before its arrival must not make a live VM gone.
+     */
+    private fun expireAbsent(now: Long): List<MembershipEffect> {
+        val leaving = members.values.filter {
+            it.absentFromList && now - (it.contactAt ?: Long.MIN_VALUE / 2) > REACHABLE_MILLIS
+        }
+        return leaving.mapNotNull { member ->
+            gone[member.vm] = member.update.incarnation
+            forget(member)
+            val from = member.state
+            if (from == MemberState.DEAD) null else MembershipEffect.StateChanged(member.vm, from, MemberState.DEAD)
+        }
+    }
+
+    private fun forget(member: Member) {
+        members.remove(member.vm)
+        suspects.remove(member.vm)
+        introducedTo.remove(member.vm)
+        queue.remove(member.vm)
+    }
+}
--- a/core/src/main/kotlin/org/lentilquay/protocol/PeerMessages.kt
+++ b/core/src/main/kotlin/org/lentilquay/protocol/PeerMessages.kt
@@ -35,6 +35,8 @@
     val state: MemberState,
     val address: String,
     val domain: DomainId,
+    /** Whether the member accepts requests from callers. */
+    val ready: Boolean = true,
 )
 
 /** The state of a member as its peers see it. */
--- /dev/null
+++ b/core/src/test/kotlin/org/lentilquay/coordination/membership/MembershipTest.kt
@@ -0,0 +1,161 @@
+package org.lentilquay.coordination.membership
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
+import io.kotest.matchers.longs.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import org.lentilquay.protocol.ListedKind
+import org.lentilquay.protocol.ListedState
+import org.lentilquay.protocol.ListedVm
+import org.lentilquay.protocol.MemberState
+import org.lentilquay.protocol.MemberUpdate
+import org.lentilquay.protocol.PeerAnswer
+import org.lentilquay.protocol.PeerRequest
+import org.lentilquay.state.DomainId
+import org.lentilquay.state.Incarnation
+import org.lentilquay.state.VmId
+import kotlin.random.Random
+
+/** Guards against work for dead VMs, live VMs taken for dead, and views that never agree. */
+class MembershipTest : FunSpec({
+    val me = OwnIdentity(VmId("me"), Incarnation(5), "ip-me", DomainId("d"))
+    fun membership() = Membership(me, emptyList(), Random(1))
+    fun news(state: MemberState, incarnation: Long = 1, refutation: Long = 0, vm: String = "x") =
+        MemberUpdate(VmId(vm), Incarnation(incarnation), refutation, state, "ip-$vm", DomainId("d"))
+    fun probe(vararg updates: MemberUpdate) = PeerRequest.Probe(updates.toList(), 0, false, ready = true)
+    fun listed(vararg vms: Pair<String, ListedState>) =
+        vms.map { (id, state) -> ListedVm(id, "ip-$id", "d", ListedKind.VM, state) }
+    val x = VmId("x")
+
+    listOf(
+        listOf(news(MemberState.ALIVE), news(MemberState.SUSPECT)) to MemberState.SUSPECT,
+        listOf(news(MemberState.SUSPECT), news(MemberState.ALIVE)) to MemberState.SUSPECT,
+        listOf(news(MemberState.SUSPECT), news(MemberState.ALIVE, refutation = 1)) to MemberState.ALIVE,
+        listOf(news(MemberState.ALIVE, refutation = 1), news(MemberState.DEAD)) to MemberState.ALIVE,
+        listOf(news(MemberState.DEAD), news(MemberState.ALIVE, refutation = 1)) to MemberState.ALIVE,
+        listOf(news(MemberState.LEFT), news(MemberState.ALIVE, refutation = 9)) to MemberState.LEFT,
+        listOf(news(MemberState.LEFT), news(MemberState.ALIVE, incarnation = 2)) to MemberState.ALIVE,
+        listOf(news(MemberState.ALIVE, incarnation = 2), news(MemberState.DEAD, refutation = 9)) to MemberState.ALIVE,
+    ).forEach { (updates, expected) ->
+        test("news ${updates.map { "${it.state} ${it.incarnation}.${it.refutation}" }} gives $expected") {
+            val membership = membership()
+            updates.forEach { membership.received(VmId("y"), probe(it), 0) }
+            membership.stateOf(x) shouldBe expected
+        }
+    }
+
+    test("a restart is reported at once, and a later process of this VM's id stops this one") {
+        val membership = membership().apply { received(x, probe(news(MemberState.ALIVE)), 0) }
+        membership.received(x, probe(news(MemberState.ALIVE, incarnation = 2)), 0).effects shouldContain
+            MembershipEffect.Restarted(x, Incarnation(1), Incarnation(2))
+        membership.received(x, probe(news(MemberState.ALIVE, incarnation = 6, vm = "me")), 0).effects shouldContain
+            MembershipEffect.Replaced(Incarnation(6))
+    }
+
+    test("a suspicion of this VM is refuted in the answer") {
+        val answer = membership().received(x, probe(news(MemberState.SUSPECT, 5, 3, "me")), 0).answer
+        answer.updates.first { it.vm == me.vm }.let { it.state to it.refutation } shouldBe (MemberState.ALIVE to 4L)
+    }
+
+    test("the platform's list seeds members, makes leaving ones LEFT, and alone makes a VM gone") {
+        val membership = membership()
+        membership.platformList(listed("x" to ListedState.LIVE, "y" to ListedState.LEAVING), 0)
+        membership.stateOf(x) shouldBe MemberState.ALIVE
+        membership.stateOf(VmId("y")) shouldBe MemberState.LEFT
+        membership.platformList(listed("x" to ListedState.LIVE), 10_000)
+        membership.isGone(VmId("y")) shouldBe true
+        membership.isGone(VmId("z")) shouldBe false
+        // Old news must not bring it back, but a later process of the same id is a new member.
+        membership.received(x, probe(news(MemberState.ALIVE, 0, 9, "y")), 10_000)
+        membership.stateOf(VmId("y")) shouldBe null
+        membership.received(x, probe(news(MemberState.ALIVE, 2, 0, "y")), 10_000)
+        membership.isGone(VmId("y")) shouldBe false
+    }
+
+    test("a list that leaves out a VM which still answers makes it gone only when it stops to answer") {
+        val membership = membership().apply { platformList(listed("x" to ListedState.LIVE), 0) }
+        membership.received(x, probe(news(MemberState.ALIVE)), 5_000)
+        membership.platformList(emptyList(), 6_000)
+        membership.isGone(x) shouldBe false
+        membership.tick(8_001)
+        membership.isGone(x) shouldBe true
+    }
+
+    test("a message carries at most 8 updates, and each of many changes is sent") {
+        val membership = membership()
+        val many = (1..40).map { news(MemberState.ALIVE, vm = "v$it") }
+        membership.received(x, probe(*many.toTypedArray()), 0)
+        val sent = (1..5).map { membership.received(VmId("stranger"), probe(), 0).answer.updates }
+        sent.maxOf { it.size } shouldBe MAXIMUM_UPDATES
+        sent.flatten().map { it.vm }.toSet().size shouldBe 40
+    }
+
+    test("reachable members answered within 3 s, and their words count") {
+        val membership = membership().apply { received(x, probe(news(MemberState.ALIVE)), 0) }
+        val answer = PeerAnswer.ProbeAnswer(Incarnation(1), emptyList(), 7, true, true, true)
+        membership.probeAnswered(x, 1_000, answer, 1_001)
+        membership.reachable(4_000) shouldContainExactlyInAnyOrder listOf(me.vm, x)
+        membership.reachability(4_000).let { it.tableReachableByPeer to it.highestRevision } shouldBe (true to 7L)
+        membership.reachable(4_001) shouldContainExactlyInAnyOrder listOf(me.vm)
+    }
+
+    listOf(Triple(8, 10, 3_500L), Triple(40, 5, 5_000L)).forEach { (size, seeds, bound) ->
+        test("$size members: all join through one seed, a killed one is dead everywhere within $bound ms") {
+            (1..seeds).forEach { seed ->
+                val fleet = TestFleet(size, seed).apply { run(20_000) }
+                fleet.isConverged() shouldBe true
+                fleet.living().forEach { it.membership.readyMembers().size shouldBe size }
+                fleet.vms.getValue("vm-3").isKilled = true
+                fleet.timeUntil(bound) { fleet.allSee("vm-3", MemberState.DEAD) } shouldBeLessThanOrEqual bound
+                // A restart under the same id takes its place at once.
+                fleet.start("vm-3", 2, listOf("ip-vm-1"))
+                fleet.run(5_000)
+                fleet.isConverged() shouldBe true
+            }
+        }
+
+        test("$size members with 5 % loss: no live member stays dead, a paused one returns, nobody else is harmed") {
+            (1..seeds).forEach { seed ->
+                val fleet = TestFleet(size, seed, loss = 0.05).apply { run(20_000) }
+                fleet.vms.getValue("vm-2").pausedUntil = fleet.now + 6_000
+                fleet.vms.values.forEach { it.changes.clear() }
+                fleet.timeUntil(5_900) { fleet.allSee("vm-2", MemberState.DEAD) } shouldBeLessThanOrEqual 5_900
+                fleet.run(10_000)
+                // Loss causes short suspicions now and then, so the fleet is seen without any within some seconds.
+                fleet.timeUntil(10_000, fleet::isConverged) shouldBeLessThanOrEqual 10_000
+                fleet.living().flatMap { it.changes.map { change -> change.second } }
+                    .filterIsInstance<MembershipEffect.StateChanged>()
+                    .filter { it.to == MemberState.DEAD && it.vm != VmId("vm-2") }
+                    .shouldBeEmpty()
+            }
+        }
+
+        test("$size members: a partition is seen on both sides, and they join again") {
+            (1..seeds).forEach { seed ->
+                val fleet = TestFleet(size, seed).apply { run(20_000) }
+                val apart = fleet.vms.values.take(size / 2 - 1).onEach { it.side = 1 }
+                fleet.run(10_000)
+                fleet.vms.values.forEach {
+                    val seen = it.membership.reachability(fleet.now)
+                    seen.members shouldBe size
+                    seen.isStrictMajority shouldBe (it !in apart)
+                }
+                apart.forEach { it.side = 0 }
+                fleet.run(15_000)
+                fleet.isConverged() shouldBe true
+            }
+        }
+    }
+
+    test("a VM that leaves as planned is LEFT everywhere and never DEAD") {
+        val fleet = TestFleet(8, 1).apply { run(10_000) }
+        val leaving = fleet.vms.getValue("vm-4")
+        fleet.handle(leaving, leaving.membership.leave(fleet.now))
+        fleet.run(3_000)
+        leaving.isKilled = true
+        fleet.run(10_000)
+        fleet.allSee("vm-4", MemberState.LEFT) shouldBe true
+    }
+})
