Send the configuration to peers in pages

Ruled out: sending only log entries (a VM that starts would need all of them).

Tests of pauses and of old suspicions for membership.

--- a/core/src/main/kotlin/org/lentilquay/protocol/PeerMessages.kt
+++ b/core/src/main/kotlin/org/lentilquay/protocol/PeerMessages.kt
@@ -96,7 +96,12 @@
     /** Asks for the log entries after [afterRevision], or a snapshot page when they are no longer kept. */
     @Serializable
     @SerialName("fetch-configuration")
-    data class FetchConfiguration(val afterRevision: Long) : PeerRequest
+    data class FetchConfiguration(
+        val afterRevision: Long,
+        /** The page of a snapshot to send next, and the revision of that snapshot; 0 for the first page. */
+        val page: Int = 0,
+        val snapshotRevision: Long = 0,
+    ) : PeerRequest
 
     /** Asks the owner of [server] for a place to run one request. Repeated with the same [requestId] while queued. */
     @Serializable
@@ -202,6 +207,10 @@
         val entries: List<String>,
         val snapshot: String? = null,
         val headRevision: Long,
+        /** The revision of the snapshot, the number of this page, from 0, and the number of pages. */
+        val snapshotRevision: Long = 0,
+        val page: Int = 0,
+        val pages: Int = 0,
     ) : PeerAnswer
 
     @Serializable
--- /dev/null
+++ b/core/src/test/kotlin/org/lentilquay/coordination/configuration/ConfigurationTransferTest.kt
@@ -0,0 +1,56 @@
+package org.lentilquay.coordination.configuration
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.ints.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.encodeToByteArray
+import org.lentilquay.protocol.LogEntry
+import org.lentilquay.protocol.MAXIMUM_PEER_FRAME_BYTES
+import org.lentilquay.protocol.PeerFrame
+import org.lentilquay.state.Adapter
+import org.lentilquay.state.ConfigurationChange
+
+/** Guards against a starting VM that cannot load a large configuration from a peer during an outage. */
+class ConfigurationTransferTest : FunSpec({
+    fun entries(revisions: LongRange) = revisions.map {
+        val changes = (1..200).map { index ->
+            ConfigurationChange.PutAdapter(Adapter("adapter-${it * 200 + index}", "base", setOf(1), 1))
+        }
+        LogEntry(it, "plan-$it", "ana", ConfigurationChange.Batch(changes), 0, "vm-1")
+    }
+
+    fun transfer(source: ConfigurationStore, target: ConfigurationStore, between: (Int) -> Unit = {}): Int {
+        val answers = ConfigurationSource(source)
+        val fetch = ConfigurationFetch(target)
+        var round = 0
+        target.noteHead(source.revision)
+        while (target.missing() != null && round < 100) {
+            between(round)
+            val page = answers.answer(fetch.request(), round * 1_000L)
+            Cbor.encodeToByteArray(PeerFrame(1, answer = page)).size shouldBeLessThan MAXIMUM_PEER_FRAME_BYTES
+            fetch.received(page)
+            round++
+        }
+        return round
+    }
+
+    mapOf("log entries" to 1_000, "a snapshot" to 10).forEach { (name, kept) ->
+        test("a VM that starts gets the whole configuration as $name in several messages") {
+            val source = ConfigurationStore(keptEntries = kept).apply { offer(entries(1L..60L)) }
+            val target = ConfigurationStore()
+            transfer(source, target) shouldBeGreaterThan 1
+            target.configuration shouldBe source.configuration
+        }
+    }
+
+    test("a source that changes, forgets its snapshot or stops between the pages causes no mixed configuration") {
+        val log = entries(1L..80L)
+        val source = ConfigurationStore(keptEntries = 10).apply { offer(log.take(60)) }
+        val target = ConfigurationStore()
+        transfer(source, target) { round -> if (round in 1..4) source.offer(log.drop(60).take(round * 5)) }
+        target.configuration shouldBe source.configuration
+        target.revision shouldBe 80
+    }
+})
--- a/core/src/test/kotlin/org/lentilquay/coordination/membership/MembershipTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/membership/MembershipTest.kt
@@ -59,6 +59,27 @@
         answer.updates.first { it.vm == me.vm }.let { it.state to it.refutation } shouldBe (MemberState.ALIVE to 4L)
     }
 
+    test("an older suspicion does not lower the refutation") {
+        val membership = membership()
+        listOf(3L to 4L, 1L to 4L, 4L to 5L).forEach { (suspected, refuted) ->
+            val answer = membership.received(x, probe(news(MemberState.SUSPECT, 5, suspected, "me")), 0).answer
+            answer.updates.first { it.vm == me.vm }.refutation shouldBe refuted
+        }
+    }
+
+    test("a VM that was paused neither suspects nor buries others for answers that it read too late") {
+        val membership = membership().apply { tick(0) }
+        membership.received(x, probe(news(MemberState.ALIVE), news(MemberState.SUSPECT, vm = "y")), 0)
+        membership.tick(5_000)
+        membership.probeFailed(x, 0, 5_000).shouldBeEmpty()
+        membership.stateOf(x) shouldBe MemberState.ALIVE
+        membership.stateOf(VmId("y")) shouldBe MemberState.SUSPECT
+        membership.tick(5_900)
+        membership.tick(6_800)
+        membership.tick(7_000)
+        membership.stateOf(VmId("y")) shouldBe MemberState.DEAD
+    }
+
     test("the platform's list seeds members, makes leaving ones LEFT, and alone makes a VM gone") {
         val membership = membership()
         membership.platformList(listed("x" to ListedState.LIVE, "y" to ListedState.LEAVING), 0)
