--- a/core/src/main/kotlin/org/lentilquay/coordination/allocation/AllocatorPolicy.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/allocation/AllocatorPolicy.kt
@@ -45,8 +45,8 @@
     val orphanCountMillis: Long = 10_000,
     /** A run is forgotten if reports show its adapter idle for this long: its release was lost. */
     val lostReleaseMillis: Long = 5_000,
-    /** A run without an adapter, which reports do not show, is forgotten after this time: its release was lost. */
-    val plainRunTimeoutMillis: Long = 600_000,
+    /** A run no longer counts as in flight after this time: its release was lost. Its pin stays. */
+    val runTimeoutMillis: Long = 600_000,
     /** Bound on the age of a report whose time cannot be derived from a claim. */
     val reportLagMillis: Long = 5_000,
     /** Pause before an unload with an unknown result is ordered again. */
--- a/core/src/main/kotlin/org/lentilquay/coordination/allocation/ServerAllocator.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/allocation/ServerAllocator.kt
@@ -92,7 +92,7 @@
             val takenAt = parts.clock.earliestLocalTime(report.asOfMillis, now)
             health.accept(report, takenAt, now)
             slots.reconcile(report, takenAt, ownership.settledAt, now)
-            if (takenAt != null) runs.settle(report.running, takenAt, now)
+            if (takenAt != null) settleRuns(report, takenAt, now)
         }
         return finish(now)
     }
@@ -149,7 +149,7 @@
     /** The process was paused; it acts as a new owner from [now] on. */
     fun resumedAfterPause(now: Long): List<AllocatorEffect> {
         ownership.restart(now)
-        runs.inheritAll()
+        runs.inheritAll(now)
         slots.requireIdleReports(ownership.settledAt)
         return finish(now)
     }
@@ -183,9 +183,10 @@
         val slot = slots[adapter]?.takeIf { it.state == SlotState.LOADING } ?: return finish(now)
         val millis = loads.loadEnded(adapter, now)
         val isSameProcess = slot.orderedFor == health.incarnation
+        // An adapter that is ordered inside the waiting time may still serve runs that an earlier owner granted.
+        if (slot.changedAt < ownership.settledAt) slot.requireIdleReport(ownership.settledAt)
         when (result) {
             LoadResult.LOADED -> {
-                if (!ownership.isSettled(now)) slot.requireIdleReport(ownership.settledAt)
                 slots.change(slot, if (isSameProcess) SlotState.LOADED else SlotState.UNCERTAIN, now)
                 parts.backoff.succeeded(adapter)
                 parts.estimator.observeLoad(millis)
@@ -201,7 +202,6 @@
             LoadResult.NOT_SENT -> slots.remove(adapter, now)
             LoadResult.UNKNOWN -> {
                 slots.change(slot, SlotState.UNCERTAIN, now)
-                if (!ownership.isSettled(now)) slot.requireIdleReport(ownership.settledAt)
                 reservations.loadFailed(adapter, now)
             }
         }
@@ -297,6 +297,12 @@
         }
     }
 
+    private fun settleRuns(report: LoadReport, takenAt: Long, now: Long) {
+        runs.settle(report.running, health.server.serves, takenAt, now)
+            .mapNotNull { run -> run.adapter?.let { slots[it] } }
+            .forEach { it.requireIdleReport(now) }
+    }
+
     private fun finish(now: Long): List<AllocatorEffect> {
         reservations.advance(now)
         return parts.takeEffects()
--- a/core/src/main/kotlin/org/lentilquay/coordination/allocation/internal/RunLedger.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/allocation/internal/RunLedger.kt
@@ -83,9 +83,15 @@
         if (run.isCounted) unconfirmed--
     }
 
-    /** Marks the grants of a previous ownership, which do not count against the grants of this one. */
-    fun inheritAll() {
-        runs.values.forEach { it.isInherited = true }
+    /**
+     * Marks the grants of a previous ownership, which do not count against the grants of this one. Messages that came
+     * in during a pause are still unread, so a run without an answer is judged only by reports from much later on.
+     */
+    fun inheritAll(now: Long) {
+        runs.values.forEach {
+            it.isInherited = true
+            it.grantedAt = now
+        }
         ownInFlight = 0
     }
 
@@ -106,13 +112,14 @@
 
     fun wasReleased(requestId: String): Boolean = requestId in released
 
-    /** Drops runs that no report can show any more, and old notes of releases. */
+    /** Stops counting runs whose release was lost, and drops old notes of releases. */
     fun sweep(now: Long) {
         val lost = runs.values.filter { run ->
             val gone = run.goneAt
             when {
                 gone != null && now - gone >= policy.orphanCountMillis -> stopCounting(run) && run.adapter == null
-                else -> run.adapter == null && now - run.firstGrantedAt >= policy.plainRunTimeoutMillis
+                now - run.firstGrantedAt >= policy.runTimeoutMillis -> stopCounting(run) && run.adapter == null
+                else -> false
             }
         }
         lost.forEach { remove(it.requestId) }
@@ -121,19 +128,20 @@
     }
 
     /**
-     * Ends runs that a report taken no earlier than [takenAt] proves to be over. A run of a VM that is gone ends at
-     * the first such report. Any other run ends only after reports have shown it idle for some time, because its
-     * release normally follows at once.
+     * Ends runs that a report taken no earlier than [takenAt] proves to be over; [running] counts by engine name, with
+     * the base model's requests under [baseModel]. A run without an answer ends once the report shows no more runs than
+     * were answered; a run of a VM that is gone ends at the first report that shows its adapter idle. Any other run
+     * ends only after reports have shown it idle for some time, because its release normally follows at once.
      */
-    fun settle(running: Map<String, Int>, takenAt: Long, now: Long): List<Run> {
+    fun settle(running: Map<String, Int>, baseModel: String, takenAt: Long, now: Long): List<Run> {
+        val answered = runs.values.filter { it.confirmedAt != null }.groupingBy { it.adapter }.eachCount()
         val ended = runs.values.filter { run ->
-            val adapter = run.adapter ?: return@filter false
+            val shown = running[run.adapter?.engineName ?: baseModel] ?: 0
+            if (shown > 0) run.idleSince = null
             when {
-                (running[adapter.engineName] ?: 0) > 0 -> {
-                    run.idleSince = null
-                    false
-                }
                 takenAt <= provableFrom(run) -> false
+                run.confirmedAt == null && shown <= (answered[run.adapter] ?: 0) -> true
+                shown > 0 -> false
                 run.goneAt != null -> true
                 else -> now - (run.idleSince ?: now.also { run.idleSince = it }) >= policy.lostReleaseMillis
             }
--- /dev/null
+++ b/core/src/test/kotlin/org/lentilquay/coordination/allocation/AllocatorFixture.kt
@@ -0,0 +1,107 @@
+/*
+ * A ServerAllocator with a hand-moved clock for table-driven tests. The engine's clock runs [ENGINE_AHEAD] ms ahead.
+ */
+package org.lentilquay.coordination.allocation
+
+import org.lentilquay.protocol.EngineState
+import org.lentilquay.protocol.LoadReport
+import org.lentilquay.protocol.PeerRequest
+import org.lentilquay.protocol.Priority
+import org.lentilquay.protocol.RunOutcome
+import org.lentilquay.state.AdapterVersion
+import org.lentilquay.state.BackendServer
+import org.lentilquay.state.ServerId
+import org.lentilquay.state.TeamId
+import org.lentilquay.state.VmId
+
+internal const val ENGINE_AHEAD = 1_000_000L
+internal val FRONT = VmId("vm-front")
+
+internal fun adapter(number: Int) = AdapterVersion("adapter-$number", 1)
+
+internal class AllocatorFixture(
+    val server: BackendServer = engineServer(),
+    inherited: InheritedState = InheritedState(),
+) {
+    val allocator = serverAllocator(server, fence = 3, acquiredAt = 0, inherited = inherited)
+    var now = 0L
+
+    /** Brings the allocator past its waiting time with [loaded] adapters, a valid claim and a warm report. */
+    fun settled(vararg loaded: Int): AllocatorFixture {
+        now = 5_000
+        claim()
+        now += 1
+        report(*loaded)
+        if (!server.checksFencing) allocator.allVmsAcknowledged(now)
+        return this
+    }
+
+    fun claim() = allocator.claimSucceeded(now, now + ENGINE_AHEAD, now)
+
+    fun report(
+        vararg loaded: Int,
+        state: EngineState = EngineState.WARM,
+        incarnation: Long = 1,
+        takenAt: Long = now,
+        running: Map<Int, Int> = emptyMap(),
+    ) = allocator.report(
+        LoadReport(
+            incarnation = incarnation,
+            asOfMillis = takenAt + ENGINE_AHEAD,
+            state = state,
+            slots = server.adapterSlots,
+            loaded = loaded.map { adapter(it).engineName },
+            running = running.mapKeys { adapter(it.key).engineName },
+            maximumInFlight = server.maximumInFlight,
+        ),
+        now,
+    )
+
+    fun reserve(
+        id: String,
+        adapter: Int? = null,
+        team: String = "team",
+        tokens: Long = 100,
+        priority: Priority = Priority.SHORT,
+        wait: Long = 3_000,
+        spill: Long = 100_000,
+        suspect: String? = null,
+        fingerprint: String = id,
+    ): ReserveDecision = allocator.reserve(
+        PeerRequest.Reserve(
+            requestId = id,
+            server = ServerId("server"),
+            adapter = adapter?.let(::adapter),
+            team = TeamId(team),
+            estimatedTokens = tokens,
+            priority = priority,
+            waitMillis = wait,
+            spillMillis = spill,
+            suspectFingerprint = suspect,
+            fingerprint = fingerprint,
+        ),
+        FRONT,
+        now,
+    )
+
+    /** Reserves and confirms [count] requests for [adapter]. */
+    fun occupy(count: Int, adapter: Int? = null, prefix: String = "busy") = (0 until count).map { index ->
+        val id = "$prefix-$index"
+        check(reserve(id, adapter) is ReserveDecision.Granted)
+        allocator.progress(id, 1, now)
+        id
+    }
+
+    fun release(id: String, outcome: RunOutcome = RunOutcome.COMPLETED, incarnation: Long? = null) =
+        allocator.release(id, outcome, incarnation, now)
+
+    fun tick() = allocator.tick(now)
+
+    /** Takes one adapter through permit and load. */
+    fun load(adapter: Int) {
+        allocator.loadPermitted(adapter(adapter), now)
+        allocator.loadFinished(adapter(adapter), LoadResult.LOADED, now)
+    }
+
+    fun snapshot() = allocator.snapshot(now)
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/lentilquay/coordination/allocation/ServerAllocatorTest.kt
@@ -0,0 +1,324 @@
+package org.lentilquay.coordination.allocation
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import org.lentilquay.protocol.ActiveRun
+import org.lentilquay.protocol.EngineState
+import org.lentilquay.protocol.Priority
+import org.lentilquay.protocol.RunOutcome
+import org.lentilquay.state.ErrorKind
+
+private val granted = ReserveDecision.Granted(waitedForLoad = false)
+
+private fun ReserveDecision.failureKind(): ErrorKind = shouldBeInstanceOf<ReserveDecision.Refused>().failure.kind
+
+private fun List<AllocatorEffect>.grants() = filterIsInstance<AllocatorEffect.Grant>().map { it.requestId }
+
+private fun List<AllocatorEffect>.unloads() = filterIsInstance<AllocatorEffect.Unload>().map { it.adapter }
+
+/** Guards against wrong answers at the edges of the owner's rules; each test names the rule. */
+class ServerAllocatorTest : FunSpec({
+    test("a repeated poll of a granted request takes no second place") {
+        val fixture = AllocatorFixture().settled(1)
+        fixture.reserve("a", 1) shouldBe granted
+        fixture.reserve("a", 1) shouldBe granted
+        fixture.snapshot().inFlight shouldBe 1
+        fixture.release("a")
+        fixture.release("a")
+        fixture.snapshot().inFlight shouldBe 0
+    }
+
+    listOf(
+        0L to "granted",
+        1_999L to "granted",
+        2_000L to "queued",
+    ).forEach { (age, expected) ->
+        test("with a claim sent $age ms ago a request is $expected") {
+            val fixture = AllocatorFixture().settled(1)
+            fixture.now = 5_000 + age
+            (fixture.reserve("a", 1) == granted) shouldBe (expected == "granted")
+        }
+    }
+
+    test("a deposed owner refuses queued and new requests as not owner and sends no orders") {
+        val fixture = AllocatorFixture().settled()
+        fixture.reserve("a", 1)
+        val effects = fixture.allocator.claimRejected(fixture.now)
+        effects shouldContain AllocatorEffect.NotOwner("a", FRONT)
+        effects shouldContain AllocatorEffect.StopWanting(adapter(1))
+        fixture.reserve("b") shouldBe ReserveDecision.NotOwner
+        fixture.tick().shouldBeEmpty()
+    }
+
+    test("unconfirmed runs stay at the cold limit on a warm server") {
+        val fixture = AllocatorFixture().settled()
+        (1..3).forEach { fixture.reserve("r$it") shouldBe granted }
+        fixture.reserve("r4").shouldBeInstanceOf<ReserveDecision.Queued>()
+        fixture.allocator.progress("r1", 1, fixture.now).grants() shouldContainExactly listOf("r4")
+    }
+
+    test("a progress of an older incarnation confirms nothing") {
+        val fixture = AllocatorFixture().settled()
+        fixture.report(incarnation = 2)
+        (1..3).forEach { fixture.reserve("r$it") }
+        fixture.allocator.progress("r1", 1, fixture.now)
+        fixture.snapshot().unconfirmed shouldBe 3
+    }
+
+    listOf<Pair<String, (AllocatorFixture) -> Unit>>(
+        "a lost connection" to { it.release("busy-0", RunOutcome.CONNECTION_LOST) },
+        "a new incarnation in an answer" to { it.allocator.progress("busy-0", 2, it.now) },
+        "a cold report" to { it.report(state = EngineState.COLD) },
+    ).forEach { (cause, act) ->
+        test("after $cause the cold limit holds until a later warm report") {
+            val fixture = AllocatorFixture().settled()
+            fixture.occupy(5)
+            fixture.now += 100
+            act(fixture)
+            fixture.snapshot().knownWarm shouldBe false
+            val incarnation = fixture.snapshot().serverIncarnation ?: 0
+            fixture.now += 100
+            fixture.reserve("next").shouldBeInstanceOf<ReserveDecision.Queued>()
+            fixture.report(incarnation = incarnation, takenAt = fixture.now - 101)
+            fixture.snapshot().knownWarm shouldBe false
+            fixture.claim()
+            fixture.now += 1
+            fixture.report(incarnation = incarnation)
+            fixture.snapshot().knownWarm shouldBe true
+        }
+    }
+
+    test("a new owner grants only when warm, at most half the limit, and evicts nothing") {
+        val fixture = AllocatorFixture()
+        fixture.claim()
+        fixture.reserve("early").shouldBeInstanceOf<ReserveDecision.Queued>()
+        fixture.now = 10
+        fixture.report(1, 2, 3, 4).grants() shouldContainExactly listOf("early")
+        fixture.allocator.progress("early", 1, fixture.now)
+        fixture.occupy(5)
+        fixture.reserve("over the half").shouldBeInstanceOf<ReserveDecision.Queued>()
+        fixture.reserve("other", 9)
+        fixture.tick().shouldBeEmpty()
+    }
+
+    test("a paused owner that resumes waits again before it evicts") {
+        val fixture = AllocatorFixture().settled(1, 2, 3, 4)
+        fixture.now += 1_500
+        fixture.allocator.resumedAfterPause(fixture.now)
+        fixture.claim()
+        fixture.reserve("a", 9, wait = 10_000)
+        fixture.tick().shouldBeEmpty()
+        fixture.now += 4_501
+        fixture.claim()
+        fixture.reserve("a", 9)
+        fixture.tick().shouldBeEmpty()
+        fixture.now += 1
+        fixture.report(1, 2, 3, 4) shouldContain AllocatorEffect.WantLoad(adapter(9), 1, 6_002 - 1_500 + 0)
+    }
+
+    test("the victim is the unpinned adapter with the least frequency and without waiting requests") {
+        val fixture = AllocatorFixture().settled(1, 2, 3, 4)
+        listOf(1, 1, 2, 3, 3, 4, 4).forEachIndexed { index, number ->
+            fixture.reserve("warm-$index", number)
+            fixture.release("warm-$index")
+        }
+        fixture.reserve("pin", 2) shouldBe granted
+        fixture.reserve("warm-pin", 1)
+        fixture.release("warm-pin")
+        fixture.reserve("new", 9)
+        fixture.tick() shouldContainExactly listOf(AllocatorEffect.WantLoad(adapter(9), 1, 0))
+        fixture.allocator.loadPermitted(adapter(9), fixture.now).unloads() shouldContainExactly listOf(adapter(3))
+        fixture.allocator.unloadFinished(adapter(3), UnloadResult.UNLOADED, fixture.now) shouldContainExactly
+            listOf(AllocatorEffect.Load(adapter(9)))
+        fixture.allocator.loadFinished(adapter(9), LoadResult.LOADED, fixture.now) shouldContainExactly
+            listOf(AllocatorEffect.Grant("new", FRONT, adapter(9), waitedForLoad = true))
+    }
+
+    test("loads go to the adapter with most waiting requests, then to the one waiting longest") {
+        val fixture = AllocatorFixture(engineServer(slots = 2)).settled()
+        fixture.reserve("claimless", 5)
+        fixture.reserve("one", 6)
+        fixture.now += 1
+        (1..2).forEach { fixture.reserve("two-$it", 7) }
+        fixture.snapshot().wantedLoads.keys shouldContainExactly setOf(adapter(5), adapter(6))
+        fixture.load(5)
+        fixture.load(6)
+        fixture.reserve("three", 8)
+        fixture.release("one").filterIsInstance<AllocatorEffect.WantLoad>().map { it.adapter } shouldContainExactly
+            listOf(adapter(7))
+    }
+
+    test("a permit that is not needed any more is given back") {
+        val fixture = AllocatorFixture().settled()
+        fixture.reserve("a", 1)
+        fixture.release("a", RunOutcome.NOT_STARTED) shouldContain AllocatorEffect.StopWanting(adapter(1))
+        fixture.allocator.loadPermitted(adapter(1), fixture.now) shouldContainExactly
+            listOf(AllocatorEffect.StopWanting(adapter(1)))
+    }
+
+    test("a failed load refuses its requests and backs off from 1 s to 30 s") {
+        val fixture = AllocatorFixture().settled()
+        listOf(1_000L, 2_000, 4_000, 8_000, 16_000, 30_000, 30_000).forEachIndexed { index, delay ->
+            fixture.claim()
+            fixture.reserve("a$index", 1)
+            fixture.allocator.loadPermitted(adapter(1), fixture.now)
+            val refused = fixture.allocator.loadFinished(adapter(1), LoadResult.FAILED, fixture.now)
+                .filterIsInstance<AllocatorEffect.Refuse>().single()
+            refused.failure.kind shouldBe ErrorKind.LOAD_FAILED
+            refused.failure.retryAfterMillis shouldBe delay
+            fixture.now += delay - 1
+            fixture.reserve("b$index", 1).failureKind() shouldBe ErrorKind.LOAD_FAILED
+            fixture.now += 1
+        }
+    }
+
+    test("a load with an unknown result is unloaded before the slot is used again") {
+        val fixture = AllocatorFixture().settled()
+        fixture.reserve("a", 1)
+        fixture.allocator.loadPermitted(adapter(1), fixture.now)
+        fixture.allocator.loadFinished(adapter(1), LoadResult.UNKNOWN, fixture.now).unloads() shouldContainExactly
+            listOf(adapter(1))
+        fixture.snapshot().slots.single().state shouldBe SlotState.UNLOADING
+    }
+
+    test("a run of a VM that is gone pins its adapter until a later report shows it idle") {
+        val fixture = AllocatorFixture(engineServer(slots = 1)).settled(1)
+        fixture.occupy(1, adapter = 1)
+        fixture.now += 3_000
+        fixture.allocator.memberGone(FRONT, fixture.now)
+        fixture.claim()
+        fixture.report(1, takenAt = fixture.now - 10)
+        fixture.snapshot().slots.single().pins shouldBe 1
+        fixture.now += 10
+        fixture.report(1, running = mapOf(1 to 1))
+        fixture.snapshot().slots.single().pins shouldBe 1
+        fixture.now += 10
+        fixture.report(1)
+        fixture.snapshot().slots.single().pins shouldBe 0
+    }
+
+    test("active runs pin, count, and do not return after their release") {
+        val fixture = AllocatorFixture().settled(1)
+        fixture.release("done")
+        val runs = listOf("done", "open").map { ActiveRun(it, adapter(1), it) }
+        fixture.allocator.activeRuns(FRONT, runs, fixture.now)
+        fixture.snapshot().slots.single().pins shouldBe 1
+        fixture.allocator.activeRuns(FRONT, listOf(ActiveRun("new", null, "new", answered = false)), fixture.now)
+        fixture.snapshot().unconfirmed shouldBe 1
+    }
+
+    test("suspects run one at a time, and a suspect content never runs twice") {
+        val fixture = AllocatorFixture().settled()
+        fixture.reserve("plain", fingerprint = "f") shouldBe granted
+        fixture.reserve("copy", suspect = "f", fingerprint = "f").shouldBeInstanceOf<ReserveDecision.Queued>()
+        fixture.reserve("suspect", suspect = "g", fingerprint = "g") shouldBe granted
+        fixture.reserve("twin", fingerprint = "g").shouldBeInstanceOf<ReserveDecision.Queued>()
+        fixture.reserve("harmless") shouldBe granted
+        fixture.release("suspect").grants() shouldContainExactly listOf("twin")
+        fixture.release("plain").grants() shouldContainExactly listOf("copy")
+    }
+
+    test("a queued request leaves 1.5 s after its last poll, or is refused at its deadline") {
+        val fixture = AllocatorFixture().settled()
+        fixture.occupy(3)
+        (1..3).forEach { fixture.reserve("unconfirmed-$it") }
+        fixture.reserve("silent", wait = 9_000)
+        fixture.reserve("late", wait = 1_000)
+        fixture.now += 1_000
+        fixture.tick().filterIsInstance<AllocatorEffect.Refuse>().single().requestId shouldBe "late"
+        fixture.now += 500
+        fixture.tick()
+        fixture.snapshot().queuedByTeam shouldBe emptyMap()
+    }
+
+    test("expected waits over the spill bound are busy, over the patience overloaded") {
+        val fixture = AllocatorFixture(engineServer(maximumInFlight = 1, coldInFlight = 1)).settled()
+        fixture.occupy(1)
+        fixture.now += 2_000
+        fixture.claim()
+        fixture.release("busy-0")
+        fixture.occupy(1, prefix = "again")
+        fixture.reserve("spill", spill = 100).shouldBeInstanceOf<ReserveDecision.Busy>()
+        val refused = fixture.reserve("patience", wait = 100).shouldBeInstanceOf<ReserveDecision.Refused>()
+        refused.failure.kind shouldBe ErrorKind.OVERLOADED
+        refused.failure.retryAfterMillis shouldBe 650
+    }
+
+    test("a long request yields to short ones for one second at most") {
+        val fixture = AllocatorFixture(engineServer(maximumInFlight = 1, coldInFlight = 1)).settled()
+        fixture.occupy(1)
+        fixture.reserve("long", priority = Priority.LONG)
+        fixture.now += 999
+        fixture.reserve("short")
+        fixture.now += 2
+        fixture.claim()
+        fixture.reserve("long")
+        fixture.reserve("later short")
+        fixture.release("busy-0").grants() shouldContainExactly listOf("short")
+        fixture.release("short").grants() shouldContainExactly listOf("long")
+    }
+
+    test("a closed server refuses queued and new requests with no capacity") {
+        listOf<(AllocatorFixture) -> List<AllocatorEffect>>(
+            { it.allocator.reconfigure(it.server, mayTakeWork = false, emptyMap(), it.now) },
+            { it.report(state = EngineState.LEAVING) },
+        ).forEach { close ->
+            val fixture = AllocatorFixture().settled()
+            fixture.reserve("queued", 1)
+            fixture.now += 1
+            val refused = close(fixture).filterIsInstance<AllocatorEffect.Refuse>().single()
+            refused.failure.kind shouldBe ErrorKind.NO_CAPACITY
+            fixture.reserve("new").failureKind() shouldBe ErrorKind.NO_CAPACITY
+        }
+    }
+
+    test("in doubt a server that ignores fencing numbers gets half the limit and no orders") {
+        val fixture = AllocatorFixture(engineServer(checksFencing = false)).settled(1)
+        fixture.allocator.inDoubt(true, fixture.now)
+        fixture.occupy(6, adapter = 1)
+        fixture.reserve("over", 1).shouldBeInstanceOf<ReserveDecision.Queued>()
+        fixture.reserve("load", 2)
+        fixture.tick().shouldBeEmpty()
+        fixture.report(1, state = EngineState.COLD, takenAt = fixture.now + 1 - 1)
+        fixture.allocator.inDoubt(false, fixture.now).filterIsInstance<AllocatorEffect.WantLoad>().size shouldBe 1
+    }
+
+    test("an adapter with an inherited pending unload is not granted and its slot not used until cleared") {
+        val server = engineServer(slots = 1, checksFencing = false)
+        val fixture = AllocatorFixture(server, InheritedState(pendingUnload = adapter(1)))
+        fixture.now = 5_000
+        fixture.claim()
+        fixture.now += 1
+        fixture.report(1)
+        fixture.reserve("a", 1, wait = 60_000).shouldBeInstanceOf<ReserveDecision.Queued>()
+        fixture.reserve("b", 2, wait = 60_000)
+        fixture.tick().shouldBeEmpty()
+        fixture.allocator.pendingUnloadCleared(fixture.now)
+        fixture.now += 1
+        fixture.report(1).grants() shouldContainExactly listOf("a")
+    }
+
+    test("a server that ignores fencing numbers evicts nothing before all VMs acknowledged") {
+        val fixture = AllocatorFixture(engineServer(slots = 1, checksFencing = false))
+        fixture.now = 5_000
+        fixture.claim()
+        fixture.now += 1
+        fixture.report(1)
+        fixture.reserve("a", 2, wait = 60_000)
+        fixture.tick().shouldBeEmpty()
+        fixture.allocator.allVmsAcknowledged(fixture.now) shouldContainExactly
+            listOf(AllocatorEffect.WantLoad(adapter(2), 1, 0))
+    }
+
+    test("a server that answers adapter missing loses the adapter and loads it again") {
+        val fixture = AllocatorFixture().settled(1)
+        fixture.reserve("a", 1)
+        fixture.release("a", RunOutcome.ADAPTER_MISSING)
+        fixture.reserve("b", 1).shouldBeInstanceOf<ReserveDecision.Queued>()
+        fixture.tick() shouldContainExactly listOf(AllocatorEffect.WantLoad(adapter(1), 1, 0))
+    }
+})
