--- a/core/src/main/kotlin/org/lentilquay/coordination/quota/SeatPlan.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/quota/SeatPlan.kt
@@ -72,7 +72,7 @@
         val floor = available / view.live.size
         val hasRemainder = available % view.live.size > 0
         val toTake = seatsToTake(counts, free.size, floor, hasRemainder)
-        val toRelease = if (free.isEmpty()) seatsToRelease(counts, floor) else 0
+        val toRelease = if (free.isEmpty()) seatsToRelease(counts, floor, hasRemainder) else 0
         return inOwnOrder(free).take(toTake).map { take(it, view) } +
             mine.sortedDescending().take(toRelease).map { release(it, view) }
     }
@@ -94,13 +94,15 @@
         }
     }
 
-    /** This VM's part of the seats that the richest members give up so that every member reaches the even share. */
-    private fun seatsToRelease(counts: Map<VmId, Int>, floor: Int): Int {
+    /** This VM's part of the seats that the richest members give up so that no two members differ by more than one. */
+    private fun seatsToRelease(counts: Map<VmId, Int>, floor: Int, hasRemainder: Boolean): Int {
+        val ceiling = if (hasRemainder) floor + 1 else floor
         val lacking = counts.values.sumOf { (floor - it).coerceAtLeast(0) }
+        val excess = counts.values.sumOf { (it - ceiling).coerceAtLeast(0) }
         return counts
             .flatMap { (vm, count) -> (floor + 1..count).map { level -> vm to level } }
             .sortedWith(compareByDescending<Pair<VmId, Int>> { it.second }.thenBy { it.first })
-            .take(lacking)
+            .take(maxOf(lacking, excess))
             .count { it.first == own }
     }
 
--- /dev/null
+++ b/core/src/test/kotlin/org/lentilquay/coordination/loads/LoadPermitsTest.kt
@@ -0,0 +1,78 @@
+package org.lentilquay.coordination.loads
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.comparables.shouldBeGreaterThan
+import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
+import io.kotest.matchers.shouldBe
+import kotlin.random.Random
+
+class LoadPermitsTest : FunSpec({
+    // Guards against a load of an adapter that few wait for before one that many wait for, and against starvation.
+    test("most waiting requests first, then the longest wait") {
+        val permits = LoadPermits(ratePerSecond = 5, parallel = 1, ownedSince = 0)
+        permits.request("early", 3, 999).isGranted shouldBe false
+        permits.request("late", 3, 1_000).isGranted shouldBe false
+        permits.request("many", 4, 1_000).isGranted shouldBe true
+        permits.done("many", 1_300)
+        permits.request("late", 3, 1_300).isGranted shouldBe false
+        permits.request("early", 3, 1_300).isGranted shouldBe true
+    }
+
+    // Guards against a second permit for the same load, and against a permit that is lost for ever.
+    test("permits are idempotent and expire") {
+        val permits = LoadPermits(ratePerSecond = 5, parallel = 1, ownedSince = 0)
+        repeat(3) { permits.request("a", 1, 1_000).isGranted shouldBe true }
+        permits.activeCount shouldBe 1
+        permits.request("b", 1, 11_000).isGranted shouldBe false
+        permits.request("b", 1, 11_001).isGranted shouldBe true
+        repeat(2) { permits.done("b", 11_100) }
+        permits.request("b", 1, 11_200).isGranted shouldBe false
+        permits.request("c", 1, 11_200).isGranted shouldBe true
+    }
+
+    // Guards against a weight store that gets more loads than its rate or more than two at once.
+    test("rate and parallel limit hold under random requests, duplicates and returns") {
+        for (seed in 1..300) {
+            val random = Random(seed)
+            val permits = LoadPermits(ratePerSecond = 5, parallel = 2, ownedSince = 0)
+            val starts = ArrayList<Long>()
+            val active = HashMap<String, Long>()
+            var now = 0L
+            repeat(3_000) { step ->
+                now += random.nextLong(0, 40)
+                val id = "load-${(step / 20) + random.nextInt(12)}"
+                if (permits.request(id, random.nextInt(5), now).isGranted && id !in active) {
+                    starts.add(now)
+                    active[id] = now
+                }
+                active.keys.filter { random.nextInt(12) == 0 }.forEach {
+                    active.remove(it)
+                    permits.done(it, now)
+                }
+                withClue("seed $seed at $now") {
+                    active.size shouldBeLessThanOrEqualTo 2
+                    starts.count { it > now - 1_000 } shouldBeLessThanOrEqualTo 5
+                }
+            }
+            // Without this, an owner that grants nothing would pass.
+            starts.size shouldBeGreaterThan 100
+        }
+    }
+
+    // Guards against cut-off VMs that together exceed the store's rate.
+    test("members without the owner stay within the rate together") {
+        val members = List(8) { FallbackPermits(5).apply { begin(0) } }
+        val starts = ArrayList<Long>()
+        for (now in 0L..20_000L step 10) {
+            members.forEachIndexed { index, permits ->
+                if (permits.request("load-$index-$now", 8, now).isGranted) {
+                    starts.add(now)
+                    permits.done("load-$index-$now")
+                }
+            }
+        }
+        starts.size shouldBe 12 * 8
+        FallbackPermits(0).request("a", 8, 0).isGranted shouldBe false
+    }
+})
--- a/core/src/test/kotlin/org/lentilquay/coordination/ownership/OwnershipDeciderTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/ownership/OwnershipDeciderTest.kt
@@ -130,9 +130,9 @@
             var takes = 0
             var unloads = 0
             var granted = 0
-            for (seed in 1..3_000) {
+            for (seed in 1..2_000) {
                 val simulation = OwnershipSimulation(Random(seed), checksFencing)
-                repeat(2_500) { simulation.step() }
+                repeat(4_000) { simulation.step() }
                 withClue("seed $seed") { simulation.hurt shouldBe 0 }
                 takes += simulation.takes
                 unloads += simulation.unloads
--- a/core/src/test/kotlin/org/lentilquay/coordination/ownership/OwnershipSimulation.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/ownership/OwnershipSimulation.kt
@@ -47,18 +47,28 @@
 
     fun step() {
         when (random.nextInt(50)) {
-            0 -> if (random.nextInt(12) == 0) now += random.nextLong(0, 6_000)
-            in 1..8 -> now += random.nextLong(0, 15)
-            9 -> if (random.nextInt(12) == 0) vms.random(random).pausedUntil = now + random.nextLong(0, 20_000)
-            10 -> table.deliverLate()
-            11 -> if (random.nextInt(10) == 0) table.isDown = random.nextInt(3) == 0
-            12 -> if (random.nextInt(20) == 0) crash(random.nextInt(2))
-            in 13..20 -> if (network.isNotEmpty()) network.removeAt(random.nextInt(network.size))()
+            in 0..7 -> now += random.nextLong(0, 15)
+            8 -> rareEvent()
+            9 -> table.deliverLate()
+            in 10..17 -> if (network.isNotEmpty()) network.removeAt(random.nextInt(network.size))()
             else -> vms.random(random).takeIf { now >= it.pausedUntil }?.let { advance(it) }
         }
         grants.removeAll { it.endsAt < now }
     }
 
+    private fun rareEvent() {
+        when (random.nextInt(40)) {
+            in 0..3 -> now += random.nextLong(0, 6_000)
+            in 4..7 -> pause(vms.random(random))
+            in 8..11 -> table.isDown = random.nextInt(3) == 0
+            12, 13 -> crash(random.nextInt(2))
+        }
+    }
+
+    private fun pause(vm: Vm) {
+        vm.pausedUntil = now + random.nextLong(0, 12_000)
+    }
+
     private fun crash(index: Int) {
         val old = vms[index]
         vms[index] = Vm(old.id, Incarnation(old.incarnation.number + 1))
@@ -66,13 +76,15 @@
     }
 
     private fun advance(vm: Vm) {
-        when (random.nextInt(16)) {
+        when (random.nextInt(18)) {
             0, 1 -> session(vm)
             2 -> if (vm.steps.isEmpty()) decide(vm)
             3 -> order(vm)
             4 -> grant(vm)
             5 -> askForAcknowledgement(vm)
             6 -> observePeer(vm)
+            7 -> askForAcknowledgement(vm)
+            8 -> order(vm)
             else -> if (vm.steps.isNotEmpty()) vm.steps.removeAt(random.nextInt(vm.steps.size))()
         }
     }
@@ -80,8 +92,8 @@
     private fun peer(vm: Vm) = vms.first { it.id != vm.id }
 
     private fun observePeer(vm: Vm) {
-        val state = if (random.nextInt(4) == 0) OwnerState.DEAD else OwnerState.ALIVE
-        vm.decider.ownerState(state, vm.local)
+        val isThoughtDead = random.nextInt(8) == 0 || now < peer(vm).pausedUntil
+        vm.decider.ownerState(if (isThoughtDead) OwnerState.DEAD else OwnerState.ALIVE, vm.local)
     }
 
     private fun session(vm: Vm) {
@@ -111,7 +123,7 @@
     }
 
     private fun decide(vm: Vm) {
-        if (random.nextInt(60) == 0) ranked = ranked.reversed()
+        if (random.nextInt(150) == 0) ranked = ranked.reversed()
         fun write(nonce: String, operations: List<TableOperation>) =
             transact(vm, operations) { if (vm.decider.written(nonce, it, vm.local) == WriteEffect.OWNER) takes++ }
         val view = CandidateView(ranked, random.nextLong(0, 7_000), random.nextInt(100) == 0)
@@ -131,30 +143,34 @@
     }
 
     private fun order(vm: Vm) {
-        val kind = OrderKind.entries.random(random)
         val adapter = adapters.random(random)
+        val kind = if (adapter in loaded) OrderKind.UNLOAD else OrderKind.LOAD
         val fence = vm.decider.ownership?.fence ?: return
         // An owner never unloads what it granted itself; which runs it knows of others is not part of this test.
-        if (kind == OrderKind.UNLOAD && grants.any { it.adapter == adapter && it.fence == fence }) return
-        if (!checksFencing && vm.steps.size > 4) return
+        val isPinned = kind == OrderKind.UNLOAD && grants.any { it.adapter == adapter && it.fence == fence }
+        if (isPinned || vm.steps.size > 4) return
         val listed = vms.mapTo(HashSet()) { it.id }
         val step = vm.decider.beginOrder(kind, adapter, vm.lease.isValid(vm.local), listed, vm.local)
         if (kind == OrderKind.UNLOAD && step !is OrderStep.Refused) vm.unloading.add(adapter)
         when (step) {
             is OrderStep.Send -> vm.steps.add { network.add { execute(vm, kind, adapter, step.fence) } }
-            is OrderStep.Write -> transact(vm, step.operations) { result ->
-                when (vm.decider.written(step.nonce, result, vm.local)) {
-                    WriteEffect.ORDER_RECORDED -> vm.steps.add {
-                        if (vm.decider.startSending()) network.add { execute(vm, kind, adapter, fence) }
-                    }
-                    WriteEffect.ORDER_ABORTED -> vm.unloading.remove(adapter)
-                    else -> Unit
+            is OrderStep.Write -> {
+                transact(vm, step.operations) { result ->
+                    recorded(vm, vm.decider.written(step.nonce, result, vm.local), kind, adapter, fence)
                 }
+                if (random.nextInt(4) == 0) pause(vm)
             }
             is OrderStep.Refused -> Unit
         }
     }
 
+    private fun recorded(vm: Vm, effect: WriteEffect, kind: OrderKind, adapter: AdapterVersion, fence: Long) {
+        if (effect == WriteEffect.ORDER_ABORTED) vm.unloading.remove(adapter)
+        if (effect != WriteEffect.ORDER_RECORDED) return
+        if (random.nextInt(4) == 0) pause(vm)
+        vm.steps.add { if (vm.decider.startSending()) network.add { execute(vm, kind, adapter, fence) } }
+    }
+
     private fun execute(vm: Vm, kind: OrderKind, adapter: AdapterVersion, fence: Long) {
         if (vm !in vms) return
         if (random.nextInt(20) == 0) {
@@ -192,7 +208,7 @@
         val isBlocked = adapter in vm.decider.blockedAdapters || adapter in vm.unloading
         if (adapter !in loaded || isBlocked) return
         granted++
-        grants.add(Grant(adapter, fence, now + random.nextLong(0, 500)))
+        grants.add(Grant(adapter, fence, now + random.nextLong(0, if (random.nextBoolean()) 300 else 10_000)))
     }
 
     private fun askForAcknowledgement(vm: Vm) {
