Show that each check of the allocator fails without its protection

Cause: a property test that passes may check nothing. Without it, unpinning the runs of a dead VM at once went unnoticed, because all runs of the model ended before the VM was known to be dead.

Ruled out: relying on the table test of that rule alone; it shows one order of events. One run in 20 now lasts 4 s longer, past the detection of a death.

--- a/core/src/test/kotlin/org/lentilquay/coordination/allocation/AllocatorFixture.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/allocation/AllocatorFixture.kt
@@ -28,9 +28,8 @@
     checksFencing: Boolean = true,
 ): BackendServer {
     val (id, domain) = ServerId("server") to DomainId("domain")
-    val address = "127.0.0.1:1"
     return BackendServer(
-        id, ServerKind.ENGINE, address, domain, "base", checksFencing, slots, maximumInFlight, coldInFlight,
+        id, ServerKind.ENGINE, "127.0.0.1:1", domain, "base", checksFencing, slots, maximumInFlight, coldInFlight,
     )
 }
 
--- a/core/src/test/kotlin/org/lentilquay/coordination/allocation/ModelWorld.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/allocation/ModelWorld.kt
@@ -44,7 +44,6 @@
     private val vms = listOf(VmId("vm-0"), VmId("vm-1"), VmId("vm-2"))
     private val deadVms = HashSet<VmId>()
     private val clients = LinkedHashMap<String, Client>()
-
     private var incarnation = 1L
     private val engineClockOffset = random.nextLong(1_000_000)
     private var engineState = EngineState.WARM
@@ -89,8 +88,7 @@
         at(6_500) { running.remove("old-1") }
         at(4_400) { if (adapters[2] in loaded) running["old-2"] = EngineRun(adapters[2], null, isAnswered = true) }
         at(8_000) { running.remove("old-2") }
-        val run = ActiveRun("old-0", adapters[0], "old")
-        toOwner(100) { handle(allocator.activeRuns(vms[0], listOf(run), now)) }
+        toOwner(100) { handle(allocator.activeRuns(vms[0], listOf(ActiveRun("old-0", adapters[0], "old")), now)) }
         toOwner(6_050) { handle(allocator.release("old-0", RunOutcome.COMPLETED, 1, now)) }
     }
 
@@ -114,10 +112,10 @@
         }
         val priority = if (random.nextBoolean()) Priority.SHORT else Priority.LONG
         val (tokens, wait) = 50L + random.nextInt(400) to maxOf(0, client.deadline - now)
-        val suspect = client.fingerprint.takeIf { client.isSuspect }
-        val (id, adapter, content) = Triple(client.id, client.adapter, client.fingerprint)
+        val content = client.fingerprint
         val request = PeerRequest.Reserve(
-            id, server.id, adapter, client.team, tokens, priority, wait, 5_000, suspect, content,
+            client.id, server.id, client.adapter, client.team, tokens, priority, wait, 5_000,
+            content.takeIf { client.isSuspect }, content,
         )
         toOwner(delay()) {
             when (val decision = allocator.reserve(request, client.vm, now)) {
@@ -186,7 +184,7 @@
             }
         }
         if (random.nextInt(20) == 0) at(now + 100) { end(client, RunOutcome.CANCELLED) }
-        at(now + 60 + random.nextLong(1_200)) {
+        at(now + 60 + random.nextLong(1_200) + if (random.nextInt(20) == 0) 4_000 else 0) {
             if (running[client.id] === started) {
                 running.remove(client.id)
                 end(client, RunOutcome.COMPLETED)
@@ -211,9 +209,7 @@
                 }
                 is AllocatorEffect.NotOwner -> violate("owner gave up $effect")
                 is AllocatorEffect.WantLoad ->
-                    at(now + 20 + random.nextLong(300)) {
-                        toOwner(0) { handle(allocator.loadPermitted(effect.adapter, now)) }
-                    }
+                    toOwner(20 + random.nextLong(300)) { handle(allocator.loadPermitted(effect.adapter, now)) }
                 is AllocatorEffect.StopWanting -> Unit
                 is AllocatorEffect.Load -> load(effect.adapter)
                 is AllocatorEffect.Unload -> unload(effect.adapter)
@@ -224,13 +220,12 @@
     private fun load(adapter: AdapterVersion) {
         checkClaim("load")
         count("loads")
-        val isBeforeSettled = now < settledAt
+        if (now >= settledAt) shownIdle += adapter
         val orderedFor = ownerKnows
         at(now + 50 + random.nextLong(250)) {
             val chance = random.nextInt(100)
             val fits = adapter in loaded || loaded.size < server.adapterSlots
             if (fits && chance >= 10) loaded += adapter
-            if (!isBeforeSettled) shownIdle += adapter
             val result = when {
                 !fits -> LoadResult.NO_FREE_SLOT
                 chance < 8 -> LoadResult.FAILED
@@ -352,10 +347,9 @@
 
     private fun checkSuspects(client: Client) {
         val others = running.values.mapNotNull { it.client }.filter { it !== client && !it.isOver }
-        if (client.isSuspect && others.any { it.isSuspect }) violate("two suspects at once")
-        if (others.any { (it.isSuspect || client.isSuspect) && it.fingerprint == client.fingerprint }) {
-            violate("a suspect content runs twice")
-        }
+        val suspects = others.filter { it.isSuspect || client.isSuspect }
+        if (suspects.any { it.isSuspect && client.isSuspect }) violate("two suspects at once")
+        if (suspects.any { it.fingerprint == client.fingerprint }) violate("a suspect content runs twice")
     }
 
     private fun checkCold() {
--- a/core/src/test/kotlin/org/lentilquay/coordination/allocation/ServerAllocatorPropertyTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/allocation/ServerAllocatorPropertyTest.kt
@@ -5,7 +5,6 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.doubles.shouldBeLessThanOrEqual
 import io.kotest.matchers.ints.shouldBeGreaterThan
-import io.kotest.matchers.shouldBe
 import org.lentilquay.protocol.Priority
 import org.lentilquay.state.TeamId
 import kotlin.math.abs
@@ -86,10 +85,8 @@
                     if (decision is ReserveDecision.Queued) return@forEach
                     val waited = fixture.now - (open.remove(id) ?: 0)
                     if (decision is ReserveDecision.Granted) running = id
-                    if (id.startsWith("light")) {
-                        withClue("seed $seed, $id: $decision after $waited ms") {
-                            (decision is ReserveDecision.Granted && waited <= 200) shouldBe true
-                        }
+                    check(id.startsWith("heavy") || (decision is ReserveDecision.Granted && waited <= 200)) {
+                        "seed $seed, $id: $decision after $waited ms"
                     }
                 }
             }
--- a/core/src/test/kotlin/org/lentilquay/coordination/allocation/ServerAllocatorTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/allocation/ServerAllocatorTest.kt
@@ -113,13 +113,11 @@
 
     test("the victim is the unpinned adapter with the least frequency and without waiting requests") {
         val fixture = AllocatorFixture().settled(1, 2, 3, 4)
-        listOf(1, 1, 2, 3, 3, 4, 4).forEachIndexed { index, number ->
+        listOf(1, 1, 1, 2, 3, 3, 4, 4).forEachIndexed { index, number ->
             fixture.reserve("warm-$index", number)
             fixture.release("warm-$index")
         }
         fixture.reserve("pin", 2) shouldBe granted
-        fixture.reserve("warm-pin", 1)
-        fixture.release("warm-pin")
         fixture.reserve("new", 9)
         fixture.tick() shouldContainExactly listOf(AllocatorEffect.WantLoad(adapter(9), 1, 0))
         fixture.allocator.loadPermitted(adapter(9), fixture.now).unloads() shouldContainExactly listOf(adapter(3))
