Guard seats against stale readings, and lost orders against late effect

Cause: a stale reading of a released seat would let its former holder count it again while another VM holds it. An order whose connection was lost blocked all later orders to the server, or could be cleared too early.

Ruled out: trusting the last reading; clearing a lost order as soon as a repetition is answered, because the first copy may still arrive.

--- a/core/src/main/kotlin/org/lentilquay/coordination/ownership/OrderJournal.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/ownership/OrderJournal.kt
@@ -10,6 +10,9 @@
 import org.lentilquay.state.PendingOrder
 import org.lentilquay.state.VmId
 
+/** A server carries out nothing later than this after the connection of the order was lost. */
+const val LOST_ORDER_MILLIS: Long = 10_000
+
 internal class OrderJournal {
     /** How far this VM's own order has come. */
     enum class Phase { RECORDING, RECORDED, SENT, UNCERTAIN }
@@ -18,6 +21,7 @@
         private set
     var phase: Phase? = null
         private set
+    private var uncertainSince = 0L
     var inherited: List<PendingOrder> = emptyList()
         private set
 
@@ -33,10 +37,11 @@
             .filter { it.kind == OrderKind.UNLOAD }
             .mapTo(HashSet()) { it.adapter }
 
-    /** Whether an order may begin: none is under way, or it repeats one whose connection was lost. */
-    fun mayBegin(kind: OrderKind, adapter: AdapterVersion): Boolean {
+    /** Whether an order may begin: none is under way, or it repeats one whose connection was lost long enough ago. */
+    fun mayBegin(kind: OrderKind, adapter: AdapterVersion, now: Long): Boolean {
         val current = order ?: return true
-        return phase == Phase.UNCERTAIN && current.kind == kind && current.adapter == adapter
+        val isOver = phase == Phase.UNCERTAIN && now - uncertainSince >= LOST_ORDER_MILLIS
+        return isOver && current.kind == kind && current.adapter == adapter
     }
 
     /** The orders besides [next] that the record has to show. */
@@ -68,8 +73,10 @@
         phase = null
     }
 
-    fun uncertain() {
-        if (phase == Phase.SENT) phase = Phase.UNCERTAIN
+    fun uncertain(now: Long) {
+        if (phase != Phase.SENT) return
+        phase = Phase.UNCERTAIN
+        uncertainSince = now
     }
 
     /** Drops an order that was not sent. */
--- a/core/src/main/kotlin/org/lentilquay/coordination/ownership/OwnershipDecider.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/ownership/OwnershipDecider.kt
@@ -156,7 +156,7 @@
         if (!needsLeaseWait) return OrderStep.Send(mine.fence)
         val reason = when {
             isInDoubt || !isLeaseValid -> "ownership of $resource is in doubt"
-            underWay != null || needsRead || !journal.mayBegin(kind, adapter) ->
+            underWay != null || needsRead || !journal.mayBegin(kind, adapter, now) ->
                 "another order or write for $resource is under way"
             journal.inherited.any { it.adapter == adapter && it.vm != own } ->
                 "a former owner may still load or unload $adapter on $resource"
@@ -174,9 +174,12 @@
     /** Called right before the order is sent; false means that it must not be sent. */
     fun startSending(): Boolean = ownership != null && journal.startSending()
 
-    /** The sent order ended. If [isCertain] is false, it may still reach the server, and stays pending. */
-    fun orderFinished(isCertain: Boolean) {
-        if (!isCertain) return journal.uncertain()
+    /**
+     * The sent order ended. If [isCertain] is false, because its connection was lost, it may still reach the server. It
+     * stays pending until the server restarts, or the same order is repeated after [LOST_ORDER_MILLIS] and answered.
+     */
+    fun orderFinished(isCertain: Boolean, now: Long) {
+        if (!isCertain) return journal.uncertain(now)
         journal.clear()
         needsClear = ownership != null
     }
--- a/core/src/main/kotlin/org/lentilquay/coordination/quota/SeatPlan.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/quota/SeatPlan.kt
@@ -1,7 +1,7 @@
 /*
- * Which quota seats a VM takes or releases, as conditional operations on the table. The caller runs the operations,
- * reads the seats back and passes them in again; a seat counts as held only when its record names this VM and this
- * incarnation. A paused or cut-off holder keeps its seats, because its buckets may still admit requests.
+ * Which quota seats a VM takes or releases, as conditional operations on the table. A seat counts as held only if its
+ * record names this VM and this incarnation. SeatKeeper holds the readings and guards against stale ones. A paused or
+ * cut-off holder keeps its seats, because its buckets may still admit requests.
  *
  * The spread is even when the members differ by at most one seat. Errors do not occur: a lost race or a lost answer
  * shows in the next reading. Docs: docs/design.md, section 4.4.
@@ -31,14 +31,25 @@
 /** A change of one seat. */
 sealed interface SeatAction {
     val seat: Int
+
+    /** The record to write, and the version of the seat that it replaces; 0 stands for absent. */
+    val record: SeatRecord
+    val expectedVersion: Long
+
+    /** The version of the seat after a commit. */
+    val newVersion: Long get() = expectedVersion + 1
+
+    /** The transaction to run. */
     val operations: List<TableOperation>
+        get() = listOf(TableOperation.Put(seatKey(seat), Json.encodeToString(record), expectedVersion))
 
-    /** Takes [seat]; the record carries [nonce], by which the taker recognizes it after a lost answer. */
-    data class Take(override val seat: Int, override val operations: List<TableOperation>, val nonce: String) :
+    /** Takes [seat]; a later reading shows the record with its nonce if the answer is lost. */
+    data class Take(override val seat: Int, override val record: SeatRecord, override val expectedVersion: Long) :
         SeatAction
 
     /** Releases [seat]. The seat must leave the buckets before the operations are sent. */
-    data class Release(override val seat: Int, override val operations: List<TableOperation>) : SeatAction
+    data class Release(override val seat: Int, override val record: SeatRecord, override val expectedVersion: Long) :
+        SeatAction
 }
 
 class SeatPlan(
@@ -113,14 +124,11 @@
         return free.drop(start) + free.take(start)
     }
 
-    private fun take(seat: Int, view: SeatView): SeatAction {
-        val nonce = newNonce()
-        return SeatAction.Take(seat, listOf(put(seat, SeatRecord(own, incarnation, nonce), view)), nonce)
-    }
+    private fun take(seat: Int, view: SeatView): SeatAction =
+        SeatAction.Take(seat, SeatRecord(own, incarnation, newNonce()), version(seat, view))
 
     private fun release(seat: Int, view: SeatView): SeatAction =
-        SeatAction.Release(seat, listOf(put(seat, SeatRecord(null, incarnation, newNonce()), view)))
+        SeatAction.Release(seat, SeatRecord(null, incarnation, newNonce()), version(seat, view))
 
-    private fun put(seat: Int, record: SeatRecord, view: SeatView): TableOperation =
-        TableOperation.Put(seatKey(seat), Json.encodeToString(record), view.readings[seat]?.version ?: 0)
+    private fun version(seat: Int, view: SeatView): Long = view.readings[seat]?.version ?: 0
 }
--- a/core/src/test/kotlin/org/lentilquay/coordination/ownership/OwnershipDeciderTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/ownership/OwnershipDeciderTest.kt
@@ -107,7 +107,7 @@
         begin(OrderKind.LOAD).shouldBeInstanceOf<OrderStep.Refused>()
         decider.startSending() shouldBe true
         decider.acknowledge(9) shouldBe false
-        decider.orderFinished(isCertain = true)
+        decider.orderFinished(isCertain = true, 5_100)
         decider.acknowledge(9) shouldBe true
         decider.ownership shouldBe null
     }
--- a/core/src/test/kotlin/org/lentilquay/coordination/ownership/OwnershipSimulation.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/ownership/OwnershipSimulation.kt
@@ -15,7 +15,9 @@
 
 /** Two VMs and one engine. Every call, message and table access is a step of its own, with pauses between any two. */
 class OwnershipSimulation(private val random: Random, private val checksFencing: Boolean) {
-    private class Grant(val adapter: AdapterVersion, val fence: Long, val endsAt: Long)
+    private inner class Grant(val vm: Vm, val adapter: AdapterVersion, val fence: Long, val endsAt: Long)
+
+    private class Message(val at: Long, val run: () -> Unit)
 
     private inner class Vm(val id: VmId, val incarnation: Incarnation) {
         val clock = random.nextLong(1_000_000)
@@ -32,7 +34,7 @@
     private val adapters = List(2) { AdapterVersion("a$it", 1) }
     private val loaded = adapters.toHashSet()
     private val grants = ArrayList<Grant>()
-    private val network = ArrayList<() -> Unit>()
+    private val network = ArrayList<Message>()
     private var highestFence = 0L
     private var nonces = 0
     private var ranked = listOf(VmId("vm-0"), VmId("vm-1"))
@@ -50,7 +52,10 @@
             in 0..7 -> now += random.nextLong(0, 15)
             8 -> rareEvent()
             9 -> table.deliverLate()
-            in 10..17 -> if (network.isNotEmpty()) network.removeAt(random.nextInt(network.size))()
+            in 10..17 -> network.filter { it.at <= now }.randomOrNull(random)?.let { message ->
+                network.remove(message)
+                message.run()
+            }
             else -> vms.random(random).takeIf { now >= it.pausedUntil }?.let { advance(it) }
         }
         grants.removeAll { it.endsAt < now }
@@ -69,6 +74,11 @@
         vm.pausedUntil = now + random.nextLong(0, 12_000)
     }
 
+    /** One message in ten is slow, so that orders are on the way while the ownership changes. */
+    private fun send(run: () -> Unit) {
+        network.add(Message(if (random.nextInt(10) == 0) now + random.nextLong(0, 9_000) else now, run))
+    }
+
     private fun crash(index: Int) {
         val old = vms[index]
         vms[index] = Vm(old.id, Incarnation(old.incarnation.number + 1))
@@ -153,7 +163,7 @@
         val step = vm.decider.beginOrder(kind, adapter, vm.lease.isValid(vm.local), listed, vm.local)
         if (kind == OrderKind.UNLOAD && step !is OrderStep.Refused) vm.unloading.add(adapter)
         when (step) {
-            is OrderStep.Send -> vm.steps.add { network.add { execute(vm, kind, adapter, step.fence) } }
+            is OrderStep.Send -> vm.steps.add { send { arrive(vm, kind, adapter, step.fence) } }
             is OrderStep.Write -> {
                 transact(vm, step.operations) { result ->
                     recorded(vm, vm.decider.written(step.nonce, result, vm.local), kind, adapter, fence)
@@ -168,35 +178,39 @@
         if (effect == WriteEffect.ORDER_ABORTED) vm.unloading.remove(adapter)
         if (effect != WriteEffect.ORDER_RECORDED) return
         if (random.nextInt(4) == 0) pause(vm)
-        vm.steps.add { if (vm.decider.startSending()) network.add { execute(vm, kind, adapter, fence) } }
+        vm.steps.add { if (vm.decider.startSending()) send { arrive(vm, kind, adapter, fence) } }
     }
 
-    private fun execute(vm: Vm, kind: OrderKind, adapter: AdapterVersion, fence: Long) {
+    private fun arrive(vm: Vm, kind: OrderKind, adapter: AdapterVersion, fence: Long) {
         if (vm !in vms) return
         if (random.nextInt(20) == 0) {
-            // The connection is lost, and the order may still be carried out.
-            network.add { execute(vm, kind, adapter, fence) }
-            vm.steps.add { vm.decider.orderFinished(isCertain = false) }
-            return
+            // The connection is lost; the order may still be carried out, without an answer.
+            send { if (vm in vms) execute(vm, kind, adapter, fence) }
+            vm.steps.add { vm.decider.orderFinished(isCertain = false, vm.local) }
+        } else {
+            execute(vm, kind, adapter, fence)
+            vm.steps.add {
+                vm.unloading.remove(adapter)
+                vm.decider.orderFinished(isCertain = true, vm.local)
+            }
         }
+    }
+
+    private fun execute(vm: Vm, kind: OrderKind, adapter: AdapterVersion, fence: Long) {
         if (!checksFencing || fence >= highestFence) {
             highestFence = maxOf(highestFence, fence)
             if (kind == OrderKind.LOAD) loaded.add(adapter) else loaded.remove(adapter)
             if (kind == OrderKind.UNLOAD) {
                 unloads++
-                if (grants.any { it.adapter == adapter && it.fence > fence }) hurt++
+                if (grants.any { it.vm !== vm && it.adapter == adapter && it.fence >= fence }) hurt++
             }
         }
-        vm.steps.add {
-            vm.unloading.remove(adapter)
-            vm.decider.orderFinished(isCertain = true)
-        }
     }
 
     private fun grant(vm: Vm) {
         val fence = vm.decider.ownership?.fence ?: return
         if (checksFencing && vm.claimed < fence) {
-            network.add {
+            send {
                 if (fence >= highestFence) {
                     highestFence = fence
                     vm.steps.add { vm.claimed = fence }
@@ -208,15 +222,15 @@
         val isBlocked = adapter in vm.decider.blockedAdapters || adapter in vm.unloading
         if (adapter !in loaded || isBlocked) return
         granted++
-        grants.add(Grant(adapter, fence, now + random.nextLong(0, if (random.nextBoolean()) 300 else 10_000)))
+        grants.add(Grant(vm, adapter, fence, now + random.nextLong(0, if (random.nextBoolean()) 300 else 10_000)))
     }
 
     private fun askForAcknowledgement(vm: Vm) {
         val fence = vm.decider.ownership?.fence ?: return
         val asked = peer(vm)
-        network.add {
+        send {
             asked.steps.add {
-                if (asked.decider.acknowledge(fence)) network.add { vm.decider.acknowledged(asked.id, fence) }
+                if (asked.decider.acknowledge(fence)) send { vm.decider.acknowledged(asked.id, fence) }
             }
         }
     }
--- a/core/src/test/kotlin/org/lentilquay/coordination/quota/SeatPlanTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/quota/SeatPlanTest.kt
@@ -15,72 +15,89 @@
 
 private fun vm(number: Int) = VmId("vm-$number")
 
-/** VMs that review the seats in turn. */
+/** VMs that review the seats in turn, on stale readings and with lost answers and late writes. */
 private class Fleet(seed: Int) {
     private val random = Random(seed)
-    val table = TableModel(random)
+    private val table = TableModel(random)
+    private var nonces = 0
+    private val keepers = HashMap<VmId, SeatKeeper>()
+    private val incarnations = HashMap<VmId, Long>()
     val live = LinkedHashSet<VmId>()
     val gone = HashSet<VmId>()
-    val incarnations = HashMap<VmId, Long>()
     var changes = 0
+    var doubleHolders = 0
 
-    fun readings() = (0 until 16).mapNotNull { seat ->
-        table.current(seatKey(seat))?.let { seat to SeatReading(Json.decodeFromString(it.value), it.version) }
-    }.toMap()
+    fun held(vm: VmId) = keepers[vm]?.held.orEmpty()
 
-    fun held(vm: VmId) = plan(vm).held(readings()).size
+    fun join(vm: VmId) {
+        if (!live.add(vm)) return
+        gone.remove(vm)
+        val incarnation = Incarnation(incarnations.merge(vm, 1, Long::plus)!!)
+        keepers[vm] = SeatKeeper(SeatPlan(vm, incarnation) { "n${nonces++}" })
+    }
 
-    fun settle(rounds: Int = 30) = repeat(rounds) {
-        for (vm in live.shuffled(random)) {
-            // The VM acts on a reading that another VM may have made old.
-            val stale = if (random.nextBoolean()) readings() else continue
-            plan(vm).review(SeatView(stale, live, gone)).forEach {
-                changes++
-                table.transact(it.operations)
-            }
+    fun leave(vm: VmId) {
+        live.remove(vm)
+        gone.add(vm)
+        keepers.remove(vm)
+    }
+
+    fun settle(faultPercent: Int, rounds: Int = 30) {
+        table.faultPercent = faultPercent
+        repeat(rounds) {
+            live.shuffled(random).filter { random.nextBoolean() }.forEach { step(it) }
+            if (faultPercent > 0) table.deliverLate()
         }
     }
 
-    fun plan(vm: VmId) = SeatPlan(vm, Incarnation(incarnations[vm] ?: 1)) { "nonce-${changes++}" }
+    private fun step(vm: VmId) {
+        val keeper = keepers.getValue(vm)
+        keeper.observed(
+            (0 until 16).mapNotNull { seat ->
+                table.read(seatKey(seat))?.let { seat to SeatReading(Json.decodeFromString(it.value), it.version) }
+            }.toMap(),
+        )
+        for (action in keeper.review(live, gone)) {
+            changes++
+            keeper.written(action, table.transact(action.operations))
+        }
+        doubleHolders += keepers.values.flatMap { it.held }.groupingBy { it }.eachCount().count { it.value > 1 }
+    }
 }
 
 class SeatPlanTest : FunSpec({
-    // Guards against an uneven spread, which lowers what one VM can hold, and against seats that change for ever.
+    // Guards against two holders of a seat, an uneven spread, and seats that change for ever.
     test("seats spread evenly as VMs join, restart, leave and return") {
         for (seed in 1..100) {
             val fleet = Fleet(seed)
             withClue("seed $seed") {
                 listOf(3, 8, 5, 20, 1).forEach { size ->
-                    fleet.live.filter { it !in (0 until size).map(::vm) }.forEach { gone ->
-                        fleet.live.remove(gone)
-                        fleet.gone.add(gone)
-                    }
-                    (0 until size).map(::vm).forEach {
-                        fleet.live.add(it)
-                        if (fleet.gone.remove(it)) fleet.incarnations.merge(it, 2, Long::plus)
-                    }
-                    fleet.settle()
-                    val counts = fleet.live.map { fleet.held(it) }
+                    fleet.live.toList().drop(size).forEach { fleet.leave(it) }
+                    (0 until size).forEach { fleet.join(vm(it)) }
+                    fleet.settle(faultPercent = 20)
+                    fleet.settle(faultPercent = 0)
+                    val counts = fleet.live.map { fleet.held(it).size }
                     counts.sum() shouldBe 16
                     counts.max() - counts.min() shouldBeLessThanOrEqual 1
                     val before = fleet.changes
-                    fleet.settle(3)
+                    fleet.settle(faultPercent = 0, rounds = 3)
                     fleet.changes shouldBe before
                 }
+                fleet.doubleHolders shouldBe 0
             }
         }
     }
 
     // Guards against a second holder of a seat whose holder is only paused or cut off.
     test("the seats of a paused holder stay, and are taken once it has left the list") {
-        val fleet = Fleet(1).apply { live.addAll(listOf(vm(0), vm(1))) }
-        fleet.settle()
+        val fleet = Fleet(1).apply { (0..1).forEach { join(vm(it)) } }
+        fleet.settle(0)
         fleet.live.remove(vm(1))
-        fleet.settle()
-        fleet.held(vm(1)) shouldBe 8
-        fleet.gone.add(vm(1))
-        fleet.settle()
-        fleet.held(vm(0)) shouldBe 16
+        fleet.settle(0)
+        fleet.held(vm(0)).size shouldBe 8
+        fleet.leave(vm(1))
+        fleet.settle(0)
+        fleet.held(vm(0)).size shouldBe 16
     }
 
     // Guards against a restarted process that counts the seats of its former process, which still has their tokens.
