Keep looking for late writes of given-up idempotency records

Cause: a cleanup ended at the first read without a record, although the write that was given up could still take effect.

Ruled out: looking for ever, which reads the table for each refused call.

Change: a cleanup ends after ten reads without a record.

--- a/core/src/main/kotlin/org/lentilquay/coordination/idempotency/IdempotencyDecider.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/idempotency/IdempotencyDecider.kt
@@ -29,6 +29,9 @@
 /** A record that has ended is deleted after this time. A started record never expires: its call may have run. */
 const val RECORD_EXPIRY_MILLIS: Long = 24 * 60 * 60 * 1_000L
 
+/** Reads that find no record before a cleanup ends: a write that was given up can still take effect for a while. */
+const val CLEANUP_READS: Int = 10
+
 private const val RETRY_ADVICE_MILLIS = 1_000L
 
 class IdempotencyDecider(
@@ -37,9 +40,11 @@
     maximumEnded: Int = MAXIMUM_ENDED_CALLS,
     private val newNonce: () -> String,
 ) {
+    private class Cleanup(val key: CallKey, var readsLeft: Int = CLEANUP_READS)
+
     private val calls = CallMemory(maximumEnded)
     private val closings = LinkedHashMap<String, List<TableOperation>>()
-    private val cleanups = LinkedHashMap<String, CallKey>()
+    private val cleanups = LinkedHashMap<String, Cleanup>()
 
     /** The first step of an attempt, and the next one after a read; [waitedMillis] is the age of the attempt. */
     fun begin(key: CallKey, fingerprint: String, found: RecordLookup, waitedMillis: Long): IdempotencyDecision =
@@ -124,17 +129,18 @@
     }
 
     /** Records, by nonce, that this VM may have left behind without a dispatch. */
-    fun openCleanups(): Map<String, CallKey> = cleanups.toMap()
+    fun openCleanups(): Map<String, CallKey> = cleanups.mapValues { it.value.key }
 
     /** What to do about the left record [nonce] after a read. After a write the caller reads again. */
     fun cleanup(nonce: String, found: RecordLookup, epochMillis: Long): CleanupStep {
-        val key = cleanups[nonce] ?: return CleanupStep.Done
+        val open = cleanups[nonce] ?: return CleanupStep.Done
         if (found is RecordLookup.Unavailable) return CleanupStep.Later
+        if (found is RecordLookup.Absent && --open.readsLeft > 0) return CleanupStep.Later
         if (found is RecordLookup.Found && found.record.nonce == nonce &&
             found.record.state == IdempotencyState.STARTED
         ) {
             val closed = found.record.copy(state = IdempotencyState.ABANDONED, endedAtEpochMillis = epochMillis)
-            return CleanupStep.Write(listOf(put(key, closed, found.version)))
+            return CleanupStep.Write(listOf(put(open.key, closed, found.version)))
         }
         cleanups.remove(nonce)
         return CleanupStep.Done
@@ -184,7 +190,7 @@
 
     private fun giveUp(nonce: String, call: Call) {
         calls[nonce] = call.copy(phase = CallPhase.NOT_RUN)
-        cleanups[nonce] = call.key
+        cleanups[nonce] = Cleanup(call.key)
     }
 
     private fun end(
