--- a/core/src/test/kotlin/org/lentilquay/coordination/ownership/OwnershipSimulation.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/ownership/OwnershipSimulation.kt
@@ -74,9 +74,9 @@
         vm.pausedUntil = now + random.nextLong(0, 12_000)
     }
 
-    /** One message in ten is slow, so that orders are on the way while the ownership changes. */
-    private fun send(run: () -> Unit) {
-        network.add(Message(if (random.nextInt(10) == 0) now + random.nextLong(0, 9_000) else now, run))
+    /** One message in [slowOneIn] is slow, so that orders are on the way while the ownership changes. */
+    private fun send(slowOneIn: Int = 10, run: () -> Unit) {
+        network.add(Message(if (random.nextInt(slowOneIn) == 0) now + random.nextLong(0, 9_000) else now, run))
     }
 
     private fun crash(index: Int) {
@@ -178,7 +178,12 @@
         if (effect == WriteEffect.ORDER_ABORTED) vm.unloading.remove(adapter)
         if (effect != WriteEffect.ORDER_RECORDED) return
         if (random.nextInt(4) == 0) pause(vm)
-        vm.steps.add { if (vm.decider.startSending()) send { arrive(vm, kind, adapter, fence) } }
+        vm.steps.add {
+            if (vm.decider.startSending()) {
+                send(slowOneIn = 3) { arrive(vm, kind, adapter, fence) }
+                if (random.nextInt(3) == 0) pause(vm)
+            }
+        }
     }
 
     private fun arrive(vm: Vm, kind: OrderKind, adapter: AdapterVersion, fence: Long) {
