Spend less CPU time on calls between VMs

Cause: a first measurement on loopback gave 552 µs of CPU time for each call with one call at once, both sides included. Each call crossed about ten threads, and a selection ran on a thread of the shared pool, whose found work waited for another thread to take it over.

Ruled out: fewer steps by writing from the caller's coroutine (the queue with one writer is what bounds memory); timers for each write and handler, which wake the timer thread every time when nothing else is scheduled.

--- a/daemon/src/main/kotlin/org/lentilquay/transport/TcpNetwork.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/TcpNetwork.kt
@@ -13,6 +13,7 @@
 import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.aSocket
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.lentilquay.transport.http.IpAddress
@@ -21,12 +22,18 @@
 import java.nio.channels.ClosedSelectorException
 import java.nio.channels.Pipe
 import java.nio.channels.SelectableChannel
+import java.util.concurrent.ExecutorService
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.ThreadFactory
+import java.util.concurrent.ThreadPoolExecutor
+import java.util.concurrent.TimeUnit
 
 private const val WAKE_BYTES = 64
+private const val THREAD_IDLE_SECONDS = 5L
 
 /** A selector with the connections that are opened or accepted through it. */
 internal class TcpNetwork : AutoCloseable {
-    private val selector = SelectorManager(Dispatchers.IO)
+    private val selector = SelectorManager(selectorThread().asCoroutineDispatcher())
     private val wake = SelectorWake(selector)
 
     /** Opens a connection to [address], or returns null if that takes longer than [timeoutMillis]. */
@@ -52,6 +59,16 @@
     override fun close() = selector.close()
 }
 
+/**
+ * A thread for one selector. A selection blocks its thread: on a thread of the shared pool, the work that a selection
+ * found would wait in that thread's own queue until another thread takes it over. The thread ends after the selector.
+ */
+private fun selectorThread(): ExecutorService {
+    val factory = ThreadFactory { work -> Thread(work, "network").apply { isDaemon = true } }
+    return ThreadPoolExecutor(1, 1, THREAD_IDLE_SECONDS, TimeUnit.SECONDS, LinkedBlockingQueue(), factory)
+        .apply { allowCoreThreadTimeOut(true) }
+}
+
 /** A pipe whose reading end is registered with the selector. */
 private class SelectorWake(private val selector: SelectorManager) {
     private val pipe = Pipe.open().apply {
@@ -61,7 +78,8 @@
     private val source = PipeSource(pipe)
 
     init {
-        selector.launch {
+        // Runs in the thread of the selector when that finds a wake; the thread has no time for queued work.
+        selector.launch(Dispatchers.Unconfined) {
             try {
                 takeWakes()
             } catch (_: IOException) {
--- a/daemon/src/main/kotlin/org/lentilquay/transport/peer/CallConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/peer/CallConnection.kt
@@ -44,6 +44,8 @@
         }
     }
 
+    fun closeIfStalled() = connection.closeIfStalled()
+
     /** Closes the connection if it has no calls and was not used for [idleMillis]. */
     fun closeIfIdle(idleMillis: Long) {
         val closes = synchronized(lock) {
--- a/daemon/src/main/kotlin/org/lentilquay/transport/peer/PeerClient.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/peer/PeerClient.kt
@@ -23,6 +23,7 @@
 private const val DEFAULT_CONNECT_MILLIS = 400L
 private const val DEFAULT_CALLS_IN_PROGRESS = 1_024
 private const val SWEEPS_PER_IDLE_TIME = 4
+private const val LONGEST_SWEEP_MILLIS = 5_000L
 
 /** How a call to another VM ended. */
 sealed interface PeerCallResult {
@@ -62,8 +63,8 @@
     init {
         scope.launch {
             while (isActive) {
-                delay(options.idleMillis / SWEEPS_PER_IDLE_TIME)
-                links.values.forEach { it.closeIfIdle(options.idleMillis) }
+                delay(minOf(options.idleMillis / SWEEPS_PER_IDLE_TIME, LONGEST_SWEEP_MILLIS))
+                links.values.forEach { it.sweep(options.idleMillis) }
             }
         }
     }
--- a/daemon/src/main/kotlin/org/lentilquay/transport/peer/PeerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/peer/PeerConnection.kt
@@ -5,12 +5,12 @@
 package org.lentilquay.transport.peer
 
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.coroutines.withContext
 import kotlinx.serialization.encodeToByteArray
 import org.lentilquay.protocol.MAXIMUM_PEER_FRAME_BYTES
 import org.lentilquay.protocol.PeerFrame
@@ -21,6 +21,7 @@
 
 /** The other side must take a batch of frames within this time, in milliseconds. */
 private const val WRITE_MILLIS = 10_000L
+private const val NOT_WRITING = Long.MIN_VALUE
 private const val NANOS_PER_MILLI = 1_000_000L
 
 /** What became of a frame that was to be sent. */
@@ -39,17 +40,34 @@
     @Volatile
     private var lastUsedNanos = System.nanoTime()
 
+    @Volatile
+    private var writeStartedNanos = NOT_WRITING
+
     /** Milliseconds since a frame was received or, if none was, since the connection was opened. */
     val silentMillis: Long get() = (System.nanoTime() - lastReceivedNanos) / NANOS_PER_MILLI
 
     /** Milliseconds since a frame went in either direction. */
     val unusedMillis: Long get() = (System.nanoTime() - lastUsedNanos) / NANOS_PER_MILLI
 
+    /**
+     * Closes the connection if the other side takes no data. A check from outside costs less than a timer for each
+     * write.
+     */
+    fun closeIfStalled() {
+        val started = writeStartedNanos
+        if (started != NOT_WRITING && System.nanoTime() - started > WRITE_MILLIS * NANOS_PER_MILLI) {
+            traffic.cut(CutReason.STALLED)
+            close()
+        }
+    }
+
     /** Runs reader and writer until the connection ends, and passes each frame to [onFrame]. */
     suspend fun run(onFrame: suspend (PeerFrame) -> Unit) {
         try {
             attempt {
-                coroutineScope {
+                // Reader and writer run in the thread that has bytes or a frame for them: a change of thread for each
+                // step would cost more CPU time than the step.
+                withContext(Dispatchers.Unconfined) {
                     launchWriter(this)
                     read(onFrame)
                     cancel()
@@ -90,14 +108,14 @@
 
     private fun launchWriter(scope: CoroutineScope): Job = scope.launch {
         for (first in queue) {
-            withTimeoutOrNull(WRITE_MILLIS) {
-                var next: ByteArray? = first
-                while (next != null) {
-                    connection.output.writeFrameBytes(next)
-                    next = queue.tryReceive().getOrNull()
-                }
-                connection.output.flush()
-            } ?: throw PeerProtocolException(CutReason.STALLED, "data not taken within $WRITE_MILLIS ms")
+            writeStartedNanos = System.nanoTime()
+            var next: ByteArray? = first
+            while (next != null) {
+                connection.output.writeFrameBytes(next)
+                next = queue.tryReceive().getOrNull()
+            }
+            connection.output.flush()
+            writeStartedNanos = NOT_WRITING
         }
     }
 }
--- a/daemon/src/main/kotlin/org/lentilquay/transport/peer/PeerLink.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/peer/PeerLink.kt
@@ -62,8 +62,11 @@
             ?: PeerCallResult.Unreachable("connection closed", sent = false)
     }
 
-    fun closeIfIdle(idleMillis: Long) {
-        synchronized(lock) { ready() }?.closeIfIdle(idleMillis)
+    /** Closes a connection that is idle or takes no data. */
+    fun sweep(idleMillis: Long) {
+        val connection = synchronized(lock) { ready() }
+        connection?.closeIfStalled()
+        connection?.closeIfIdle(idleMillis)
     }
 
     fun closeIfSilent() {
--- a/daemon/src/main/kotlin/org/lentilquay/transport/peer/PeerServer.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/peer/PeerServer.kt
@@ -1,13 +1,14 @@
 /*
  * Accepts connections from other VMs and answers their requests. A side that breaks the protocol is cut and counted;
  * nothing else depends on it. Bounds: handshakes at once, time of a handshake, requests in progress on a connection,
- * time of a handler, and idle time.
+ * time of a write, and idle time. Handlers must end by themselves.
  */
 package org.lentilquay.transport.peer
 
 import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.ServerSocket
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
@@ -33,8 +34,8 @@
 private const val HANDSHAKES_AT_ONCE = 64
 private const val REQUESTS_IN_PROGRESS = 1_024
 private const val HANDSHAKE_MILLIS = 2_000L
-private const val HANDLER_MILLIS = 30_000L
 private const val ACCEPT_RETRY_MILLIS = 100L
+private const val SWEEP_MILLIS = 5_000L
 
 /** The opening side closes first, after 60 s; this bound is for sides that vanished without closing. */
 private const val IDLE_MILLIS = 120_000L
@@ -79,7 +80,7 @@
     val listener = runCatching { network.listen(target) }.onFailure { network.close() }.getOrThrow()
     val acceptor = PeerAcceptor(identity, secret, handler, traffic, network, scope)
     scope.launch { acceptor.accept(listener) }
-    scope.launch { acceptor.closeIdle() }
+    scope.launch { acceptor.sweep() }
     val bound = listener.localAddress as InetSocketAddress
     return RunningPeerServer(IpAddress(target.ip, bound.port).toString(), scope, listener, network)
 }
@@ -110,9 +111,10 @@
         }
     }
 
-    suspend fun closeIdle() {
+    suspend fun sweep() {
         while (scope.isActive) {
-            delay(IDLE_MILLIS / 2)
+            delay(SWEEP_MILLIS)
+            connections.forEach { it.closeIfStalled() }
             connections.filter { it.unusedMillis > IDLE_MILLIS }.forEach { it.close() }
         }
     }
@@ -138,7 +140,8 @@
                     ?: throw PeerProtocolException(CutReason.MALFORMED, "answer on a connection for requests")
                 // With all places taken, no more frames are read, and the other side's queue fills up.
                 places.acquire()
-                scope.launch {
+                // A handler that answers at once needs no other thread.
+                scope.launch(start = CoroutineStart.UNDISPATCHED) {
                     try {
                         respond(connection, frame.correlation, request)
                     } finally {
@@ -152,8 +155,8 @@
     }
 
     private suspend fun respond(connection: PeerConnection, correlation: Long, request: PeerRequest) {
-        val answer = attempt { withTimeoutOrNull(HANDLER_MILLIS) { handler.handle(connection.remote.vm, request) } }
-            .getOrNull() ?: refused("the request could not be handled")
+        val answer = attempt { handler.handle(connection.remote.vm, request) }
+            .getOrElse { refused("the request could not be handled") }
         if (connection.send(PeerFrame(correlation, answer = answer)) == SendResult.TOO_LARGE) {
             connection.send(PeerFrame(correlation, answer = refused("the answer is longer than a frame")))
         }
