--- a/daemon/src/main/kotlin/org/lentilquay/transport/peer/PeerClient.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/peer/PeerClient.kt
@@ -20,7 +20,12 @@
 import java.util.concurrent.ConcurrentHashMap
 
 private const val DEFAULT_IDLE_MILLIS = 60_000L
-private const val DEFAULT_CONNECT_MILLIS = 400L
+
+/**
+ * Longer than the bound of a probe: an attempt goes on for later calls after the call that began it has timed out, and
+ * a first call of a new process on a loaded machine failed once with a bound of 400 ms.
+ */
+private const val DEFAULT_CONNECT_MILLIS = 1_000L
 private const val DEFAULT_CALLS_IN_PROGRESS = 1_024
 private const val SWEEPS_PER_IDLE_TIME = 4
 private const val LONGEST_SWEEP_MILLIS = 5_000L
