Share unchanged parts between configurations

Ruled out: a library of persistent maps (none is available to the build).

Change: ShardedMap copies one of 256 shards for each changed key.

--- a/core/src/main/kotlin/org/lentilquay/state/ApplyChange.kt
+++ b/core/src/main/kotlin/org/lentilquay/state/ApplyChange.kt
@@ -33,6 +33,6 @@
 fun Configuration.problemsOf(change: ConfigurationChange): List<String> =
     ConfigurationChecks(ConfigurationDraft(this)).also { it.checkAndMake(change) }.problems
 
-/** The configuration at [revision] with the confirmed [changes] made in their order, each map copied at most once. */
+/** The configuration at [revision] with the confirmed [changes] made in their order. */
 fun Configuration.replay(changes: List<ConfigurationChange>, revision: Long): Configuration =
     ConfigurationDraft(this).also { changes.forEach(it::make) }.toConfiguration(revision)
--- a/core/src/main/kotlin/org/lentilquay/state/internal/ConfigurationDraft.kt
+++ b/core/src/main/kotlin/org/lentilquay/state/internal/ConfigurationDraft.kt
@@ -1,6 +1,6 @@
 /*
- * A configuration under change. Each map is copied at its first write only, so that a batch of many changes costs one
- * copy of each map it touches and the base configuration stays as it was.
+ * A configuration under change. Maps share with the base configuration what a change does not touch, and the base
+ * configuration stays as it was.
  */
 package org.lentilquay.state.internal
 
@@ -19,12 +19,13 @@
 import org.lentilquay.state.Team
 import org.lentilquay.state.TeamId
 
-/** A map that shares [original] until the first write. */
+/** A map that shares [original] until the first write, and its unchanged shards after that. */
 internal class CopiedOnWrite<K, V>(private val original: Map<K, V>) {
-    private var copy: HashMap<K, V>? = null
+    private var changes: ShardedMap.Changes<K, V>? = null
+    private var current: Map<K, V>? = original
 
-    /** The present content; not to be kept across writes. */
-    val content: Map<K, V> get() = copy ?: original
+    /** The present content, an immutable value. */
+    val content: Map<K, V> get() = current ?: (changes?.toMap() ?: original).also { current = it }
 
     operator fun set(key: K, value: V) {
         if (content[key] != value) writable()[key] = value
@@ -34,7 +35,10 @@
         if (key in content) writable().remove(key)
     }
 
-    private fun writable(): HashMap<K, V> = copy ?: HashMap(original).also { copy = it }
+    private fun writable(): ShardedMap.Changes<K, V> {
+        current = null
+        return changes ?: ShardedMap.Changes(original).also { changes = it }
+    }
 }
 
 /** The maps of [base] with changes applied to them. */
