--- a/core/src/main/kotlin/org/lentilquay/coordination/membership/MemberDirectory.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/membership/MemberDirectory.kt
@@ -19,6 +19,8 @@
 /** A dead or departed VM that was never on the platform's list is forgotten after this time. */
 private const val FORGET_MILLIS = 60_000L
 
+private const val SWEEP_INTERVAL_MILLIS = 1_000L
+
 /** Gives a suspect three or four chances to refute, so that one lost message does not make it dead. */
 private const val SUSPECT_PROBE_INTERVAL_MILLIS = 300L
 
@@ -28,6 +30,7 @@
     private val introducedTo = HashMap<VmId, Incarnation>()
     private val gone = HashMap<VmId, Incarnation>()
     private val queue = UpdateQueue()
+    private var nextSweepAt = Long.MIN_VALUE
     private var isUrgent = false
     private var fillAt = random.nextInt(Int.MAX_VALUE)
 
@@ -141,6 +144,9 @@
         val over = suspects.keys.map(members::getValue).filter { now - (it.suspectSince ?: now) >= SUSPICION_MILLIS }
         if (over.isNotEmpty()) isUrgent = true
         val effects = over.flatMap { replace(it, it.update.copy(state = MemberState.DEAD), now) }
+        // A look at every member would cost more in a larger fleet, so it is not made at every tick.
+        if (now < nextSweepAt) return effects
+        nextSweepAt = now + SWEEP_INTERVAL_MILLIS
         val forgotten = members.values.filter {
             it.listed == null && now - (it.notAliveSince ?: now) > FORGET_MILLIS
         }
--- a/core/src/test/kotlin/org/lentilquay/coordination/configuration/ConfigurationTransferTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/configuration/ConfigurationTransferTest.kt
@@ -28,7 +28,9 @@
         target.noteHead(source.revision)
         while (target.missing() != null && round < 100) {
             between(round)
-            val page = answers.answer(fetch.request(), round * 1_000L)
+            // Longer than an unused snapshot is kept, so that the source makes a new one in the middle.
+            val pause = if (round > 1) 60_000 else 0
+            val page = answers.answer(fetch.request(), pause + round * 1_000L)
             Cbor.encodeToByteArray(PeerFrame(1, answer = page)).size shouldBeLessThan MAXIMUM_PEER_FRAME_BYTES
             fetch.received(page)
             round++
--- a/core/src/test/kotlin/org/lentilquay/coordination/membership/MembershipTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/membership/MembershipTest.kt
@@ -71,7 +71,7 @@
         val membership = membership().apply { tick(0) }
         membership.received(x, probe(news(MemberState.ALIVE), news(MemberState.SUSPECT, vm = "y")), 0)
         membership.tick(5_000)
-        membership.probeFailed(x, 0, 5_000).shouldBeEmpty()
+        membership.probeFailed(x, 100, 5_000).shouldBeEmpty()
         membership.stateOf(x) shouldBe MemberState.ALIVE
         membership.stateOf(VmId("y")) shouldBe MemberState.SUSPECT
         membership.tick(5_900)
