Add the load and experiment tool

Cause: the figures of the capacity page and of the scenarios had no tool that measures them.

Ruled out: stand-ins as processes of their own, because their CPU time is of no interest and a daemon's own process already separates it; a closed-loop generator, because it slows down with the fleet and hides waiting time.

Change: `bin/bench capacity` prints measured slopes (membership, heap and time of the configuration, messages, decisions, idle daemons) and `bin/bench run` plays a seeded trace against eight daemons, with a bound on the loads by Belady's rule, as a table, JSON and SVG.

Figures: trial runs only so far, on a machine that other work kept busy; none is recorded here.

--- /dev/null
+++ b/bench/src/main/kotlin/org/lentilquay/bench/Fleet.kt
@@ -0,0 +1,181 @@
+/*
+ * A fleet on the loopback address for measurements: daemons as processes, and the platform, engines and services as
+ * stand-ins inside this process, so that the CPU time of a daemon's process is that of the daemon alone. Every process
+ * is ended by [Fleet.close], which also runs when this process is interrupted.
+ */
+package org.lentilquay.bench
+
+import org.lentilquay.coordination.configuration.sha256Of
+import org.lentilquay.protocol.ListedKind
+import org.lentilquay.protocol.ListedState
+import org.lentilquay.protocol.ListedVm
+import org.lentilquay.standins.EngineOptions
+import org.lentilquay.standins.ModelEngine
+import org.lentilquay.standins.PlainService
+import org.lentilquay.standins.Platform
+import org.lentilquay.standins.modelEngine
+import org.lentilquay.standins.plainService
+import org.lentilquay.standins.platform
+import org.lentilquay.state.BackendServer
+import org.lentilquay.state.ConfigurationChange
+import org.lentilquay.state.DomainId
+import org.lentilquay.state.ServerId
+import org.lentilquay.state.ServerKind
+import java.io.File
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.util.concurrent.TimeUnit
+
+internal const val OPERATOR_TOKEN = "bench-operator"
+private const val FLEET_SECRET = "bench-fleet-secret-0123456789"
+private const val SECRET_VARIABLE = "LENTILQUAY_FLEET_SECRET"
+private const val LOADS_PER_SECOND = 5
+private const val PORTS_PER_VM = 3
+private const val STOP_SECONDS = 3L
+private const val COLD_IN_FLIGHT = 4
+private const val SERVICE_IN_FLIGHT = 32
+
+/** Sizes of a fleet; the defaults are Emberline's of docs/design.md, section 1.5. */
+data class FleetSize(
+    val vms: Int = 8,
+    val domains: Int = 4,
+    val engines: Int = 8,
+    val slots: Int = 16,
+    val inFlight: Int = 32,
+    val services: Int = 4,
+)
+
+/** One running daemon. */
+class RunningVm internal constructor(
+    val name: String,
+    val domain: String,
+    val callersPort: Int,
+    val administrationPort: Int,
+    private val process: Process,
+) {
+    val pid: Long get() = process.pid()
+    val isAlive: Boolean get() = process.isAlive
+
+    internal fun stop() {
+        process.destroy()
+    }
+
+    internal fun awaitEnd() {
+        if (!process.waitFor(STOP_SECONDS, TimeUnit.SECONDS)) process.destroyForcibly().waitFor()
+    }
+}
+
+/** A fleet of [size] whose settings and logs are in [directory]. */
+class Fleet(val size: FleetSize, private val directory: File) : AutoCloseable {
+    val platform: Platform = platform()
+    private val runningEngines = ArrayList<ModelEngine>()
+    private val services = ArrayList<PlainService>()
+    private val runningVms = ArrayList<RunningVm>()
+    private val hook = Thread(::stopAll)
+
+    init {
+        Runtime.getRuntime().addShutdownHook(hook)
+        directory.mkdirs()
+        val store = "http://127.0.0.1:${platform.port}"
+        repeat(size.engines) {
+            runningEngines += modelEngine(
+                EngineOptions(slots = size.slots, maximumInFlight = size.inFlight, weightStore = store),
+            )
+        }
+        repeat(size.services) { services += plainService() }
+        val ports = freePorts(size.vms * PORTS_PER_VM).chunked(PORTS_PER_VM)
+        ports.forEachIndexed { index, own -> runningVms += startVm(index, own, ports) }
+    }
+
+    val engines: List<ModelEngine> get() = runningEngines
+    val vms: List<RunningVm> get() = runningVms
+
+    fun domainOf(index: Int): String = "domain-${index % size.domains + 1}"
+
+    /** The changes that make the stand-ins known. */
+    fun serverChanges(): List<ConfigurationChange> {
+        val engineChanges = engines.mapIndexed { index, engine ->
+            server(index, "engine-${index + 1}", ServerKind.ENGINE, engine.port, "base")
+        }
+        val serviceChanges = services.mapIndexed { index, service ->
+            server(index, "service-${index + 1}", ServerKind.SERVICE, service.port, "bookings")
+        }
+        return (engineChanges + serviceChanges).map(ConfigurationChange::PutServer)
+    }
+
+    private fun server(index: Int, id: String, kind: ServerKind, port: Int, serves: String) = BackendServer(
+        id = ServerId(id),
+        kind = kind,
+        address = "127.0.0.1:$port",
+        domain = DomainId(domainOf(index)),
+        serves = serves,
+        checksFencing = kind == ServerKind.ENGINE,
+        adapterSlots = if (kind == ServerKind.ENGINE) size.slots else 0,
+        maximumInFlight = if (kind == ServerKind.ENGINE) size.inFlight else SERVICE_IN_FLIGHT,
+        coldInFlight = COLD_IN_FLIGHT,
+    )
+
+    private fun startVm(index: Int, own: List<Int>, all: List<List<Int>>): RunningVm {
+        val name = "vm-${index + 1}"
+        val (callers, administration, peers) = own
+        val entry = ListedVm(name, "127.0.0.1:$peers", domainOf(index), ListedKind.VM, ListedState.LIVE)
+        platform.register(entry)
+        val seeds = all.withIndex().filter { it.index != index }.joinToString { (other, otherPorts) ->
+            val address = "127.0.0.1:${otherPorts.last()}"
+            """{"vm":"vm-${other + 1}","address":"$address","failureDomain":"${domainOf(other)}"}"""
+        }
+        val file = File(directory, "$name.json")
+        file.writeText(
+            """
+            {
+              "vm": "$name", "failureDomain": "${domainOf(index)}",
+              "callers": { "listen": "127.0.0.1:$callers" },
+              "administration": { "listen": "127.0.0.1:$administration" },
+              "peers": { "listen": "127.0.0.1:$peers" },
+              "platform": { "address": "127.0.0.1:${platform.port}" },
+              "fleetSecret": { "environment": "$SECRET_VARIABLE" },
+              "seeds": [$seeds],
+              "operators": [{ "name": "bench", "tokenSha256": "${sha256Of(OPERATOR_TOKEN)}" }],
+              "weightStore": { "name": "main", "loadsPerSecond": $LOADS_PER_SECOND, "parallelLoads": 2 }
+            }
+            """.trimIndent(),
+        )
+        return RunningVm(name, domainOf(index), callers, administration, startProcess(name, file))
+    }
+
+    private fun startProcess(name: String, settings: File): Process {
+        val java = File(System.getProperty("java.home"), "bin/java").path
+        val builder = ProcessBuilder(
+            java,
+            "-cp",
+            System.getProperty("java.class.path"),
+            "-Xmx192m",
+            "-XX:+UseSerialGC",
+            "org.lentilquay.daemon.MainKt",
+            "--settings",
+            settings.path,
+        )
+        builder.environment()[SECRET_VARIABLE] = FLEET_SECRET
+        builder.redirectErrorStream(true).redirectOutput(File(directory, "$name.log"))
+        return builder.start()
+    }
+
+    override fun close() {
+        stopAll()
+        Runtime.getRuntime().removeShutdownHook(hook)
+    }
+
+    private fun stopAll() {
+        vms.forEach { it.stop() }
+        vms.forEach { it.awaitEnd() }
+        engines.forEach { it.close() }
+        services.forEach { it.close() }
+        platform.close()
+    }
+}
+
+/** Ports that were free a moment ago. All are held at once, so that they differ. */
+private fun freePorts(count: Int): List<Int> {
+    val sockets = List(count) { ServerSocket(0, 1, InetAddress.getLoopbackAddress()) }
+    return sockets.map { it.localPort }.also { sockets.forEach(ServerSocket::close) }
+}
--- /dev/null
+++ b/bench/src/main/kotlin/org/lentilquay/bench/HeapCost.kt
@@ -0,0 +1,130 @@
+/*
+ * Measures the heap that configuration items hold in a ConfigurationStore with its AccessView, and the time to check
+ * and to apply one change. Heap is the difference of the used heap after collections, so it is an estimate; small
+ * configurations are built several times and the heap is divided.
+ */
+package org.lentilquay.bench
+
+import org.lentilquay.coordination.configuration.ConfigurationStore
+import org.lentilquay.coordination.configuration.sha256Of
+import org.lentilquay.protocol.LogEntry
+import org.lentilquay.state.Adapter
+import org.lentilquay.state.BackendServer
+import org.lentilquay.state.CallerKey
+import org.lentilquay.state.Configuration
+import org.lentilquay.state.ConfigurationChange
+import org.lentilquay.state.DomainId
+import org.lentilquay.state.KeyId
+import org.lentilquay.state.Route
+import org.lentilquay.state.RouteId
+import org.lentilquay.state.ServerId
+import org.lentilquay.state.ServerKind
+import org.lentilquay.state.Target
+import org.lentilquay.state.Team
+import org.lentilquay.state.TeamId
+import org.lentilquay.state.apply
+import org.lentilquay.state.replay
+import java.lang.management.ManagementFactory
+import java.lang.ref.Reference
+
+@Suppress("MagicNumber")
+private val manyItems = listOf(1_000, 10_000, 30_000, 56_000)
+
+@Suppress("MagicNumber")
+private val someItems = listOf(100, 500, 2_000, 8_000)
+
+@Suppress("MagicNumber")
+private val fewItems = listOf(80, 200, 400, 640)
+private const val COLLECTIONS = 3
+
+/** Small configurations are repeated until this many items are held, so that the heap's noise is small against them. */
+private const val ITEMS_HELD = 30_000
+private const val CHANGES = 300
+private const val NANOS_PER_MICRO = 1_000.0
+private const val RATE = 2_000L
+private const val BURST = 20_000L
+private const val SLOTS = 16
+private const val IN_FLIGHT = 32
+private const val COLD_IN_FLIGHT = 4
+
+private class Item(val name: String, val sizes: List<Int>, val put: (Int) -> ConfigurationChange)
+
+private val items = listOf(
+    Item("adapters", manyItems) { ConfigurationChange.PutAdapter(adapter(it)) },
+    Item("routes to adapters", manyItems) {
+        ConfigurationChange.PutRoute(Route(RouteId("route-$it"), Target.AdapterTarget("adapter-1")))
+    },
+    Item("keys", someItems) {
+        ConfigurationChange.GrantKey(CallerKey(KeyId("key-$it"), TeamId("team-1"), sha256Of("key text $it")))
+    },
+    Item("teams", someItems) { ConfigurationChange.PutTeam(team(it)) },
+    Item("backend servers", fewItems) { ConfigurationChange.PutServer(server(it)) },
+)
+
+private fun adapter(index: Int) = Adapter("adapter-$index", "base", setOf(1, 2), 2)
+
+private fun team(index: Int) = Team(TeamId("team-$index"), RATE, BURST)
+
+private fun server(index: Int) = BackendServer(
+    id = ServerId("engine-$index"),
+    kind = ServerKind.ENGINE,
+    address = "10.0.0.1:${index + 1}",
+    domain = DomainId("domain-1"),
+    serves = "base",
+    checksFencing = true,
+    adapterSlots = SLOTS,
+    maximumInFlight = IN_FLIGHT,
+    coldInFlight = COLD_IN_FLIGHT,
+)
+
+/** Measures heap and time for each kind of item. */
+fun measureHeapCost(): List<Measurement> {
+    // The first measurement loads classes, which would count as heap of the configuration.
+    items.forEach { row(it, it.sizes.first()) }
+    return items.map { item ->
+        Measurement(
+            "Configuration: ${item.name}",
+            listOf(item.name, "heap bytes", "bytes per item", "check us/change", "apply us/change"),
+            item.sizes.map { row(item, it) },
+        )
+    }
+}
+
+private fun row(item: Item, size: Int): List<Double> {
+    val copies = (ITEMS_HELD / size).coerceAtLeast(1)
+    val before = usedHeap()
+    val stores = List(copies) { store(item, size) }
+    val bytes = (usedHeap() - before).toDouble() / copies
+    Reference.reachabilityFence(stores)
+    val store = stores.first()
+    repeat(2) { checkMicros(item, size, store.configuration) }
+    val check = checkMicros(item, size, store.configuration)
+    repeat(2) { applyMicros(item, size, store) }
+    return listOf(size.toDouble(), bytes, bytes / size, check, applyMicros(item, size, store))
+}
+
+private fun store(item: Item, size: Int): ConfigurationStore {
+    val first = listOf(ConfigurationChange.PutTeam(team(1)), ConfigurationChange.PutAdapter(adapter(1)))
+    return ConfigurationStore(Configuration().replay(first + (1..size).map(item.put), 1))
+}
+
+private fun checkMicros(item: Item, size: Int, base: Configuration): Double = microsEach { round ->
+    base.apply(item.put(size + 1 + round), base.revision + 1)
+}
+
+private fun applyMicros(item: Item, size: Int, store: ConfigurationStore): Double = microsEach { round ->
+    val change = item.put(round % size + 1)
+    store.offer(listOf(LogEntry(store.revision + 1, "plan", "operator", change, 0, "vm")))
+}
+
+private fun microsEach(action: (Int) -> Unit): Double {
+    val threads = ManagementFactory.getThreadMXBean()
+    val start = threads.currentThreadCpuTime
+    repeat(CHANGES, action)
+    return (threads.currentThreadCpuTime - start) / NANOS_PER_MICRO / CHANGES
+}
+
+private fun usedHeap(): Long {
+    repeat(COLLECTIONS) { System.gc() }
+    return ManagementFactory.getMemoryMXBean().heapMemoryUsage.used
+}
--- a/bench/src/main/kotlin/org/lentilquay/bench/Main.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/Main.kt
@@ -1,3 +1,15 @@
+/*
+ * The command line of the load and experiment tool.
+ */
 package org.lentilquay.bench
 
-fun main() = println("lentilquay bench")
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.NoOpCliktCommand
+import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.core.subcommands
+
+fun main(arguments: Array<String>) = BenchCommand().subcommands(CapacityCommand(), RunCommand()).main(arguments)
+
+private class BenchCommand : NoOpCliktCommand(name = "bench") {
+    override fun help(context: Context): String = "Measures lentilquay on this machine, over the loopback address only."
+}
--- /dev/null
+++ b/bench/src/main/kotlin/org/lentilquay/bench/RunCommand.kt
@@ -0,0 +1,52 @@
+/*
+ * The command that runs a scenario and writes its report as a table, as JSON and as a chart.
+ */
+package org.lentilquay.bench
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.choice
+import com.github.ajalt.clikt.parameters.types.double
+import com.github.ajalt.clikt.parameters.types.file
+import com.github.ajalt.clikt.parameters.types.int
+import com.github.ajalt.clikt.parameters.types.long
+import com.github.ajalt.clikt.parameters.types.restrictTo
+import kotlinx.serialization.json.Json
+import java.io.File
+
+private const val DEFAULT_SECONDS = 60
+private const val LONGEST_SECONDS = 1_800
+private const val LOWEST_RATE = 0.1
+private const val HIGHEST_RATE = 200.0
+private val json = Json { prettyPrint = true }
+
+internal class RunCommand : CliktCommand(name = "run") {
+    private val scenario by argument("NAME").choice(Scenario.entries.associateBy { it.title })
+    private val seconds by option("--seconds", help = "Length of the trace").int().restrictTo(1..LONGEST_SECONDS)
+        .default(DEFAULT_SECONDS)
+    private val seed by option("--seed", help = "Seed of the trace").long().default(1)
+    private val rate by option("--rate", help = "Requests a second").double().restrictTo(LOWEST_RATE..HIGHEST_RATE)
+        .default(Workload().requestsPerSecond)
+    private val jsonFile by option("--json", help = "File for the report as JSON; the chart goes beside it").file()
+    private val directory by option("--directory", help = "Directory for settings and logs of the daemons").file()
+        .default(File("out/bench"))
+
+    override fun help(context: Context): String = "Runs a scenario against a fleet on this machine."
+
+    override fun run() {
+        val workload = Workload(requestsPerSecond = rate)
+        val setting = RunSetting(scenario, workload, seed, loadAverage())
+        val record = ScenarioRun(scenario, workload, seconds, seed, File(directory, scenario.title))
+            .run { echo(it, err = true) }
+        val report = reportOf(setting, record)
+        echo(report.text())
+        jsonFile?.let { file ->
+            file.absoluteFile.parentFile.mkdirs()
+            file.writeText(json.encodeToString(RunReport.serializer(), report))
+            File("${file.path.removeSuffix(".json")}.svg").writeText(chartOf(report))
+        }
+    }
+}
