Confirm the head by a check and keep seats through the keeper

Cause: a read of the table may be stale, so a read of the head must not count as a confirmation; and a stale reading of a released seat could make two VMs hold it.

Ruled out: reading twice and comparing (both reads can be stale).

Conclusion: freshness rests on checks, not on reads.

--- a/core/src/main/kotlin/org/lentilquay/coordination/ownership/OwnershipDecider.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/ownership/OwnershipDecider.kt
@@ -90,7 +90,7 @@
         underWay = null
         needsRead = false
         return when {
-            found -> took(write!!, readVersion, now)
+            found -> took(write, readVersion, now)
             else -> {
                 adopt(read, readVersion, now)
                 if (write?.purpose == Purpose.ORDER) aborted() else WriteEffect.NONE
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/DaemonParts.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/DaemonParts.kt
@@ -16,6 +16,7 @@
 import org.lentilquay.coordination.membership.OwnIdentity
 import org.lentilquay.coordination.ownership.SessionLease
 import org.lentilquay.coordination.quota.PullPlan
+import org.lentilquay.coordination.quota.SeatKeeper
 import org.lentilquay.coordination.quota.SeatPlan
 import org.lentilquay.coordination.quota.TeamBuckets
 import org.lentilquay.coordination.suspects.Suspects
@@ -174,7 +175,7 @@
     // Quota, crashes, requests.
     private val quota = FleetQuota(buckets, calls, control, scope, timing.tokenTransferMillis, timer::now)
     val seats = SeatLoop(
-        plan = SeatPlan(vm, incarnation, settings.quotaSeats, ::newNonce),
+        keeper = SeatKeeper(SeatPlan(vm, incarnation, settings.quotaSeats, ::newNonce)),
         buckets = buckets,
         pulls = pulls,
         platform = platform,
@@ -248,7 +249,9 @@
         SeatLoop.SeatMembers(live, goneHolders())
     }
 
-    private fun goneHolders(): Set<VmId> = seats.knownHolders.filterTo(HashSet()) { membership.isGone(it) }
+    private fun goneHolders(): Set<VmId> = seats.knownHolders.filterTo(HashSet(), ::isGoneForCertain)
+
+    private fun isGoneForCertain(holder: VmId): Boolean = membership.isGone(holder) || members.listed.isGone(holder)
 
     private suspend fun reachableMembers(): Set<VmId> = control.decide { membership.reachable(timer.now()) }
 
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/control/ConfigurationLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/control/ConfigurationLoop.kt
@@ -10,7 +10,6 @@
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
 import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
 import org.lentilquay.coordination.configuration.ConfigurationFetch
 import org.lentilquay.coordination.configuration.ConfigurationSource
 import org.lentilquay.coordination.configuration.ConfigurationStore
@@ -27,14 +26,15 @@
 import org.lentilquay.protocol.LogEntry
 import org.lentilquay.protocol.PeerAnswer
 import org.lentilquay.protocol.PeerRequest
+import org.lentilquay.protocol.TableOperation
 import org.lentilquay.state.Configuration
 import org.lentilquay.state.VmId
 import org.lentilquay.transport.peer.PeerCallResult
 import org.lentilquay.transport.platform.PlatformClient
 import org.lentilquay.transport.platform.ReadResult
+import org.lentilquay.transport.platform.TransactResult
 
 private val log = KotlinLogging.logger {}
-private val json = Json { ignoreUnknownKeys = true }
 
 class ConfigurationLoop(
     private val store: ConfigurationStore,
@@ -55,20 +55,32 @@
     var isLoaded: Boolean = false
         private set
 
-    /** Reads the head from the table and fetches what is missing. */
+    /**
+     * Compares the head with the table and fetches what is missing. The comparison is a transaction that only checks,
+     * because a read may be stale and must not count as a confirmation. The version of the head item is its revision.
+     */
     suspend fun pollHead() {
         val sentAt = now()
-        when (val head = platform.item(HEAD_KEY)) {
-            is ReadResult.Unavailable -> control.decide { freshness.tableFailed(sentAt) }
-            is ReadResult.Read -> {
-                val revision = head.value?.let { json.decodeFromString<HeadRecord>(it.value).revision } ?: 0
-                control.decide {
-                    freshness.tableConfirmed(revision, sentAt)
-                    store.noteHead(revision)
-                }
-                catchUp(null)
+        val known = store.revision
+        when (platform.transact(listOf(TableOperation.Check(HEAD_KEY, known)))) {
+            is TransactResult.Committed -> {
+                control.decide { freshness.tableConfirmed(known, sentAt) }
                 isLoaded = true
             }
+            is TransactResult.Conflict -> readHead()
+            else -> control.decide { freshness.tableFailed(sentAt) }
+        }
+    }
+
+    private suspend fun readHead() {
+        val head = platform.record<HeadRecord>(HEAD_KEY)?.value ?: return
+        control.decide { store.noteHead(head.revision) }
+        catchUp(null)
+        val sentAt = now()
+        val revision = store.revision
+        if (platform.transact(listOf(TableOperation.Check(HEAD_KEY, revision))) is TransactResult.Committed) {
+            control.decide { freshness.tableConfirmed(revision, sentAt) }
+            isLoaded = true
         }
     }
 
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/control/FleetMembers.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/control/FleetMembers.kt
@@ -6,6 +6,7 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
+import org.lentilquay.coordination.ListedVms
 import org.lentilquay.coordination.membership.Membership
 import org.lentilquay.coordination.membership.MembershipEffect
 import org.lentilquay.coordination.membership.OwnStatus
@@ -53,6 +54,9 @@
     private val now: () -> Long,
 ) {
     lateinit var events: MemberEvents
+
+    /** The platform's list over time. Used on the control thread. */
+    val listed = ListedVms()
     private val readySince = HashMap<VmId, Long>()
     private val addresses = ConcurrentHashMap<VmId, String>(seedAddresses)
 
@@ -96,7 +100,11 @@
             .filter { it.kind == ListedKind.BACKEND && it.state == ListedState.LEAVING }
             .mapTo(HashSet()) { ServerId(it.id) }
         if (leaving != fleet.leaving) fleet.listedLeaving(leaving)
-        control.decide { perform(membership.platformList(list.filter(::isOfSystem), now())) }
+        val vms = list.filter(::isOfSystem)
+        control.decide {
+            listed.observed(vms.mapTo(HashSet()) { VmId(it.id) }, now())
+            perform(membership.platformList(vms, now()))
+        }
     }
 
     private fun isOfSystem(listed: ListedVm) = listed.kind == ListedKind.VM
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/control/Resource.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/control/Resource.kt
@@ -82,7 +82,7 @@
 
     /** The order ended; [isCertain] is false if it may still reach the server. */
     suspend fun finished(isCertain: Boolean) {
-        control.decide { decider.orderFinished(isCertain) }
+        control.decide { decider.orderFinished(isCertain, now()) }
         orders.unlock()
     }
 
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/control/SeatLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/control/SeatLoop.kt
@@ -1,7 +1,7 @@
 /*
- * Keeps this VM's quota seats: reads the seat records, takes free ones and gives surplus ones up, one transaction each.
- * A seat counts only after it was read back, and it leaves the buckets before its release is sent, so that it never has
- * two holders. Docs: docs/design.md, section 4.4.
+ * Keeps this VM's quota seats: reads the seat records, takes free ones and gives surplus ones up, one transaction
+ * each. A seat leaves the buckets before its release is sent, so that it never has two holders. Docs:
+ * docs/design.md, section 4.4.
  */
 package org.lentilquay.daemon.control
 
@@ -9,11 +9,10 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.lentilquay.coordination.quota.PullPlan
-import org.lentilquay.coordination.quota.SeatAction
-import org.lentilquay.coordination.quota.SeatPlan
+import org.lentilquay.coordination.quota.SeatKeeper
 import org.lentilquay.coordination.quota.SeatReading
-import org.lentilquay.coordination.quota.SeatView
 import org.lentilquay.coordination.quota.TeamBuckets
+import org.lentilquay.daemon.logs.change
 import org.lentilquay.daemon.timer.ControlThread
 import org.lentilquay.protocol.TableItem
 import org.lentilquay.state.SeatRecord
@@ -24,7 +23,7 @@
 private val log = KotlinLogging.logger {}
 
 class SeatLoop(
-    private val plan: SeatPlan,
+    private val keeper: SeatKeeper,
     private val buckets: TeamBuckets,
     private val pulls: PullPlan,
     private val platform: PlatformClient,
@@ -45,41 +44,42 @@
     var knownHolders: Set<VmId> = emptySet()
         private set
 
-    /** Reads the seats, makes the changes that are due, and returns whether it changed any. */
-    suspend fun review(): Boolean {
-        val readings = read() ?: return false
-        val present = members()
-        val actions = control.decide {
-            pulls.holdersChanged(plan.holders(readings))
-            plan.review(SeatView(readings, present.live, present.gone))
-        }
-        val released = actions.filterIsInstance<SeatAction.Release>().map { it.seat }.toSet()
-        hold(plan.held(readings) - released)
-        actions.forEach { platform.transact(it.operations) }
-        return actions.isNotEmpty()
-    }
+    /** Reads the seats and makes the changes that are due. */
+    suspend fun review() = review { it }
 
     /** Gives all seats up before a planned stop. */
-    suspend fun releaseAll(own: VmId) {
+    suspend fun releaseAll(own: VmId) = review { it - own }
+
+    private suspend fun review(candidates: (Set<VmId>) -> Set<VmId>) {
         val readings = read() ?: return
         val present = members()
-        val actions = control.decide { plan.review(SeatView(readings, present.live - own, present.gone)) }
-        hold(emptySet())
-        actions.forEach { platform.transact(it.operations) }
+        val actions = control.decide {
+            keeper.observed(readings)
+            keeper.review(candidates(present.live), present.gone).also { hold() }
+        }
+        actions.forEach { action ->
+            val result = platform.write(action.operations)
+            control.decide {
+                keeper.written(action, result)
+                hold()
+            }
+        }
     }
 
-    private suspend fun hold(seats: Set<Int>) {
+    /** Brings the buckets in line with the seats that are held. Call on the control thread. */
+    private fun hold() {
+        pulls.holdersChanged(keeper.holders)
+        knownHolders = keeper.holders.keys
+        val seats = keeper.held
         if (seats == held) return
-        control.decide { buckets.seatsChanged(seats, now()) }
+        buckets.seatsChanged(seats, now())
         held = seats
-        log.info { "quota seats changed to ${seats.sorted()}" }
+        log.change("quota seats changed", "seats" to seats.sorted())
     }
 
     private suspend fun read(): Map<Int, SeatReading>? = when (val result = platform.scan("seats/")) {
         is ReadResult.Unavailable -> null
-        is ReadResult.Read -> result.value.mapNotNull(::reading).toMap().also { readings ->
-            knownHolders = readings.values.mapNotNullTo(HashSet()) { it.record.vm }
-        }
+        is ReadResult.Read -> result.value.mapNotNull(::reading).toMap()
     }
 
     private fun reading(item: TableItem): Pair<Int, SeatReading>? = try {
