Let the wait before an idle fleet is measured be chosen

Cause: a new fleet still sends its first membership news 10 s after the configuration is in force, so its figures are above the steady ones.

Ruled out: a longer fixed wait, which takes the whole run over 4 minutes.

--- a/bench/src/main/kotlin/org/lentilquay/bench/CapacityCommand.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/CapacityCommand.kt
@@ -9,15 +9,22 @@
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.choice
 import com.github.ajalt.clikt.parameters.types.file
+import com.github.ajalt.clikt.parameters.types.long
+import com.github.ajalt.clikt.parameters.types.restrictTo
 import kotlinx.serialization.json.Json
 import java.io.File
 
 private val json = Json { prettyPrint = true }
+private const val DEFAULT_SETTLE_SECONDS = 10L
+private const val LONGEST_SETTLE_SECONDS = 600L
+private const val MILLIS_PER_SECOND = 1_000L
 private val parts = listOf("membership", "configuration", "messages", "decisions", "fleet")
 
 internal class CapacityCommand : CliktCommand(name = "capacity") {
     private val jsonFile by option("--json", help = "File for the figures as JSON").file()
     private val only by option("--only", help = "One part of the measurements").choice(parts.associateWith { it })
+    private val settleSeconds by option("--settle", help = "Wait before an idle fleet is measured, in seconds").long()
+        .restrictTo(0L..LONGEST_SETTLE_SECONDS).default(DEFAULT_SETTLE_SECONDS)
     private val directory by option("--directory", help = "Directory for settings and logs of the daemons").file()
         .default(File("out/bench"))
 
@@ -43,7 +50,7 @@
         "configuration" -> measureHeapCost()
         "messages" -> measureMessageCost()
         "decisions" -> measureDecisionCost()
-        else -> measureFleetCost(directory)
+        else -> measureFleetCost(directory, settleSeconds * MILLIS_PER_SECOND)
     }
 
     private fun membership() = Measurement(
