--- /dev/null
+++ b/cli/src/main/kotlin/org/lentilquay/cli/CheckCommand.kt
@@ -0,0 +1,26 @@
+/*
+ * `lentilquay check`: checks a settings file of the daemon as the daemon itself would at its start, without starting.
+ */
+package org.lentilquay.cli
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.types.path
+import org.lentilquay.daemon.settings.SettingsResult
+import org.lentilquay.daemon.settings.readSettings
+
+class CheckCommand : CliktCommand(name = "check") {
+    private val file by argument().path()
+
+    override fun help(context: Context): String = "Check a settings file; its secret must be readable here"
+
+    override fun run() = when (val read = readSettings(file)) {
+        is SettingsResult.Read -> echo("$file: no faults")
+        is SettingsResult.Faulty -> {
+            read.faults.forEach { echo("$file: $it", err = true) }
+            throw ProgramResult(ExitCode.WRONG_USE.number)
+        }
+    }
+}
--- a/cli/src/main/kotlin/org/lentilquay/cli/Main.kt
+++ b/cli/src/main/kotlin/org/lentilquay/cli/Main.kt
@@ -23,4 +23,5 @@
     AuditCommand(),
     ConfigurationCommand(),
     ExplainCommand(),
+    CheckCommand(),
 )
