Add the harness and first specs of whole sessions

Cause: the modules have unit tests only; nothing yet runs several daemons against the stand-ins with kills, pauses, cuts and outages.

--- /dev/null
+++ b/proofs/src/test/kotlin/org/lentilquay/proofs/PlacesTest.kt
@@ -0,0 +1,131 @@
+package org.lentilquay.proofs
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
+import io.kotest.matchers.shouldBe
+import org.lentilquay.standins.EngineControl
+import org.lentilquay.standins.ModelEngine
+import org.lentilquay.state.ConfigurationChange.SetDomainState
+import org.lentilquay.state.DomainId
+import org.lentilquay.state.DomainState
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
+
+/** Sends short and longer streams to all VMs of [vms] until it is closed. */
+private class Load(private val fleet: Fleet, private val vms: List<Vm>) : AutoCloseable {
+    val pending = ConcurrentLinkedQueue<Pending>()
+    private val isOver = AtomicBoolean()
+    private val number = AtomicInteger()
+    private val sender = thread(isDaemon = true) {
+        while (!isOver.get()) {
+            val next = number.getAndIncrement()
+            val ask = Ask(if (next % 2 == 0) "stove" else "lamp", "load $next", tokens = 5 + next % 40)
+            pending += fleet.caller.begin(vms[next % vms.size], ask)
+            Thread.sleep(25)
+        }
+    }
+
+    override fun close() {
+        isOver.set(true)
+        sender.join()
+    }
+}
+
+private val ModelEngine.accepted: Long get() = runs().counters["accepted"] ?: 0
+
+/** Guards against new work for servers that are cold, drained or leaving, and against requests lost in a planned stop. */
+class PlacesTest : FunSpec({
+    fun SessionRecord.finish(load: Load) {
+        load.close()
+        val answers = load.pending.map { it.ask to add(it.ask, it.await()) }
+        val wrong = answers.filter { (ask, answer) -> !answer.isRightFor(ask) }
+        withClue(wrong.groupingBy { it.second.toString() }.eachCount()) { wrong.size shouldBe 0 }
+        note("requests that were not answered right and whole: 0")
+    }
+
+    /** Waits until [engine] gets nothing for a second; the bound is that of a change being in force. */
+    fun settles(engine: ModelEngine) {
+        var last = engine.accepted
+        var since = System.nanoTime()
+        await("no new work for the engine", IN_FORCE_MILLIS + 1_000) {
+            if (engine.accepted != last) {
+                last = engine.accepted
+                since = System.nanoTime()
+            }
+            System.nanoTime() - since > 1_000_000_000
+        }
+    }
+
+    test("an engine falls into a cold start without warning") {
+        val engine = quickEngine.copy(coldMillis = 3_000, coldInFlight = 3)
+        session("cold-start", FleetOptions(engines = List(3) { engine })) { fleet ->
+            fleet.awaitServing("stove", "lamp")
+            val load = Load(fleet, fleet.vms)
+            repeat(4) { turn ->
+                Thread.sleep(1_500)
+                fleet.engines[turn % 3].control(EngineControl(restart = true))
+            }
+            Thread.sleep(3_500)
+            val most = fleet.engines.maxOf { it.runs().counters["in_flight_while_cold"] ?: 0 }
+            most shouldBeLessThanOrEqualTo 3
+            fleet.counted("fallen_over_cold") shouldBe 0
+            note("most requests in flight on a cold engine: at most the cold limit; fallen over: 0")
+            finish(load)
+        }
+    }
+
+    test("a failure domain is drained and returns, and a backend server leaves, under load") {
+        session("drain-and-leave") { fleet ->
+            fleet.awaitServing("stove", "lamp")
+            val load = Load(fleet, fleet.vms)
+            val (east, west) = fleet.engines
+            fleet.vms[1].apply(SetDomainState(DomainId("east"), DomainState.DRAINED))
+            settles(east)
+            note("new work in the drained domain after 4 s: 0")
+            fleet.vms[1].apply(SetDomainState(DomainId("east"), DomainState.SERVING))
+            val before = east.accepted
+            await("the domain gets work again", TAKEOVER_MILLIS) { east.accepted > before }
+            note("work in the returned domain: true")
+            west.control(EngineControl(leaving = true))
+            settles(west)
+            note("new work on the leaving server after 4 s: 0")
+            finish(load)
+        }
+    }
+
+    test("a VM is stopped in order while it streams") {
+        session("planned-stop", FleetOptions(vms = 3)) { fleet ->
+            fleet.awaitServing("stove", "lamp")
+            val load = Load(fleet, fleet.vms.drop(1))
+            val stopped = fleet.vms[0]
+            val streams = List(8) { fleet.caller.begin(stopped, Ask("stove", "stop $it", tokens = 400)) }
+            await("all streams run", 5_000) { streams.all { it.parts.get() > 0 } }
+            stopped.terminate()
+            await("the balancer is told", IN_FORCE_MILLIS) { !stopped.isReady }
+            withClue(streams.map { it.await().toString() }) { streams.count { it.await().isRightFor(it.ask) } shouldBe 8 }
+            note("streams of the stopping VM that were whole: 8 of 8")
+            stopped.hasExited(TAKEOVER_MILLIS) shouldBe true
+            note("the process has exited")
+            finish(load)
+        }
+    }
+
+    test("a request that crashes engines is sent again through another VM") {
+        val engine = quickEngine.copy(downMillis = 200)
+        session("crashing-request", FleetOptions(engines = List(4) { engine })) { fleet ->
+            fleet.awaitServing("stove")
+            val crash = Ask("stove", "[crash-engine] now", tokens = 20)
+            val answers = List(4) { fleet.caller.ask(fleet.vms[it % 2], crash) }
+            fleet.counted("crashes") shouldBeLessThanOrEqualTo 2
+            note("engines crashed by one request that was sent four times: at most 2")
+            note("last answer: ${answers.last()}")
+            await("other requests are served", TAKEOVER_MILLIS) {
+                val ask = Ask("stove", "after ${System.nanoTime()}")
+                add(ask, fleet.caller.ask(fleet.vms[0], ask)).isRightFor(ask)
+            }
+        }
+    }
+})
--- /dev/null
+++ b/proofs/src/test/kotlin/org/lentilquay/proofs/Vm.kt
@@ -0,0 +1,164 @@
+/*
+ * One VM of a test fleet: the daemon as a real process with its settings and log file, and the administration API.
+ */
+package org.lentilquay.proofs
+
+import kotlinx.serialization.json.Json
+import org.lentilquay.daemon.settings.ListenerSettings
+import org.lentilquay.daemon.settings.OperatorSettings
+import org.lentilquay.daemon.settings.PeerSettings
+import org.lentilquay.daemon.settings.PlatformSettings
+import org.lentilquay.daemon.settings.SecretReference
+import org.lentilquay.daemon.settings.SeedSettings
+import org.lentilquay.daemon.settings.Settings
+import org.lentilquay.daemon.settings.WeightStoreSettings
+import org.lentilquay.protocol.Confirmation
+import org.lentilquay.protocol.Plan
+import org.lentilquay.protocol.PlanRequest
+import org.lentilquay.protocol.StatusReport
+import org.lentilquay.state.ConfigurationChange
+import org.lentilquay.state.DomainId
+import org.lentilquay.state.VmId
+import java.io.File
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import java.nio.file.Path
+import java.time.Duration
+import kotlin.io.path.createDirectories
+import kotlin.io.path.writeText
+
+const val OPERATOR_TOKEN = "operator-of-the-proofs"
+private const val SECRET_VARIABLE = "LENTILQUAY_FLEET_SECRET"
+private const val FLEET_SECRET = "fleet-secret-of-the-proofs"
+private val json = Json { ignoreUnknownKeys = true }
+
+/** The answer of the administration API: status, and [value] or the [code] of the error. */
+class AdminAnswer<T>(val status: Int, val value: T?, val code: String?)
+
+class Vm(val name: String, val domain: String, private val platformPort: Int, private val directory: Path) {
+    private val ports = freePorts(3)
+    val callerPort = ports[0]
+    private val administration = "127.0.0.1:${ports[1]}"
+    private val peers = "127.0.0.1:${ports[2]}"
+    val relay = Relay(ports[2])
+    val logFile: File = directory.resolve("$name.log").toFile()
+    private val http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
+    private lateinit var process: Process
+
+    /** Starts the process. [others] are the VMs that it asks first. */
+    fun start(others: List<Vm>) {
+        val file = directory.createDirectories().resolve("$name.json")
+        file.writeText(Json.encodeToString(settings(others)))
+        process = ProcessBuilder(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-cp",
+            System.getProperty("java.class.path"),
+            "-Xmx192m",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "org.lentilquay.daemon.MainKt",
+            "--settings",
+            file.toString(),
+        ).redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(logFile))
+            .apply { environment()[SECRET_VARIABLE] = FLEET_SECRET }
+            .start()
+        Runtime.getRuntime().addShutdownHook(Thread(process::destroyForcibly))
+    }
+
+    /** Ends the process without notice, as a crash of the VM does. */
+    fun kill() {
+        process.destroyForcibly().waitFor()
+    }
+
+    fun pause() = signal("STOP")
+
+    fun resume() = signal("CONT")
+
+    fun terminate() = signal("TERM")
+
+    val isAlive: Boolean get() = process.isAlive
+
+    /** Whether the process has exited by itself within [millis]. */
+    fun hasExited(millis: Long): Boolean = process.waitFor(millis, java.util.concurrent.TimeUnit.MILLISECONDS)
+
+    val isReady: Boolean get() = runCatching { get("/ready").statusCode() == 200 }.getOrDefault(false)
+
+    fun status(): StatusReport = json.decodeFromString(get("/admin/v1/status").body())
+
+    fun metrics(): String = get("/metrics").body()
+
+    /** The revision in force, or null if the VM does not answer. */
+    fun revision(): Long? = runCatching { status().revision }.getOrNull()
+
+    fun plan(change: ConfigurationChange): AdminAnswer<Plan> =
+        post("/admin/v1/plans", Json.encodeToString(PlanRequest(change))) { json.decodeFromString(it) }
+
+    fun confirm(plan: Plan): AdminAnswer<Confirmation> =
+        post("/admin/v1/plans/confirm", Json.encodeToString(plan)) { json.decodeFromString(it) }
+
+    /** Plans and confirms [change]. A lost race against the fleet's own start is not expected. */
+    fun apply(change: ConfigurationChange): Confirmation {
+        val plan = plan(change)
+        val confirmation = confirm(checkNotNull(plan.value) { "$name: plan refused: ${plan.status} ${plan.code}" })
+        return checkNotNull(confirmation.value) { "$name: not confirmed: ${confirmation.status} ${confirmation.code}" }
+    }
+
+    fun close() {
+        if (::process.isInitialized) process.destroyForcibly()
+        relay.close()
+    }
+
+    fun listed() = org.lentilquay.protocol.ListedVm(
+        name,
+        relay.address,
+        domain,
+        org.lentilquay.protocol.ListedKind.VM,
+        org.lentilquay.protocol.ListedState.LIVE,
+    )
+
+    private fun signal(name: String) {
+        check(ProcessBuilder("kill", "-$name", process.pid().toString()).start().waitFor() == 0) { "kill -$name failed" }
+    }
+
+    private fun settings(others: List<Vm>) = Settings(
+        vm = VmId(name),
+        failureDomain = DomainId(domain),
+        callers = ListenerSettings("127.0.0.1:$callerPort"),
+        administration = ListenerSettings(administration),
+        peers = PeerSettings(peers, relay.address),
+        platform = PlatformSettings("127.0.0.1:$platformPort"),
+        fleetSecret = SecretReference(environment = SECRET_VARIABLE),
+        seeds = others.map { SeedSettings(VmId(it.name), it.relay.address, DomainId(it.domain)) },
+        operators = listOf(OperatorSettings("proofs", sha256(OPERATOR_TOKEN))),
+        weightStore = WeightStoreSettings("main", loadsPerSecond = 5.0),
+    )
+
+    private fun get(path: String): HttpResponse<String> = send(request(path).GET())
+
+    private fun <T> post(path: String, body: String, read: (String) -> T): AdminAnswer<T> {
+        val answer = send(request(path).POST(HttpRequest.BodyPublishers.ofString(body)))
+        val isDone = answer.statusCode() == 200
+        return AdminAnswer(
+            answer.statusCode(),
+            if (isDone) read(answer.body()) else null,
+            if (isDone) null else errorOf(answer.body())?.code,
+        )
+    }
+
+    private fun send(request: HttpRequest.Builder) =
+        http.send(request.timeout(Duration.ofSeconds(15)).build(), HttpResponse.BodyHandlers.ofString())
+
+    private fun request(path: String) = HttpRequest.newBuilder(URI("http://$administration$path"))
+        .header("Authorization", "Bearer $OPERATOR_TOKEN")
+        .header("Content-Type", "application/json")
+}
+
+/** Ports that are free now; they are held open together so that all differ. */
+private fun freePorts(count: Int): List<Int> {
+    val sockets = List(count) { ServerSocket(0, 1, InetAddress.getLoopbackAddress()) }
+    return sockets.map { it.localPort }.also { sockets.forEach(ServerSocket::close) }
+}
