--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/BodyReader.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/BodyReader.kt
@@ -23,7 +23,7 @@
 
     data object Chunked : BodyFraming
 
-    /** The body ends with the connection; a server that crashed in an orderly way cannot be told from one that ended. */
+    /** The body ends with the connection, so a body that was cut in an orderly way cannot be told from a whole one. */
     data object UntilClose : BodyFraming
 }
 
@@ -67,8 +67,8 @@
     private suspend fun fill(): Boolean {
         if (framing == BodyFraming.Chunked && remaining == 0L && !isEnded) startChunk()
         if (isEnded || (framing != BodyFraming.UntilClose && remaining == 0L)) return false
-        val most = if (framing == BodyFraming.UntilClose) buffer.size.toLong() else minOf(remaining, buffer.size.toLong())
-        val count = input.readAvailable(buffer, 0, most.toInt())
+        val most = if (framing == BodyFraming.UntilClose) Long.MAX_VALUE else remaining
+        val count = input.readAvailable(buffer, 0, minOf(most, buffer.size.toLong()).toInt())
         if (count < 0) {
             isEnded = true
             if (framing != BodyFraming.UntilClose) throw EOFException("connection ended before the body")
--- a/daemon/src/test/kotlin/org/lentilquay/transport/platform/PlatformClientTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/transport/platform/PlatformClientTest.kt
@@ -46,7 +46,7 @@
         Triple("server fault", answering(500, ""), unknown),
         Triple("answer lost after the write", ScriptedServer { _, _ -> }, unknown),
         Triple("no answer in time", ScriptedServer { _, _ -> Thread.sleep(2_000) }, unknown),
-        Triple("answer cut", ScriptedServer { _, it -> it.write("HTTP/1.1 200 OK\nContent-Length: 99\n\n{") }, unknown),
+        Triple("answer cut", ScriptedServer { _, to -> to.write("HTTP/1.1 200 OK\nContent-Length: 9\n\n{") }, unknown),
         Triple("unreadable answer", answering(200, "<html>"), unknown),
     ).forEach { (name, server, expected) ->
         test("transaction: $name") {
