--- /dev/null
+++ b/core/src/test/kotlin/org/lentilquay/coordination/quota/SeatPlanTest.kt
@@ -0,0 +1,116 @@
+package org.lentilquay.coordination.quota
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import kotlinx.serialization.json.Json
+import org.lentilquay.coordination.TableModel
+import org.lentilquay.protocol.TableOperation
+import org.lentilquay.state.Incarnation
+import org.lentilquay.state.SeatRecord
+import org.lentilquay.state.VmId
+import org.lentilquay.state.seatKey
+import kotlin.random.Random
+
+private fun vm(number: Int) = VmId("vm-$number")
+
+/** VMs that review the seats in turn, on stale readings and with lost answers and late writes. */
+private class Fleet(seed: Int) {
+    private val random = Random(seed)
+    private val table = TableModel(random)
+    private var nonces = 0
+    private val keepers = HashMap<VmId, SeatKeeper>()
+    private val incarnations = HashMap<VmId, Long>()
+    val live = LinkedHashSet<VmId>()
+    val gone = HashSet<VmId>()
+    var changes = 0
+    var doubleHolders = 0
+
+    fun held(vm: VmId) = keepers[vm]?.held.orEmpty()
+
+    fun join(vm: VmId) {
+        if (!live.add(vm)) return
+        gone.remove(vm)
+        val incarnation = Incarnation(incarnations.merge(vm, 1, Long::plus)!!)
+        keepers[vm] = SeatKeeper(SeatPlan(vm, incarnation) { "n${nonces++}" })
+    }
+
+    fun leave(vm: VmId) {
+        live.remove(vm)
+        gone.add(vm)
+        keepers.remove(vm)
+    }
+
+    fun settle(faultPercent: Int, rounds: Int = 30) {
+        table.faultPercent = faultPercent
+        repeat(rounds) {
+            live.shuffled(random).filter { random.nextBoolean() }.forEach { step(it) }
+            if (faultPercent > 0) table.deliverLate()
+        }
+    }
+
+    private fun step(vm: VmId) {
+        val keeper = keepers.getValue(vm)
+        keeper.observed(
+            (0 until 16).mapNotNull { seat ->
+                table.read(seatKey(seat))?.let { seat to SeatReading(Json.decodeFromString(it.value), it.version) }
+            }.toMap(),
+        )
+        for (action in keeper.review(live, gone)) {
+            changes++
+            keeper.written(action, table.transact(action.operations))
+        }
+        doubleHolders += keepers.values.flatMap { it.held }.groupingBy { it }.eachCount().count { it.value > 1 }
+    }
+}
+
+class SeatPlanTest : FunSpec({
+    // Guards against two holders of a seat, an uneven spread, and seats that change for ever.
+    test("seats spread evenly as VMs join, restart, leave and return") {
+        for (seed in 1..100) {
+            val fleet = Fleet(seed)
+            withClue("seed $seed") {
+                listOf(3, 8, 5, 20, 1).forEach { size ->
+                    fleet.live.toList().drop(size).forEach { fleet.leave(it) }
+                    (0 until size).forEach { fleet.join(vm(it)) }
+                    fleet.settle(faultPercent = 20)
+                    fleet.settle(faultPercent = 0)
+                    val counts = fleet.live.map { fleet.held(it).size }
+                    counts.sum() shouldBe 16
+                    counts.max() - counts.min() shouldBeLessThanOrEqual 1
+                    val before = fleet.changes
+                    fleet.settle(faultPercent = 0, rounds = 3)
+                    fleet.changes shouldBe before
+                }
+                fleet.doubleHolders shouldBe 0
+            }
+        }
+    }
+
+    // Guards against a second holder of a seat whose holder is only paused or cut off.
+    test("the seats of a paused holder stay, and are taken once it has left the list") {
+        val fleet = Fleet(1).apply { (0..1).forEach { join(vm(it)) } }
+        fleet.settle(0)
+        fleet.live.remove(vm(1))
+        fleet.settle(0)
+        fleet.held(vm(0)).size shouldBe 8
+        fleet.leave(vm(1))
+        fleet.settle(0)
+        fleet.held(vm(0)).size shouldBe 16
+    }
+
+    // Guards against a restarted process that counts the seats of its former process, which still has their tokens.
+    test("a seat belongs to one incarnation, and a stopping VM releases its own") {
+        val record = SeatRecord(vm(0), Incarnation(1), "n")
+        val readings = mapOf(3 to SeatReading(record, 5))
+        val restarted = SeatPlan(vm(0), Incarnation(2)) { "m" }
+        restarted.held(readings) shouldBe emptySet()
+        val taken = restarted.review(SeatView(readings, setOf(vm(0)), emptySet())).single { it.seat == 3 }
+        val value = Json.encodeToString(SeatRecord(vm(0), Incarnation(2), "m"))
+        taken.operations shouldBe listOf(TableOperation.Put("seats/3", value, 5))
+        val stopping = SeatPlan(vm(0), Incarnation(1)) { "m" }
+        val released = stopping.review(SeatView(readings, setOf(vm(1)), emptySet()))
+        released.map { it::class to it.seat } shouldBe listOf(SeatAction.Release::class to 3)
+    }
+})
