--- a/daemon/src/main/kotlin/org/lentilquay/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/Daemon.kt
@@ -104,6 +104,9 @@
                 FreshnessState.ISOLATED -> org.lentilquay.daemon.metrics.FreshnessState.ISOLATED
             },
         )
+        parts.metrics.memberStates(
+            parts.membership.members().mapNotNull(parts.membership::stateOf).groupingBy { it }.eachCount(),
+        )
         parts.metrics.requestsInProgress(parts.activeCalls.count)
         parts.metrics.ownedServers(parts.owned.all.size)
         parts.metrics.quotaSeats(parts.seats.held.size)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/control/OwnedServer.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/control/OwnedServer.kt
@@ -19,6 +19,7 @@
 import org.lentilquay.coordination.allocation.ReserveDecision
 import org.lentilquay.coordination.allocation.ServerAllocator
 import org.lentilquay.coordination.allocation.UnloadResult
+import org.lentilquay.daemon.metrics.ReservationOutcome
 import org.lentilquay.daemon.timer.TimerEvent
 import org.lentilquay.protocol.EngineErrorCodes
 import org.lentilquay.protocol.EngineState
@@ -82,7 +83,10 @@
     }
 
     /** Answers a reservation, waiting a moment for a place. */
-    suspend fun reserve(request: PeerRequest.Reserve, from: VmId): PeerAnswer {
+    suspend fun reserve(request: PeerRequest.Reserve, from: VmId): PeerAnswer =
+        place(request, from).also { context.metrics.reservation(outcomeOf(it)) }
+
+    private suspend fun place(request: PeerRequest.Reserve, from: VmId): PeerAnswer {
         val held = CompletableDeferred<PeerAnswer>()
         val immediate = control.decide {
             val decision = allocator.reserve(request, from, now)
@@ -169,6 +173,14 @@
         }
     }
 
+    private fun outcomeOf(answer: PeerAnswer): ReservationOutcome = when (answer) {
+        is PeerAnswer.Granted -> ReservationOutcome.GRANTED
+        is PeerAnswer.Queued -> ReservationOutcome.QUEUED
+        is PeerAnswer.Busy -> ReservationOutcome.BUSY
+        is PeerAnswer.NotOwner -> ReservationOutcome.NOT_OWNER
+        else -> ReservationOutcome.REFUSED
+    }
+
     private fun answer(requestId: String, answer: PeerAnswer) {
         waiting.remove(requestId)?.complete(answer)
     }
