--- a/bench/src/main/kotlin/org/lentilquay/bench/FleetCost.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/FleetCost.kt
@@ -1,7 +1,7 @@
 /*
  * Measures what an idle fleet costs each VM: bytes and messages between VMs, CPU time, memory, and calls to the
  * platform. Without requests all of it is control. Bytes and messages are those sent; as many are received. A new
- * fleet sends its first news in probes and compiles its code, so figures soon after the start are above the steady ones.
+ * fleet sends its first news in probes and compiles its code, so its figures are above the steady ones.
  */
 package org.lentilquay.bench
 
