--- a/bench/src/main/kotlin/org/lentilquay/bench/RunReport.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/RunReport.kt
@@ -206,7 +206,7 @@
     line("  their lentilquay_load_wait_seconds, mean ms", number(loads.stallMeanMillis))
     line("loads, least loads (Belady), ratio", "${loads.loads}, ${loads.leastLoads}, ${number(loads.ratio)}")
     line("engine counters", orders)
-    line("table, object and list reads, writes a second", "${number(tableReadsPerSecond)}, ${number(tableWritesPerSecond)}")
+    line("platform reads, writes a second", "${number(tableReadsPerSecond)}, ${number(tableWritesPerSecond)}")
     events.forEach { line("event: ${it.name}", "at ${number(it.seconds)} s") }
     drain?.let {
         line("drained domain: last new work after", "${number(it.lastNewWorkSeconds)} s on ${it.engines}")
