Let hand-overs settle, keep requests waiting, and estimate loads once

Ruled out: longer patience for all requests (hides the estimate); notifying the better-ranked member by a message (lost with the message).

Change: the preferred member reads the record every 300 ms while it is not the owner, and the former owner waits 3 s; interrupted requests wait up to 30 s; Ktor's hook is off; the estimate counts a load's own part; the spill bound is 1 s and a later rank has to save the cost of a load; rankings are kept until the ready members change.

--- a/core/src/main/kotlin/org/lentilquay/coordination/allocation/ServerAllocator.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/allocation/ServerAllocator.kt
@@ -181,7 +181,7 @@
     /** The order of [AllocatorEffect.Load] ended. */
     fun loadFinished(adapter: AdapterVersion, result: LoadResult, now: Long): List<AllocatorEffect> {
         val slot = slots[adapter]?.takeIf { it.state == SlotState.LOADING } ?: return finish(now)
-        val millis = loads.loadEnded(adapter, now)
+        loads.loadEnded(adapter, result == LoadResult.LOADED, parts.estimator, now)
         val isSameProcess = slot.orderedFor == health.incarnation
         // An adapter that is ordered inside the waiting time may still serve runs that an earlier owner granted.
         if (slot.changedAt < ownership.settledAt) slot.requireIdleReport(ownership.settledAt)
@@ -189,7 +189,6 @@
             LoadResult.LOADED -> {
                 slots.change(slot, if (isSameProcess) SlotState.LOADED else SlotState.UNCERTAIN, now)
                 parts.backoff.succeeded(adapter)
-                parts.estimator.observeLoad(millis)
             }
             LoadResult.FAILED -> {
                 slots.remove(adapter, now)
--- a/core/src/main/kotlin/org/lentilquay/coordination/allocation/internal/LoadPlanner.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/allocation/internal/LoadPlanner.kt
@@ -25,15 +25,21 @@
     private val emit: (AllocatorEffect) -> Unit,
 ) {
     /** A load that is sought, in advance or for waiting requests; [hasPermit] once the weight store permits it. */
-    private class Want(val adapter: AdapterVersion, val since: Long, var isAdvance: Boolean) {
+    private class Want(
+        val adapter: AdapterVersion,
+        val since: Long,
+        /** Loads of this server that were wanted before this one. */
+        val loadsAhead: Int,
+        var isAdvance: Boolean,
+    ) {
         var announced: Int = 0
         var hasPermit: Boolean = false
     }
 
     private val wants = LinkedHashMap<AdapterVersion, Want>()
 
-    /** Starts of the loads that are ordered, for the average load time. */
-    private val wantedSince = HashMap<AdapterVersion, Long>()
+    /** The wishes whose loads are ordered, for the average load time. */
+    private val ordered = HashMap<AdapterVersion, Want>()
     private var noSlotUntil = Long.MIN_VALUE
     private var nextAdvanceAt = Long.MIN_VALUE
 
@@ -73,7 +79,7 @@
         nextAdvanceAt = now + policy.advanceIntervalMillis
         val places = minOf(freeSlots() - wants.size, policy.maximumAdvanceLoads - wants.values.count { it.isAdvance })
         frequencies.mostFrequent(places, policy.advanceFrequency, now) { isLoadable(it, now) }.forEach { adapter ->
-            val want = Want(adapter, now, isAdvance = true)
+            val want = Want(adapter, now, wants.size, isAdvance = true)
             wants[adapter] = want
             announce(want, now)
         }
@@ -89,8 +95,11 @@
         wants.keys.toList().forEach(::stopWanting)
     }
 
-    /** Ends a load that was ordered; returns the time from the wish to the end. */
-    fun loadEnded(adapter: AdapterVersion, now: Long): Long = now - (wantedSince.remove(adapter) ?: now)
+    /** Ends a load that was ordered and adds the time from the wish to the end to [estimator]. */
+    fun loadEnded(adapter: AdapterVersion, isLoaded: Boolean, estimator: WaitEstimator, now: Long) {
+        val want = ordered.remove(adapter) ?: return
+        if (isLoaded) estimator.observeLoad(now - want.since, want.loadsAhead)
+    }
 
     /** Holds new loads back, because the server has fewer free slots than assumed. */
     fun noFreeSlot(now: Long) {
@@ -124,7 +133,7 @@
         for (want in wants.values.filter { it.hasPermit }.sortedBy { it.isAdvance }) {
             if (freeSlots() > 0) {
                 wants.remove(want.adapter)
-                wantedSince[want.adapter] = want.since
+                ordered[want.adapter] = want
                 slots.put(want.adapter, SlotState.LOADING, now).orderedFor = health.incarnation
                 emit(AllocatorEffect.Load(want.adapter))
             }
@@ -145,7 +154,7 @@
         if (ownership.mayEvict(now)) places += slots.all.count { isEvictable(it) || it.state == SlotState.UNLOADING }
         while (places > 0 && wants.size < policy.maximumWantedLoads) {
             val adapter = mostWanted(now) ?: return
-            val want = Want(adapter, now, isAdvance = false)
+            val want = Want(adapter, now, wants.size, isAdvance = false)
             wants[adapter] = want
             announce(want, now)
             places--
--- a/core/src/main/kotlin/org/lentilquay/coordination/allocation/internal/WaitEstimator.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/allocation/internal/WaitEstimator.kt
@@ -20,8 +20,12 @@
         tokens = if (tokens == 0.0) estimatedTokens.toDouble() else average(tokens, estimatedTokens.toDouble())
     }
 
-    fun observeLoad(millis: Long) {
-        load = average(load, millis.toDouble())
+    /**
+     * A load ended [millis] after its wish, behind [loadsAhead] others. Only its own part of that time counts: the
+     * estimate for a load adds the ones ahead again, and counting them twice refused requests that had time enough.
+     */
+    fun observeLoad(millis: Long, loadsAhead: Int) {
+        load = average(load, millis / behind(loadsAhead))
     }
 
     /** The wait behind [tokensAhead] queued tokens with [freePlaces] of [limit] places free. */
@@ -32,7 +36,9 @@
     }
 
     /** The wait for a load behind [loadsAhead] others. */
-    fun loadMillis(loadsAhead: Int): Long = (load * (1 + loadsAhead.toDouble() / PARALLEL_LOADS)).toLong()
+    fun loadMillis(loadsAhead: Int): Long = (load * behind(loadsAhead)).toLong()
+
+    private fun behind(loadsAhead: Int): Double = 1 + loadsAhead.toDouble() / PARALLEL_LOADS
 
     private fun average(old: Double, sample: Double): Double = old + policy.averageWeight * (sample - old)
 
--- a/core/src/main/kotlin/org/lentilquay/coordination/ownership/OwnershipDecider.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/ownership/OwnershipDecider.kt
@@ -26,6 +26,12 @@
 /** A better-ranked member must have been ready for this time before it is given the resource. */
 const val READY_BEFORE_HAND_OVER_MILLIS: Long = 5_000
 
+/**
+ * An owner that has handed a resource over takes it back only after this time: the better-ranked member reads the
+ * record every second. Without the wait the resource changed hands every two seconds and never left its waiting time.
+ */
+const val HAND_OVER_WAIT_MILLIS: Long = 3_000
+
 /** A write without an answer for this time is read back. */
 const val OWNERSHIP_WRITE_TIMEOUT_MILLIS: Long = 1_000
 
@@ -58,6 +64,9 @@
     private var underWay: UnderWay? = null
     private var holderState = OwnerState.ALIVE
     private var vacantSince: Long? = null
+
+    /** After a hand-over, the time from which this VM may take the resource back. */
+    private var takeFrom = Long.MIN_VALUE
     private var since = 0L
     private var isInDoubt = false
 
@@ -225,7 +234,8 @@
     private fun decideAsOwner(view: CandidateView, now: Long): OwnershipDecision = when {
         isInDoubt -> begin(Purpose.VERIFY, record!!, now).let { OwnershipDecision.Verify(it.nonce, operations(it)) }
         journal.isBusy && journal.phase != OrderJournal.Phase.UNCERTAIN -> OwnershipDecision.Nothing
-        view.isStopping || (isBetterReady(view) && handOvers.tryStart(now)) -> release(mineWith(null), now)
+        view.isStopping -> release(mineWith(null), now)
+        isBetterReady(view) && handOvers.tryStart(now) -> release(mineWith(null), now, HAND_OVER_WAIT_MILLIS)
         needsClear && needsLeaseWait && !journal.isBusy ->
             begin(Purpose.CLEAR, mineWith(null), now).let { OwnershipDecision.Clear(it.nonce, operations(it)) }
         else -> OwnershipDecision.Nothing
@@ -236,11 +246,12 @@
         return first != null && first != own && view.firstReadyMillis >= READY_BEFORE_HAND_OVER_MILLIS
     }
 
-    private fun release(next: OwnershipRecord, now: Long): OwnershipDecision {
+    private fun release(next: OwnershipRecord, now: Long, graceMillis: Long = 0): OwnershipDecision {
         // A release whose answer is lost can take effect late, so this fence ends before the release is sent.
         val write = begin(Purpose.RELEASE, next.copy(vm = null), now)
         endedFence = maxOf(endedFence, write.record.fence)
         vacantSince = now
+        takeFrom = now + graceMillis
         return OwnershipDecision.Release(write.nonce, operations(write))
     }
 
@@ -260,7 +271,8 @@
 
     private fun takeInTurn(current: OwnershipRecord?, index: Int, now: Long): OwnershipDecision {
         val holder = current?.vm
-        val start = (vacantSince ?: now.also { vacantSince = it }) + index * TAKE_STAGGER_MILLIS
+        val vacant = vacantSince ?: now.also { vacantSince = it }
+        val start = maxOf(vacant + index * TAKE_STAGGER_MILLIS, takeFrom)
         if (now < start) return OwnershipDecision.WaitUntil(start)
         if (holder == null || holder == own || !needsLeaseWait) return take(current, null, now)
         val (seen, from) = session.proof(holder) ?: return OwnershipDecision.ReadSession(holder)
--- a/core/src/test/kotlin/org/lentilquay/coordination/ownership/OwnershipDeciderTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/ownership/OwnershipDeciderTest.kt
@@ -112,13 +112,19 @@
         decider.ownership shouldBe null
     }
 
-    // Guards against hand-overs that follow each other too fast, or go to a member that has just started.
+    // Guards against hand-overs that follow each other too fast, go to a member that has just started, or come back
+    // before the better-ranked member can have read the record.
     test("hand-over to a better-ranked member") {
         val decider = takenOver(needsLeaseWait = false)
         val better = CandidateView(listOf(peer, own), 4_999)
         decider.decide(better, 6_000) shouldBe OwnershipDecision.Nothing
-        decider.decide(better.copy(firstReadyMillis = 5_000), 6_000).shouldBeInstanceOf<OwnershipDecision.Release>()
+        val ready = better.copy(firstReadyMillis = 5_000)
+        val release = decider.decide(ready, 6_000) as OwnershipDecision.Release
         decider.ownership shouldBe null
+        decider.ownerState(OwnerState.ALIVE, 6_050)
+        decider.written(release.nonce, WriteResult.COMMITTED, 6_100)
+        listOf(6_200L, 8_999L).forEach { decider.decide(ready, it) shouldBe OwnershipDecision.WaitUntil(9_000) }
+        decider.decide(ready, 9_000).shouldBeInstanceOf<OwnershipDecision.Take>()
         val limiter = HandOverLimiter()
         listOf(0L, 1_999L, 2_000L).map { limiter.tryStart(it) } shouldBe listOf(true, false, true)
     }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/Main.kt
@@ -35,6 +35,8 @@
     private fun serve(read: SettingsResult.Read) {
         useLogFormat(read.settings.log.format)
         val daemon = Daemon(read.settings, read.fleetSecret)
+        // Ktor's own hook would close the listeners while this VM still serves requests.
+        System.setProperty("io.ktor.server.engine.ShutdownHook", "false")
         Runtime.getRuntime().addShutdownHook(Thread { runBlocking { daemon.stop() } })
         runBlocking { daemon.start() }
         Thread.currentThread().join()
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/control/FleetPlacement.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/control/FleetPlacement.kt
@@ -34,8 +34,8 @@
     private sealed interface Round {
         data class Found(val place: Place) : Round
 
-        /** The least expected wait was [waitMillis], at [server]. */
-        data class Busy(val server: BackendServer, val waitMillis: Long) : Round
+        /** The least [cost] was at [server], where the expected wait is [waitMillis]. */
+        data class Busy(val server: BackendServer, val waitMillis: Long, val cost: Long) : Round
 
         data class Refused(val failure: Failure) : Round
 
@@ -89,13 +89,16 @@
     private suspend fun askInOrder(request: PlaceRequest, candidates: List<BackendServer>, deadline: Long): Round {
         var leastBusy: Round.Busy? = null
         var refusal: Failure? = null
-        for (server in candidates) {
+        candidates.forEachIndexed { rank, server ->
             when (val answer = poll(request, server, deadline, SPILL_MILLIS)) {
                 is Polled.Granted -> return Round.Found(answer.place)
-                is Polled.Busy ->
-                    if (answer.waitMillis < (leastBusy?.waitMillis ?: Long.MAX_VALUE)) {
-                        leastBusy = Round.Busy(server, answer.waitMillis)
+                is Polled.Busy -> {
+                    // A later rank has to save more than the load that it adds to the fleet.
+                    val cost = answer.waitMillis + rank * LOAD_COST_MILLIS
+                    if (cost < (leastBusy?.cost ?: Long.MAX_VALUE)) {
+                        leastBusy = Round.Busy(server, answer.waitMillis, cost)
                     }
+                }
                 is Polled.Refused -> refusal = refusal ?: answer.failure
                 Polled.NoOwner -> Unit
             }
@@ -110,7 +113,8 @@
         return when (val answer = poll(request, busy.server, deadline, remaining)) {
             is Polled.Granted -> Outcome.Success(answer.place)
             is Polled.Refused -> Outcome.Failed(answer.failure)
-            is Polled.Busy -> overloaded(answer.waitMillis)
+            // The owner may be busy for a moment only, for example while another suspect request runs.
+            is Polled.Busy -> if (now() < deadline) null else overloaded(answer.waitMillis)
             Polled.NoOwner -> null
         }
     }
@@ -195,8 +199,14 @@
 /** Servers that are tried for one request; further ranks would only spread an adapter over more slots. */
 private const val MAXIMUM_RANK = 3
 
-/** Expected wait, in milliseconds, above which the next server in rank is asked; about the cost of one load. */
-private const val SPILL_MILLIS = 300L
+/**
+ * Expected wait, in milliseconds, above which the next server in rank is asked. It is over the usual time of one load:
+ * a lower bound sends the first request for each idle adapter to a server that is not its home.
+ */
+private const val SPILL_MILLIS = 1_000L
+
+/** What a load at a later rank costs the fleet, in milliseconds: a slot and a permit of the weight store. */
+private const val LOAD_COST_MILLIS = 1_000L
 
 /** Pause, in milliseconds, before the ranked servers are asked again when no owner answered. */
 private const val RETRY_MILLIS = 100L
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/control/OwnershipLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/control/OwnershipLoop.kt
@@ -51,17 +51,27 @@
     private val handOvers = HandOverLimiter()
     private val resources = HashMap<String, Resource>()
 
+    /** Rankings by resource for [rankedMembers]; ranking all servers anew at each tick would take a third of a core. */
+    private val rankings = HashMap<String, List<VmId>>()
+    private var rankedMembers: Set<VmId> = emptySet()
+
     /** Set for a planned stop: everything is released and nothing is taken. */
     @Volatile
     var isStopping: Boolean = false
 
     /** Starts the steps that are due. Call on the control thread, several times a second. */
     fun tick() {
-        val ready = members.readyMembers().filterKeys { membership.domainOf(it) !in drained() }
+        val closed = drained()
+        val ready = members.readyMembers().filterKeys { membership.domainOf(it) !in closed }
+        if (ready.keys != rankedMembers) {
+            rankedMembers = ready.keys.toSet()
+            rankings.clear()
+        }
         fleet.all.forEach { tick(it.id.text, !it.checksFencing, ready) }
         tick(weightStore.resource, needsLeaseWait = false, ready)
         val configured = fleet.all.mapTo(HashSet()) { it.id }
         owned.all.filter { it.server.id !in configured }.forEach { owned.remove(it.server.id) }
+        rankings.keys.removeIf { it != weightStore.resource && ServerId(it) !in configured }
     }
 
     /** Ownership must be verified, after a pause or a lapsed lease. Call on the control thread. */
@@ -109,15 +119,19 @@
     }
 
     private fun tick(name: String, needsLeaseWait: Boolean, ready: Map<VmId, Long>) {
-        val ranked = rendezvousRanking(name, ready.keys) { it.text }
+        val ranked = rankings.getOrPut(name) { rendezvousRanking(name, ready.keys) { it.text } }
         val isCandidate = ranked.indexOf(own) in 0 until CANDIDATES
         val resource = resources[name] ?: if (isCandidate) newResource(name, needsLeaseWait) else return
         observeOwner(resource)
         val view = CandidateView(ranked, ranked.firstOrNull()?.let { ready[it] } ?: 0, isStopping)
+        // The preferred member learns from the record that the present owner has handed the resource over.
+        val isPreferred = ranked.firstOrNull() == own && resource.decider.ownership == null
+        val mustRead = isPreferred && context.now - resource.lastReadAt >= PREFERRED_READ_MILLIS
         if (!resource.isBusy) {
             resource.isBusy = true
             scope.launch {
                 try {
+                    if (mustRead) resource.read()
                     resource.step(view) { becameOwner(resource) }
                 } finally {
                     resource.isBusy = false
@@ -219,5 +233,11 @@
 /** Members that watch a resource: its preferred owner and those that would follow. */
 private const val CANDIDATES = 3
 
+/**
+ * Interval, in milliseconds, at which the preferred member reads the record while another member is the owner. Requests
+ * wait for a new owner during a hand-over, so it is short; it applies only until the preferred member is the owner.
+ */
+private const val PREFERRED_READ_MILLIS = 300L
+
 /** Interval, in milliseconds, at which members are asked for their runs until all have answered. */
 private const val ACTIVE_RUNS_MILLIS = 500L
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/control/Resource.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/control/Resource.kt
@@ -32,6 +32,11 @@
 ) {
     private val orders = Mutex()
 
+    /** When the record was read last, in monotonic milliseconds. */
+    @Volatile
+    var lastReadAt: Long = 0
+        private set
+
     /** Whether [step] is running; steps of one resource never overlap. */
     @Volatile
     var isBusy: Boolean = false
@@ -51,6 +56,7 @@
 
     /** Reads the record; the effect tells how a write without an answer ended. */
     suspend fun read(): WriteEffect {
+        lastReadAt = now()
         val read = platform.record<OwnershipRecord>(ownerKey(name)) ?: return WriteEffect.NONE
         return control.decide { decider.observe(read.value, read.version, now()) }
     }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/requests/InferenceRun.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/requests/InferenceRun.kt
@@ -290,7 +290,7 @@
         team = admitted.team,
         estimatedTokens = admitted.request.estimatedTokens(admitted.route.defaultMaximumTokens),
         priority = admitted.request.priority(admitted.route.defaultMaximumTokens),
-        waitMillis = admitted.route.patienceMillis,
+        waitMillis = if (mayHaveRun) CONTINUATION_PATIENCE_MILLIS else admitted.route.patienceMillis,
         fingerprint = admitted.fingerprint,
         isSuspect = isSuspect,
         prefixHash = admitted.request.prefixHash(),
@@ -298,5 +298,11 @@
     )
 }
 
+/**
+ * How long, in milliseconds, a request that was interrupted waits for the next place. It is longer than a route's
+ * patience: the caller already has a part of the answer, and suspect requests run one at a time on each server.
+ */
+private const val CONTINUATION_PATIENCE_MILLIS = 30_000L
+
 /** Attempts for one request, over all servers. */
 private const val MAXIMUM_ATTEMPTS = 4
