Measure the wait for loads alone and drop what nothing uses

Cause: the load-wait metric held the time of the whole request; the prefix hash was computed and never read.

Change: the run adds up the time of the reservations that waited for a load; prefixHash and noOwnerFailure are gone.

Conclusion: lentilquay_load_wait_seconds now means what its name says.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/control/OwnedServer.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/control/OwnedServer.kt
@@ -30,8 +30,6 @@
 import org.lentilquay.protocol.UnloadAdapterOrder
 import org.lentilquay.state.AdapterVersion
 import org.lentilquay.state.BackendServer
-import org.lentilquay.state.ErrorKind
-import org.lentilquay.state.Failure
 import org.lentilquay.state.OrderKind
 import org.lentilquay.state.ServerKind
 import org.lentilquay.state.VmId
@@ -283,10 +281,6 @@
     }
 }
 
-/** The failure for a server of which no owner is known. */
-fun noOwnerFailure(server: BackendServer): Failure =
-    Failure(ErrorKind.NO_CAPACITY, "backend server ${server.id} has no owner at the moment")
-
 /** Interval, in milliseconds, at which the allocator does what is due. */
 private const val TICK_MILLIS = 50L
 
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/requests/CountedRequests.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/requests/CountedRequests.kt
@@ -12,10 +12,10 @@
 class CountedRequests(private val metrics: Metrics) : RequestMetrics {
     override fun firstToken(millis: Long) = metrics.firstToken(millis)
 
-    override fun finished(tokens: Long, retries: Int, waitedForLoad: Boolean, millis: Long) {
+    override fun finished(tokens: Long, retries: Int, loadWaitMillis: Long?, millis: Long) {
         metrics.tokens(TokenKind.GENERATED, tokens)
         repeat(retries) { metrics.retried(RetryReason.CONNECTION_LOST) }
-        if (waitedForLoad) metrics.waitedForLoad(millis)
+        loadWaitMillis?.let(metrics::waitedForLoad)
         metrics.requestEnded(RouteKind.ADAPTER, null, millis)
     }
 
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/requests/InferenceHandler.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/requests/InferenceHandler.kt
@@ -144,7 +144,7 @@
                 is RunEvent.Failed -> refuse(received, last.failure)
                 else -> {
                     val millis = parts.now() - startedAt
-                    metrics.finished(run.usage.completionTokens, run.retries, run.waitedForLoad, millis)
+                    metrics.finished(run.usage.completionTokens, run.retries, run.loadWaitMillis, millis)
                 }
             }
         } finally {
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/requests/InferenceRequest.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/requests/InferenceRequest.kt
@@ -69,9 +69,6 @@
         }
         return digest.digest().toHex()
     }
-
-    /** Hash of the start of the prompt; requests with equal starts share cached prefixes. */
-    fun prefixHash(): Long = promptText.take(PREFIX_CHARACTERS).hashCode().toLong()
 }
 
 /** Reads [body]; every fault that is found is named in the failure. */
@@ -159,8 +156,5 @@
 /** Requests up to this many estimated tokens count as short. */
 private const val SHORT_REQUEST_TOKENS = 512L
 
-/** Characters at the start of a prompt that decide which replica is preferred. */
-private const val PREFIX_CHARACTERS = 256
-
 private val REPLACED_FIELDS =
     setOf("model", "stream", "stream_options", "max_tokens", "max_completion_tokens", "priority", "continuation")
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/requests/InferenceRun.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/requests/InferenceRun.kt
@@ -77,8 +77,8 @@
     var usage: Usage = Usage()
         private set
 
-    /** Whether any attempt waited for its adapter to be loaded. */
-    var waitedForLoad: Boolean = false
+    /** Time for which attempts waited for their adapter to be loaded, in milliseconds; null if none did. */
+    var loadWaitMillis: Long? = null
         private set
 
     /** Whether a backend server may have received the request. */
@@ -126,11 +126,12 @@
     private suspend fun openNext(): Outcome<Attempt> {
         var last = Failure(ErrorKind.BACKEND_FAILED, "no backend server completed the request")
         while (attempts < MAXIMUM_ATTEMPTS) {
+            val askedAt = parts.now()
             val place = when (val reserved = parts.placement.reserve(placeRequest(attempts++))) {
                 is Outcome.Failed -> return reserved
                 is Outcome.Success -> reserved.value
             }
-            waitedForLoad = waitedForLoad || place.waitedForLoad
+            if (place.waitedForLoad) loadWaitMillis = (loadWaitMillis ?: 0) + parts.now() - askedAt
             when (val opened = open(place)) {
                 is Outcome.Success -> return opened
                 is Outcome.Failed -> last = opened.failure
@@ -293,7 +294,6 @@
         waitMillis = if (mayHaveRun) CONTINUATION_PATIENCE_MILLIS else admitted.route.patienceMillis,
         fingerprint = admitted.fingerprint,
         isSuspect = isSuspect,
-        prefixHash = admitted.request.prefixHash(),
         excluded = excluded.toSet(),
     )
 }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/requests/Placement.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/requests/Placement.kt
@@ -33,7 +33,6 @@
     val waitMillis: Long,
     val fingerprint: String,
     val isSuspect: Boolean,
-    val prefixHash: Long,
     /** Servers that failed this request before. */
     val excluded: Set<ServerId>,
 )
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/requests/RequestMetrics.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/requests/RequestMetrics.kt
@@ -10,8 +10,11 @@
     /** The first part of an answer came [millis] after the request. */
     fun firstToken(millis: Long)
 
-    /** An inference request was answered whole, [millis] after it came; [tokens] were relayed. */
-    fun finished(tokens: Long, retries: Int, waitedForLoad: Boolean, millis: Long)
+    /**
+     * An inference request was answered whole, [millis] after it came; [tokens] were relayed. [loadWaitMillis] is the
+     * time for which it waited for a load, or null.
+     */
+    fun finished(tokens: Long, retries: Int, loadWaitMillis: Long?, millis: Long)
 
     /** A call to a plain service was answered [millis] after it came. */
     fun serviceAnswered(millis: Long)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/requests/ServiceHandler.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/requests/ServiceHandler.kt
@@ -117,7 +117,6 @@
         waitMillis = admitted.access.route.patienceMillis,
         fingerprint = admitted.fingerprint,
         isSuspect = false,
-        prefixHash = 0,
         excluded = excluded,
     )
 }
