--- a/daemon/src/main/kotlin/org/lentilquay/daemon/control/OwnershipLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/control/OwnershipLoop.kt
@@ -179,7 +179,7 @@
 
     private fun becameOwner(resource: Resource) {
         val ownership = resource.decider.ownership ?: return
-        if (resource.name == weightStore.resource) return weightStore.acquired(context.now)
+        if (resource.name == weightStore.resource) return weightStore.acquired(ownership.fence, context.now)
         val server = fleet.server(ServerId(resource.name)) ?: return
         val running = owned[server.id]
         if (running != null && running.fence == ownership.fence) {
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/control/WeightStore.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/control/WeightStore.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.delay
 import org.lentilquay.coordination.loads.FallbackPermits
 import org.lentilquay.coordination.loads.LOAD_POLL_MILLIS
+import org.lentilquay.coordination.loads.LOAD_TAKEOVER_WAIT_MILLIS
 import org.lentilquay.coordination.loads.LoadPermitAnswer
 import org.lentilquay.coordination.loads.LoadPermits
 import org.lentilquay.daemon.settings.WeightStoreSettings
@@ -24,8 +25,10 @@
     val resource: String = "weight-store/${settings.name}"
     private var permits: LoadPermits? = null
 
-    fun acquired(since: Long) {
-        if (permits == null) permits = LoadPermits(wholeRate(settings), settings.parallelLoads, since)
+    /** This VM became the owner with [fence]; the first owner ever has no predecessor whose loads it must wait for. */
+    fun acquired(fence: Long, since: Long) {
+        val ownedSince = if (fence == FIRST_FENCE) since - LOAD_TAKEOVER_WAIT_MILLIS else since
+        if (permits == null) permits = LoadPermits(wholeRate(settings), settings.parallelLoads, ownedSince)
     }
 
     fun lost() {
@@ -55,6 +58,7 @@
     private val loadIds = ConcurrentHashMap<Pair<ServerId, AdapterVersion>, String>()
     private val fallback = FallbackPermits(wholeRate(settings))
     private var isFallback = false
+    private var hasMetOwner = false
 
     override suspend fun acquire(server: ServerId, adapter: AdapterVersion, waitingRequests: Int) {
         val loadId = loadIds.computeIfAbsent(server to adapter) { "$server/$adapter/${numbers.incrementAndGet()}" }
@@ -62,7 +66,10 @@
         while (true) {
             val answer = owners.ask(ServerId(owner.resource), request)
             val permit = if (answer is PeerAnswer.Permit) {
-                control.decide { isFallback = false }
+                control.decide {
+                    isFallback = false
+                    hasMetOwner = true
+                }
                 LoadPermitAnswer(answer.granted, answer.retryAfterMillis)
             } else {
                 control.decide { requestFallback(loadId) }
@@ -79,7 +86,7 @@
     }
 
     private fun requestFallback(loadId: String): LoadPermitAnswer {
-        if (!isFallback) fallback.begin(now())
+        if (!isFallback && hasMetOwner) fallback.begin(now())
         isFallback = true
         return fallback.request(loadId, memberCount(), now())
     }
@@ -89,3 +96,4 @@
 private fun wholeRate(settings: WeightStoreSettings): Int = settings.loadsPerSecond.toInt().coerceAtLeast(1)
 
 private const val MINIMUM_PAUSE_MILLIS = 10L
+private const val FIRST_FENCE = 1L
