Go on for a moment when a peer reaches the table again

A VM without the table must stop as soon as a peer reaches it, because a change can then be accepted; so every VM but the first refused keyed requests and cut keyed streams at the end of each outage, for up to one poll interval.

Ruled out: the stopped VM (a VM that loses its majority also stops, but that transition is CURRENT to ISOLATED and was not in the trace), load.

Change: such a VM goes on for 1 s while no peer names a later revision, and checks the head at once.

Conclusion: the return of the table no longer refuses or cuts anything that the outage itself did not.

--- a/core/src/main/kotlin/org/lentilquay/coordination/configuration/Freshness.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/configuration/Freshness.kt
@@ -9,6 +9,12 @@
 /** How long one confirmation of the head counts. */
 const val FRESHNESS_BOUND_MILLIS: Long = 3_000
 
+/**
+ * How long a VM goes on after the first peer reaches the table again, so that it can confirm the head itself. Without
+ * this time every VM but the first refused keyed requests and cut keyed streams at the end of each outage.
+ */
+const val RECOVERY_MILLIS: Long = 1_000
+
 /** Whether this VM may serve keyed requests. */
 enum class FreshnessState {
     /** The configuration was confirmed within the bound. */
@@ -51,6 +57,7 @@
     private val byPeer = ArrayDeque<Confirmation>()
     private var tableAnsweredAt: Long? = null
     private var tableFailedAt: Long? = null
+    private var outageSeenAt: Long? = null
 
     /** The table answered a question about the head that was sent at [sentAt]. */
     fun tableConfirmed(head: Long, sentAt: Long) {
@@ -83,11 +90,16 @@
         else -> FreshnessState.ISOLATED
     }
 
-    private fun mayContinueWithoutTable(now: Long, revision: Long, reachability: Reachability): Boolean =
-        reachability.isStrictMajority &&
-            !reachability.tableReachableByPeer &&
-            !isTableReachable(now) &&
-            revision >= reachability.highestRevision
+    private fun mayContinueWithoutTable(now: Long, revision: Long, reachability: Reachability): Boolean {
+        val isPossible = reachability.isStrictMajority && revision >= reachability.highestRevision
+        if (!isPossible || isTableReachable(now)) return false
+        if (!reachability.tableReachableByPeer) outageSeenAt = now
+        return outageSeenAt.let { it != null && now - it <= RECOVERY_MILLIS }
+    }
+
+    /** Whether this VM lives on [RECOVERY_MILLIS] and should confirm the head at once. */
+    fun isRecovering(now: Long, revision: Long, reachability: Reachability): Boolean =
+        reachability.tableReachableByPeer && mayContinueWithoutTable(now, revision, reachability)
 
     /** A confirmation counts once its head is in force here, for the time since its question was sent. */
     private fun isCovered(confirmations: ArrayDeque<Confirmation>, now: Long, revision: Long): Boolean =
--- a/core/src/test/kotlin/org/lentilquay/coordination/configuration/FreshnessTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/configuration/FreshnessTest.kt
@@ -27,6 +27,16 @@
         }
     }
 
+    test("when a peer reaches the table again, an outage goes on for a moment unless a later revision shows") {
+        val freshness = Freshness().apply { tableConfirmed(5, 1_000) }
+        val recovering = majority.copy(tableReachableByPeer = true)
+        freshness.state(8_000, 5, majority) shouldBe FreshnessState.OUTAGE
+        freshness.state(8_100, 5, recovering.copy(highestRevision = 6)) shouldBe FreshnessState.ISOLATED
+        freshness.isRecovering(8_100, 5, recovering) shouldBe true
+        freshness.state(8_000 + RECOVERY_MILLIS, 5, recovering) shouldBe FreshnessState.OUTAGE
+        freshness.state(8_001 + RECOVERY_MILLIS, 5, recovering) shouldBe FreshnessState.ISOLATED
+    }
+
     test("a confirmed head counts only once it is in force here") {
         val freshness = Freshness().apply { tableConfirmed(5, 1_000) }
         freshness.tableConfirmed(6, 3_000)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/DaemonParts.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/DaemonParts.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.launch
 import org.lentilquay.coordination.configuration.ConfigurationStore
 import org.lentilquay.coordination.configuration.FleetSecret
 import org.lentilquay.coordination.configuration.Freshness
@@ -170,7 +171,15 @@
         applied = applied,
         now = timer::now,
     )
-    val watch = FreshnessWatch(store, freshness, membership, activeCalls, { configuration.isLoaded }, timer::now)
+    val watch = FreshnessWatch(
+        store = store,
+        freshness = freshness,
+        membership = membership,
+        activeCalls = activeCalls,
+        isLoaded = { configuration.isLoaded },
+        confirmHead = { scope.launch { configuration.pollHead() } },
+        now = timer::now,
+    )
 
     // Quota, crashes, requests.
     private val quota = FleetQuota(buckets, calls, control, scope, timing.tokenTransferMillis, timer::now)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/control/FreshnessWatch.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/control/FreshnessWatch.kt
@@ -23,6 +23,8 @@
     private val membership: Membership,
     private val activeCalls: ActiveCalls,
     private val isLoaded: () -> Boolean,
+    /** Compares the head with the table out of turn. */
+    private val confirmHead: () -> Unit,
     private val now: () -> Long,
 ) {
     /** The last verdict; callable from any thread. */
@@ -30,9 +32,17 @@
     var state: FreshnessState = FreshnessState.ISOLATED
         private set
 
+    private var confirmedAt = 0L
+
     /** Judges again. Call on the control thread. */
     fun judge() {
-        val next = freshness.state(now(), store.revision, membership.reachability(now()), isLoaded())
+        val reachability = membership.reachability(now())
+        val next = freshness.state(now(), store.revision, reachability, isLoaded())
+        val isDue = now() - confirmedAt >= CONFIRM_MILLIS
+        if (next == FreshnessState.OUTAGE && isDue && freshness.isRecovering(now(), store.revision, reachability)) {
+            confirmedAt = now()
+            confirmHead()
+        }
         if (next == state) return
         log.change("freshness of the configuration changed", "from" to state, "to" to next)
         state = next
@@ -56,3 +66,6 @@
         ready = isReady,
     )
 }
+
+/** Least interval, in milliseconds, between two comparisons out of turn. */
+private const val CONFIRM_MILLIS = 300L
