Name the listener that cannot be opened, and take test ports that stay free

Cause: a VM of a session died with a stack trace of a BindException, because the port that the test had found free was taken by an outgoing connection before the daemon started.

Change: the sessions take their ports below the range of outgoing connections; the daemon says which listener cannot be opened and exits with 1, and plans no stop for a start that did not succeed.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/Main.kt
@@ -15,6 +15,7 @@
 import org.lentilquay.daemon.logs.useLogFormat
 import org.lentilquay.daemon.settings.SettingsResult
 import org.lentilquay.daemon.settings.readSettings
+import java.net.BindException
 
 fun main(arguments: Array<String>) = DaemonCommand().main(arguments)
 
@@ -37,8 +38,13 @@
         val daemon = Daemon(read.settings, read.fleetSecret)
         // Ktor's own hook would close the listeners while this VM still serves requests.
         System.setProperty("io.ktor.server.engine.ShutdownHook", "false")
+        try {
+            runBlocking { daemon.start() }
+        } catch (fault: BindException) {
+            echo("lentilquayd: ${fault.message}", err = true)
+            throw ProgramResult(1)
+        }
         Runtime.getRuntime().addShutdownHook(Thread { runBlocking { daemon.stop() } })
-        runBlocking { daemon.start() }
         Thread.currentThread().join()
     }
 }
--- a/proofs/src/test/kotlin/org/lentilquay/proofs/Vm.kt
+++ b/proofs/src/test/kotlin/org/lentilquay/proofs/Vm.kt
@@ -28,6 +28,7 @@
 import java.net.http.HttpResponse
 import java.nio.file.Path
 import java.time.Duration
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.io.path.createDirectories
 import kotlin.io.path.writeText
 
@@ -154,8 +155,20 @@
         .header("Content-Type", "application/json")
 }
 
-/** Ports that are free now; they are held open together so that all differ. */
-private fun freePorts(count: Int): List<Int> {
-    val sockets = List(count) { ServerSocket(0, 1, InetAddress.getLoopbackAddress()) }
-    return sockets.map { it.localPort }.also { sockets.forEach(ServerSocket::close) }
-}
+/**
+ * Ports that are free now, below the range from which systems take the ports of outgoing connections: between the check
+ * and the start of the daemon, another connection took a port of that range.
+ */
+private fun freePorts(count: Int): List<Int> =
+    generateSequence(nextPort::getAndIncrement).filter(::isFree).take(count).toList()
+
+private fun isFree(port: Int): Boolean =
+    runCatching { ServerSocket(port, 1, InetAddress.getLoopbackAddress()).close() }.isSuccess
+
+private const val FIRST_PORT = 12_000
+private const val PORT_BLOCKS = 60
+private const val PORTS_IN_BLOCK = 300
+
+/** Test runs on one machine begin at different ports. */
+private val ownBlock = (ProcessHandle.current().pid() % PORT_BLOCKS).toInt()
+private val nextPort = AtomicInteger(FIRST_PORT + ownBlock * PORTS_IN_BLOCK)
