Renew the session and check the head in one transaction

Cause: every VM renewed its session each second and checked the head of the configuration every 2 s in a transaction of its own: 555 writes a second at 370 VMs, more than the several hundred of the table service.

Ruled out: both together every 2 s with the lease of 3 s. A lost renewal is known to be lost only when the lease is over, so that one lost answer, or answers slower than 0.8 s, would end the lease of a live owner.

Change: one transaction renews the session and checks the head, every second on owners of servers that ignore fencing numbers and every 2 s on other VMs, whose lease nobody uses. After a conflict both are sent apart. A read-back that finds the nonce proves the lease and the head. The head is checked alone when no renewal has confirmed it for 2.5 s. The transaction runs beside the tick that looks for pauses; the tick used to wait for it, so that an answer slower than 1 s looked like a pause.

The ownership model now also runs leases at the slower pace.

Conclusion: the guarantees and the reserve of a lease in use stay as they were. Left: the first renewal of a new owner can be up to 2 s old; if the answer of the next one is lost, its waiting time starts again.

--- a/core/src/main/kotlin/org/lentilquay/coordination/ownership/SessionLease.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/ownership/SessionLease.kt
@@ -14,9 +14,15 @@
 import org.lentilquay.state.VmId
 import org.lentilquay.state.sessionKey
 
-/** The interval between renewals. */
+/** The interval between renewals while the lease is in use, and after a renewal that did not succeed. */
 const val SESSION_RENEWAL_MILLIS: Long = 1_000
 
+/** The interval between renewals while nothing relies on the lease. */
+const val IDLE_SESSION_RENEWAL_MILLIS: Long = 2_000
+
+/** Half the interval between ticks. Without it, a tick that comes 1 ms early would put a renewal off by a tick. */
+const val TICK_TOLERANCE_MILLIS: Long = 100
+
 /** How long after its sending a successful renewal is valid. */
 const val SESSION_LEASE_MILLIS: Long = 3_000
 
@@ -51,6 +57,7 @@
     private val incarnation: Incarnation,
     private val address: String,
     private val domain: DomainId,
+    private val idleRenewalMillis: Long = IDLE_SESSION_RENEWAL_MILLIS,
     private val newNonce: () -> String,
 ) {
     private class Renewal(val nonce: String, val sentAt: Long, val version: Long)
@@ -62,6 +69,7 @@
     private var isSuperseded = false
     private var validUntil = Long.MIN_VALUE
     private var lastSentAt: Long? = null
+    private var hasLastSucceeded = false
     private var lastTick: Long? = null
     private var wasValid = false
     private var hasLapsed = false
@@ -69,14 +77,17 @@
     /** Whether the lease holds at [now]. */
     fun isValid(now: Long): Boolean = !isSuperseded && now < validUntil
 
-    /** Decides what to do at [now]. It is called several times a second. */
-    fun tick(now: Long): SessionTick {
+    /**
+     * Decides what to do at [now]. It is called several times a second. [isInUse] says whether this VM owns a server
+     * that ignores fencing numbers. While [isCallOpen], the last step has not ended and no other is given.
+     */
+    fun tick(now: Long, isInUse: Boolean = true, isCallOpen: Boolean = false): SessionTick {
         val resumed = lastTick?.let { now - it > PAUSE_GAP_MILLIS } ?: false
         lastTick = now
         val lapsed = hasLapsed || (wasValid && !isValid(now))
         hasLapsed = false
         wasValid = isValid(now)
-        return SessionTick(step(now), resumed, lapsed)
+        return SessionTick(if (isCallOpen) SessionStep.Nothing else step(now, isInUse), resumed, lapsed)
     }
 
     /** Notes the [result] of the renewal [nonce], received at [now]. */
@@ -103,7 +114,7 @@
         }
     }
 
-    private fun step(now: Long): SessionStep {
+    private fun step(now: Long, isInUse: Boolean): SessionStep {
         val renewal = underWay
         val known = version
         return when {
@@ -114,16 +125,24 @@
                 needsReadBack = true
                 SessionStep.ReadBack
             }
-            lastSentAt.let { it != null && now - it < SESSION_RENEWAL_MILLIS } -> SessionStep.Nothing
+            !isRenewalDue(now, isInUse) -> SessionStep.Nothing
             else -> renew(now, known)
         }
     }
 
+    private fun isRenewalDue(now: Long, isInUse: Boolean): Boolean {
+        val last = lastSentAt ?: return true
+        val isIdle = !isInUse && hasLastSucceeded
+        val interval = if (isIdle) idleRenewalMillis - TICK_TOLERANCE_MILLIS else SESSION_RENEWAL_MILLIS
+        return now - last >= interval
+    }
+
     private fun renew(now: Long, known: Long): SessionStep {
         val nonce = newNonce()
         counter++
         underWay = Renewal(nonce, now, known)
         lastSentAt = now
+        hasLastSucceeded = false
         val record = SessionRecord(own, incarnation, counter, address, domain, nonce)
         val put = TableOperation.Put(sessionKey(own), Json.encodeToString(record), known)
         return SessionStep.Renew(nonce, listOf(put))
@@ -134,6 +153,7 @@
         if (wasValid && !isValid(now)) hasLapsed = true
         underWay = null
         needsReadBack = false
+        hasLastSucceeded = true
         version = newVersion
         validUntil = maxOf(validUntil, renewal.sentAt + SESSION_LEASE_MILLIS)
         wasValid = isValid(now)
--- /dev/null
+++ b/core/src/test/kotlin/org/lentilquay/coordination/ownership/HeadCheckedRenewalTest.kt
@@ -0,0 +1,149 @@
+package org.lentilquay.coordination.ownership
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.longs.shouldBeInRange
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.serialization.json.Json
+import org.lentilquay.coordination.TableModel
+import org.lentilquay.coordination.WriteResult
+import org.lentilquay.coordination.configuration.HEAD_KEY
+import org.lentilquay.protocol.TableOperation
+import org.lentilquay.state.DomainId
+import org.lentilquay.state.Incarnation
+import org.lentilquay.state.SessionRecord
+import org.lentilquay.state.VmId
+import org.lentilquay.state.sessionKey
+import kotlin.random.Random
+
+private val vm = VmId("vm-a")
+
+private fun record(nonce: String) = SessionRecord(vm, Incarnation(2), 5, "10.0.0.1:1", DomainId("d"), nonce)
+
+private class Setup : HeadObserver {
+    private var number = 0
+    val lease = SessionLease(vm, Incarnation(2), "10.0.0.1:1", DomainId("d")) { "n${number++}" }
+    val renewal = HeadCheckedRenewal(lease, this)
+    val seen = ArrayList<String>()
+
+    override fun headConfirmed(revision: Long, sentAt: Long) {
+        seen += "head $revision at $sentAt"
+    }
+
+    override fun headUnanswered(sentAt: Long) {
+        seen += "no answer at $sentAt"
+    }
+
+    /** Reads the record and begins the first renewal, n0, at 100. */
+    fun begin(head: Long?): SessionStep.Renew {
+        lease.tick(0)
+        renewal.readBack(null, 0, 50)
+        val step = lease.tick(100).step.shouldBeInstanceOf<SessionStep.Renew>()
+        val checks = renewal.begin(step, head, 100) - step.operations.toSet()
+        checks shouldBe listOfNotNull(head?.let { TableOperation.Check(HEAD_KEY, it) })
+        return step
+    }
+}
+
+class HeadCheckedRenewalTest : FunSpec({
+    data class Case(val result: WriteResult, val isAlone: Boolean, val isValid: Boolean, val seen: List<String>)
+
+    // Guards against a head that counts as confirmed without proof, and a lease that is lost because the head moved.
+    listOf(
+        Case(WriteResult.COMMITTED, false, true, listOf("head 7 at 100")),
+        Case(WriteResult.CONFLICT, true, false, emptyList()),
+        Case(WriteResult.UNKNOWN, false, false, listOf("no answer at 100")),
+        Case(WriteResult.NOT_SENT, false, false, listOf("no answer at 100")),
+    ).forEach { case ->
+        test("a renewal with a check ends as ${case.result}") {
+            val setup = Setup()
+            val step = setup.begin(7)
+            setup.renewal.ended(step, case.result, 300) shouldBe case.isAlone
+            setup.lease.isValid(300) shouldBe case.isValid
+            setup.seen shouldContainExactly case.seen
+            if (case.isAlone) {
+                setup.renewal.ended(step, WriteResult.COMMITTED, 600) shouldBe false
+                setup.lease.isValid(3_099) shouldBe true
+                setup.lease.isValid(3_100) shouldBe false
+                setup.seen shouldContainExactly emptyList()
+            }
+        }
+    }
+
+    // Guards against a VM that is isolated by one answer that was lost after its transaction took effect.
+    test("a read that finds the nonce proves the lease and the head, any other proves neither") {
+        listOf("n0" to listOf("no answer at 100", "head 7 at 100"), "x" to listOf("no answer at 100"))
+            .forEach { (nonce, expected) ->
+                val setup = Setup()
+                setup.renewal.ended(setup.begin(7), WriteResult.UNKNOWN, 300)
+                setup.lease.tick(400).step shouldBe SessionStep.ReadBack
+                setup.renewal.readBack(record(nonce), 1, 500)
+                setup.seen shouldContainExactly expected
+                setup.lease.isValid(500) shouldBe (nonce == "n0")
+            }
+    }
+
+    // Guards against a nonce that passes for a confirmed head although its renewal was sent without the check.
+    test("a renewal without the check says nothing about the head") {
+        listOf(null, 7L).forEach { head ->
+            val setup = Setup()
+            val step = setup.begin(head)
+            if (head != null) setup.renewal.ended(step, WriteResult.CONFLICT, 150)
+            setup.renewal.ended(step, WriteResult.UNKNOWN, 300) shouldBe false
+            setup.renewal.readBack(record("n0"), 1, 500)
+            setup.lease.isValid(500) shouldBe true
+            setup.seen shouldContainExactly emptyList()
+        }
+    }
+
+    // Guards against a confirmation of a revision that was not the head at any moment after its question was sent.
+    test("with lost and late answers, a confirmed head was the head after the question was sent") {
+        var confirmed = 0
+        repeat(300) { seed ->
+            val random = Random(seed)
+            val table = TableModel(random).apply { faultPercent = 30 }
+            val setAt = ArrayList<Long>()
+            var now = 0L
+            val heads = object : HeadObserver {
+                override fun headConfirmed(revision: Long, sentAt: Long) {
+                    confirmed++
+                    val replacedAt = setAt.getOrElse(revision.toInt()) { Long.MAX_VALUE }
+                    sentAt shouldBeInRange 0..replacedAt
+                }
+
+                override fun headUnanswered(sentAt: Long) = Unit
+            }
+            var number = 0
+            val lease = SessionLease(vm, Incarnation(2), "10.0.0.1:1", DomainId("d")) { "n${number++}" }
+            val renewal = HeadCheckedRenewal(lease, heads)
+            fun head() = table.current(HEAD_KEY)?.version ?: 0
+            fun moveHead() {
+                val before = head()
+                table.transact(listOf(TableOperation.Put(HEAD_KEY, "", before)))
+                table.deliverLate()
+                while (setAt.size < head()) setAt += now
+            }
+            repeat(200) {
+                now += random.nextLong(0, 900)
+                table.isDown = random.nextInt(10) == 0
+                if (random.nextInt(8) == 0) moveHead()
+                when (val step = lease.tick(now, isInUse = random.nextBoolean()).step) {
+                    is SessionStep.Renew -> {
+                        val operations = renewal.begin(step, maxOf(0, head() - random.nextInt(2)), now)
+                        if (random.nextInt(8) == 0) moveHead()
+                        val isAlone = renewal.ended(step, table.transact(operations), now)
+                        if (isAlone) renewal.ended(step, table.transact(step.operations), now)
+                    }
+                    SessionStep.ReadBack -> if (!table.isDown) {
+                        val item = table.read(sessionKey(vm))
+                        renewal.readBack(item?.let { Json.decodeFromString(it.value) }, item?.version ?: 0, now)
+                    }
+                    else -> Unit
+                }
+            }
+        }
+        confirmed shouldBeGreaterThan 2_000
+    }
+})
--- a/core/src/test/kotlin/org/lentilquay/coordination/ownership/OwnershipSimulation.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/ownership/OwnershipSimulation.kt
@@ -21,7 +21,7 @@
 
     private inner class Vm(val id: VmId, val incarnation: Incarnation) {
         val clock = random.nextLong(1_000_000)
-        val lease = SessionLease(id, incarnation, "10.0.0.1:1", DomainId("d"), ::nonce)
+        val lease = SessionLease(id, incarnation, "10.0.0.1:1", DomainId("d"), newNonce = ::nonce)
         val decider = OwnershipDecider("s", id, incarnation, !checksFencing, HandOverLimiter(), ::nonce)
         val steps = ArrayList<() -> Unit>()
         val unloading = HashSet<AdapterVersion>()
@@ -107,7 +107,7 @@
     }
 
     private fun session(vm: Vm) {
-        val tick = vm.lease.tick(vm.local)
+        val tick = vm.lease.tick(vm.local, isInUse = vm.decider.ownership != null)
         if (tick.resumedAfterPause || tick.leaseLapsed) vm.decider.doubt()
         when (val step = tick.step) {
             is SessionStep.Renew -> transact(vm, step.operations) { vm.lease.renewed(step.nonce, it, vm.local) }
--- a/core/src/test/kotlin/org/lentilquay/coordination/ownership/SessionLeaseTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/ownership/SessionLeaseTest.kt
@@ -35,6 +35,29 @@
         lease.tick(1_100).step.shouldBeInstanceOf<SessionStep.Renew>()
     }
 
+    // Guards against writes for leases that nobody uses, and against a lease in use that one lost answer ends.
+    listOf(
+        Triple(true, WriteResult.COMMITTED, 1_100L),
+        Triple(false, WriteResult.COMMITTED, 2_000L),
+        Triple(false, WriteResult.NOT_SENT, 1_100L),
+    ).forEach { (isInUse, result, expected) ->
+        test("after $result, a lease ${if (isInUse) "in use" else "out of use"} is renewed again at $expected") {
+            val lease = renewing()
+            lease.renewed("n0", result, 150)
+            lease.tick(expected - 1, isInUse).step shouldBe SessionStep.Nothing
+            lease.tick(expected, isInUse, isCallOpen = true).step shouldBe SessionStep.Nothing
+            lease.tick(expected, isInUse).step.shouldBeInstanceOf<SessionStep.Renew>()
+        }
+    }
+
+    // Guards against a new owner whose lease ends before its first renewal as owner.
+    test("a lease that comes into use is renewed at once if its last renewal is a second ago") {
+        val lease = renewing()
+        lease.renewed("n0", WriteResult.COMMITTED, 150)
+        lease.tick(1_300, isInUse = false).step shouldBe SessionStep.Nothing
+        lease.tick(1_400, isInUse = true).step.shouldBeInstanceOf<SessionStep.Renew>()
+    }
+
     // Guards against a session that ends with one lost answer, and against one that counts a foreign write as its own.
     listOf("n0" to true, "other" to false).forEach { (nonce, expected) ->
         test("a lost answer is resolved by a read that finds $nonce") {
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/Daemon.kt
@@ -85,9 +85,9 @@
 
     private fun startLoops() {
         every(MEMBER_TICK_MILLIS) { parts.control.decide { tickMembers() } }
-        every(SESSION_TICK_MILLIS) { parts.session.tick() }
+        every(SESSION_TICK_MILLIS) { parts.control.decide { parts.session.tick() } }
         every(OWNERSHIP_TICK_MILLIS) { parts.control.decide { parts.ownership.tick() } }
-        every(timing.headPollMillis) { pollHead() }
+        every(timing.headPollMillis) { if (!parts.configuration.isLoaded) loadConfiguration() }
         every(LIST_MILLIS) { parts.members.readPlatformList() }
         every(SEAT_MILLIS) { if (!parts.isStopping) parts.seats.review() }
         every(RECORD_MILLIS) { parts.onceOnly.settleRecords(System.currentTimeMillis()) }
@@ -112,7 +112,7 @@
         parts.metrics.quotaSeats(parts.seats.held.size)
     }
 
-    private suspend fun pollHead() {
+    private suspend fun loadConfiguration() {
         parts.configuration.pollHead()
         if (!parts.configuration.isLoaded) {
             parts.control.decide { parts.membership.readyMembers() }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/DaemonParts.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/DaemonParts.kt
@@ -111,7 +111,14 @@
     )
     private val pulls = PullPlan(vm, settings.quotaSeats)
     val buckets = TeamBuckets(vm, settings.quotaSeats, pulls)
-    private val lease = SessionLease(vm, incarnation, settings.peers.advertised, settings.failureDomain, ::newNonce)
+    private val lease = SessionLease(
+        own = vm,
+        incarnation = incarnation,
+        address = settings.peers.advertised,
+        domain = settings.failureDomain,
+        idleRenewalMillis = timing.headPollMillis,
+        newNonce = ::newNonce,
+    )
     val activeCalls = ActiveCalls()
     val fleet = FleetView()
 
@@ -156,7 +163,6 @@
         drained = { store.configuration.domains.filterValues { it == DomainState.DRAINED }.keys },
         scope = scope,
     )
-    val session = SessionLoop(vm, lease, platform, control, ownership::doubt, { replacedBy("unknown") }, timer::now)
 
     // Configuration.
     val configuration = ConfigurationLoop(
@@ -168,6 +174,19 @@
         scope = scope,
         gossipTargets = { membership.members().filter { it != vm }.shuffled().take(GOSSIP_TARGETS) },
         applied = applied,
+        headPollMillis = timing.headPollMillis,
+        now = timer::now,
+    )
+    val session = SessionLoop(
+        own = vm,
+        lease = lease,
+        platform = platform,
+        control = control,
+        scope = scope,
+        configuration = configuration,
+        isLeaseInUse = { owned.all.any { !it.server.checksFencing } },
+        doubted = ownership::doubt,
+        superseded = { replacedBy("unknown") },
         now = timer::now,
     )
     val watch = FreshnessWatch(store, freshness, membership, activeCalls, { configuration.isLoaded }, timer::now)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/control/ConfigurationLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/control/ConfigurationLoop.kt
@@ -1,6 +1,6 @@
 /*
- * Keeps this VM's configuration in step: polls the head in the table, fetches what is missing from a peer or the table,
- * passes notices of new revisions on, and writes snapshots. Docs: docs/design.md, section 4.5.
+ * Keeps this VM's configuration in step: checks the head in the table, fetches what is missing from a peer or the
+ * table, passes notices of new revisions on, and writes snapshots. Docs: docs/design.md, section 4.5.
  */
 package org.lentilquay.daemon.control
 
@@ -21,6 +21,7 @@
 import org.lentilquay.coordination.configuration.decodeSnapshot
 import org.lentilquay.coordination.configuration.encodeSnapshot
 import org.lentilquay.coordination.configuration.logKey
+import org.lentilquay.coordination.ownership.HeadObserver
 import org.lentilquay.daemon.logs.change
 import org.lentilquay.daemon.timer.ControlThread
 import org.lentilquay.protocol.LogEntry
@@ -33,6 +34,7 @@
 import org.lentilquay.transport.platform.PlatformClient
 import org.lentilquay.transport.platform.ReadResult
 import org.lentilquay.transport.platform.TransactResult
+import java.util.concurrent.atomic.AtomicBoolean
 
 private val log = KotlinLogging.logger {}
 
@@ -45,30 +47,70 @@
     private val scope: CoroutineScope,
     private val gossipTargets: () -> List<VmId>,
     private val applied: (StoreResult.Applied) -> Unit,
+    private val headPollMillis: Long,
     private val now: () -> Long,
-) {
+) : HeadObserver {
     private val fetching = Mutex()
     private val source = ConfigurationSource(store)
+    private val isChecking = AtomicBoolean()
+
+    /** When the question was sent that last confirmed the head. Used on the control thread. */
+    private var headConfirmedAt = 0L
+
+    /** When the head was last checked apart from renewals. */
+    @Volatile
+    private var headCheckedAt = 0L
 
     /** Whether this VM has a configuration, if only the empty one of a new fleet. */
     @Volatile
     var isLoaded: Boolean = false
         private set
 
+    /**
+     * The revision that the next renewal of the session checks the head for, or null while it is known that the check
+     * would fail. Call on the control thread, right before the renewal is sent.
+     */
+    fun headToCheck(): Long? = store.revision.takeIf { store.missing() == null }
+
+    /** Whether the renewal that was due has not confirmed the head in time. Call on the control thread. */
+    fun isHeadCheckDue(): Boolean {
+        val now = now()
+        val isLate = now - headConfirmedAt >= headPollMillis + HEAD_CHECK_GRACE_MILLIS
+        return isLate && now - headCheckedAt >= headPollMillis
+    }
+
+    /** Checks the head apart from renewals, unless that is under way. */
+    fun startHeadCheck() {
+        if (!isChecking.compareAndSet(false, true)) return
+        scope.launch {
+            try {
+                pollHead()
+            } finally {
+                isChecking.set(false)
+            }
+        }
+    }
+
+    override fun headConfirmed(revision: Long, sentAt: Long) {
+        freshness.tableConfirmed(revision, sentAt)
+        headConfirmedAt = maxOf(headConfirmedAt, sentAt)
+        isLoaded = true
+    }
+
+    override fun headUnanswered(sentAt: Long) = freshness.tableFailed(sentAt)
+
     /**
      * Compares the head with the table and fetches what is missing. The comparison is a transaction that only checks,
      * because a read may be stale and must not count as a confirmation. The version of the head item is its revision.
      */
     suspend fun pollHead() {
         val sentAt = now()
+        headCheckedAt = sentAt
         val known = store.revision
         when (platform.transact(listOf(TableOperation.Check(HEAD_KEY, known)))) {
-            is TransactResult.Committed -> {
-                control.decide { freshness.tableConfirmed(known, sentAt) }
-                isLoaded = true
-            }
+            is TransactResult.Committed -> control.decide { headConfirmed(known, sentAt) }
             is TransactResult.Conflict -> readHead()
-            else -> control.decide { freshness.tableFailed(sentAt) }
+            else -> control.decide { headUnanswered(sentAt) }
         }
     }
 
@@ -79,8 +121,7 @@
         val sentAt = now()
         val revision = store.revision
         if (platform.transact(listOf(TableOperation.Check(HEAD_KEY, revision))) is TransactResult.Committed) {
-            control.decide { freshness.tableConfirmed(revision, sentAt) }
-            isLoaded = true
+            control.decide { headConfirmed(revision, sentAt) }
         }
     }
 
@@ -184,5 +225,8 @@
 private const val SNAPSHOT_OBJECT = "configuration/snapshot"
 private const val ENTRIES_IN_A_PAGE = 100
 private const val MAXIMUM_ROUNDS = 1_000
+
+/** Half of what is left of the freshness bound when a renewal is sent: the other half is for the check alone. */
+private const val HEAD_CHECK_GRACE_MILLIS = 500L
 private const val NOTICE_MILLIS = 1_000L
 private const val FETCH_MILLIS = 5_000L
