Find keys by their hash when a key change is checked

Cause: the check of a granted key compared its hash with every key, and every VM built its index of all keys anew after each key change.

Change: the map of keys carries an index by hash that revisions share like the other maps. Keys with equal hashes, which the checks refuse but replay does not, let the index be built again after each change.

Conclusion: the cost of a key change no longer grows with the keys beyond the copy of one shard.

--- a/core/src/main/kotlin/org/lentilquay/coordination/configuration/AccessView.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/configuration/AccessView.kt
@@ -11,6 +11,7 @@
 import org.lentilquay.state.Route
 import org.lentilquay.state.RouteId
 import org.lentilquay.state.TeamId
+import org.lentilquay.state.internal.indexed
 import java.security.MessageDigest
 import java.util.HexFormat
 
@@ -60,7 +61,7 @@
     private val configuration: Configuration,
     private val keysByHash: Map<String, CallerKey>,
 ) {
-    constructor(configuration: Configuration) : this(configuration, indexOf(configuration))
+    constructor(configuration: Configuration) : this(configuration, configuration.keys.indexed().byHash)
 
     /** The revision that this view shows. */
     val revision: Long get() = configuration.revision
@@ -96,14 +97,11 @@
         }
     }
 
-    /** The view of [next]; the index is built again only when the keys changed. */
+    /** The view of [next]; the index is built again only if the keys changed and bring none. */
     internal fun next(next: Configuration): AccessView =
-        AccessView(next, if (next.keys === configuration.keys) keysByHash else indexOf(next))
+        if (next.keys === configuration.keys) AccessView(next, keysByHash) else AccessView(next)
 }
 
 /** The SHA-256 of [text] in lower-case hexadecimal, the form in which keys are kept. */
 fun sha256Of(text: String): String =
     HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray()))
-
-private fun indexOf(configuration: Configuration): Map<String, CallerKey> =
-    configuration.keys.values.associateByTo(HashMap()) { it.sha256 }
--- a/core/src/main/kotlin/org/lentilquay/coordination/configuration/ConfigurationStore.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/configuration/ConfigurationStore.kt
@@ -8,6 +8,7 @@
 import org.lentilquay.protocol.LogEntry
 import org.lentilquay.state.Configuration
 import org.lentilquay.state.ConfigurationChange
+import org.lentilquay.state.internal.indexed
 import org.lentilquay.state.replay
 import java.util.TreeMap
 
@@ -110,8 +111,9 @@
 
     private fun putInForce(next: Configuration, changes: List<ConfigurationChange>?): StoreResult {
         val from = revision
-        access = access.next(next)
-        configuration = next
-        return StoreResult.Applied(from, next, changes)
+        // A configuration from a snapshot has no index yet; the next revisions share this one.
+        configuration = next.copy(keys = next.keys.indexed())
+        access = access.next(configuration)
+        return StoreResult.Applied(from, configuration, changes)
     }
 }
--- a/core/src/main/kotlin/org/lentilquay/state/internal/ConfigurationChecks.kt
+++ b/core/src/main/kotlin/org/lentilquay/state/internal/ConfigurationChecks.kt
@@ -74,7 +74,7 @@
         is ConfigurationChange.RemoveTeam -> checkTeamRemoval(change.team)
         is ConfigurationChange.GrantKey -> checkKey(change.key)
         is ConfigurationChange.WithdrawKey ->
-            need(change.key in draft.keys.content) {
+            need(change.key in draft.keys) {
                 "key ${change.key} is unknown; list the keys and name one of them"
             }
         is ConfigurationChange.PutAdapter -> checkAdapter(change.adapter)
@@ -114,12 +114,12 @@
 
     private fun checkKey(key: CallerKey) {
         need(isName(key.id.text)) { "key name '${key.id}' is not well formed; $NAME_RULE" }
-        need(key.id !in draft.keys.content) { "key ${key.id} already exists; withdraw it first or choose another name" }
+        need(key.id !in draft.keys) { "key ${key.id} already exists; withdraw it first or choose another name" }
         needTeam(key.team, "key ${key.id}")
         need(isSha256(key.sha256)) {
             "the hash of key ${key.id} is not a SHA-256; give 64 lower-case hexadecimal digits"
         }
-        val same = draft.keys.content.values.firstOrNull { it.sha256 == key.sha256 && it.id != key.id }
+        val same = draft.keys.withHash(key.sha256)?.takeIf { it.id != key.id }
         need(same == null) { "key ${key.id} has the same hash as key ${same?.id}; generate a new key" }
     }
 
--- a/core/src/main/kotlin/org/lentilquay/state/internal/ConfigurationDraft.kt
+++ b/core/src/main/kotlin/org/lentilquay/state/internal/ConfigurationDraft.kt
@@ -6,12 +6,10 @@
 
 import org.lentilquay.state.Adapter
 import org.lentilquay.state.BackendServer
-import org.lentilquay.state.CallerKey
 import org.lentilquay.state.Configuration
 import org.lentilquay.state.ConfigurationChange
 import org.lentilquay.state.DomainId
 import org.lentilquay.state.DomainState
-import org.lentilquay.state.KeyId
 import org.lentilquay.state.Route
 import org.lentilquay.state.RouteId
 import org.lentilquay.state.ServerId
@@ -24,6 +22,8 @@
     private var changes: ShardedMap.Changes<K, V>? = null
     private var current: Map<K, V>? = original
 
+    val isChanged: Boolean get() = changes != null
+
     /** The present content, an immutable value. */
     val content: Map<K, V> get() = current ?: (changes?.toMap() ?: original).also { current = it }
 
@@ -44,7 +44,7 @@
 /** The maps of [base] with changes applied to them. */
 internal class ConfigurationDraft(base: Configuration) {
     val teams = CopiedOnWrite<TeamId, Team>(base.teams)
-    val keys = CopiedOnWrite<KeyId, CallerKey>(base.keys)
+    val keys = DraftKeys(base.keys)
     val adapters = CopiedOnWrite<String, Adapter>(base.adapters)
     val routes = CopiedOnWrite<RouteId, Route>(base.routes)
     val servers = CopiedOnWrite<ServerId, BackendServer>(base.servers)
@@ -55,7 +55,7 @@
         when (change) {
             is ConfigurationChange.PutTeam -> teams[change.team.id] = change.team
             is ConfigurationChange.RemoveTeam -> teams.remove(change.team)
-            is ConfigurationChange.GrantKey -> keys[change.key.id] = change.key
+            is ConfigurationChange.GrantKey -> keys.put(change.key)
             is ConfigurationChange.WithdrawKey -> keys.remove(change.key)
             is ConfigurationChange.PutAdapter -> adapters[change.adapter.name] = change.adapter
             is ConfigurationChange.RemoveAdapter -> adapters.remove(change.adapter)
