Note addresses when members change, and check the head in one place

Cause: after each probe and tick the addresses of all members were copied, about 15 times a second for 370 members. The check of the head was written twice, and the second one did not note an answer that never came.

Change: the membership reports a new or changed address, and only this one is noted. One function checks the head and is called again after the missing revisions were fetched.

Figures: none; the copies were not measured on their own.

Conclusion: a tick costs what changed. A second check without an answer now counts as a failed one, like the first.

--- a/core/src/main/kotlin/org/lentilquay/coordination/membership/MemberDirectory.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/membership/MemberDirectory.kt
@@ -90,17 +90,22 @@
         gone.remove(member.vm)
         noteState(member, now)
         if (member.update.incarnation != unknownIncarnation) queue.add(member.update)
-        return listOf(MembershipEffect.StateChanged(member.vm, null, member.state))
+        return listOf(
+            MembershipEffect.AddressChanged(member.vm, member.update.address),
+            MembershipEffect.StateChanged(member.vm, null, member.state),
+        )
     }
 
     private fun replace(member: Member, update: MemberUpdate, now: Long): List<MembershipEffect> {
         val from = member.state
         val previous = member.update.incarnation
+        val hasMoved = update.address != member.update.address
         member.update = update
         if (update.incarnation > previous) member.knownSince = now
         noteState(member, now)
         if (update.incarnation != unknownIncarnation) queue.add(update)
         val effects = mutableListOf<MembershipEffect>()
+        if (hasMoved) effects += MembershipEffect.AddressChanged(member.vm, update.address)
         if (previous != unknownIncarnation && update.incarnation > previous) {
             effects += MembershipEffect.Restarted(member.vm, previous, update.incarnation)
         }
--- a/core/src/main/kotlin/org/lentilquay/coordination/membership/MembershipEffect.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/membership/MembershipEffect.kt
@@ -22,6 +22,9 @@
     /** The state of [vm] is now [to]; [from] is null for a VM that was not known. */
     data class StateChanged(val vm: VmId, val from: MemberState?, val to: MemberState) : MembershipEffect
 
+    /** The peer listener of [vm] is now at [address]. */
+    data class AddressChanged(val vm: VmId, val address: String) : MembershipEffect
+
     /** The VM started again with a higher incarnation than before. */
     data class Restarted(val vm: VmId, val from: Incarnation, val to: Incarnation) : MembershipEffect
 
--- a/core/src/test/kotlin/org/lentilquay/coordination/membership/MembershipTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/membership/MembershipTest.kt
@@ -54,6 +54,18 @@
             MembershipEffect.Replaced(Incarnation(6))
     }
 
+    // Guards against calls to an address at which a member no longer listens.
+    test("an address is reported when it is new and when it changes, and not otherwise") {
+        val membership = membership()
+        fun addresses(update: MemberUpdate) = membership.received(x, probe(update), 0).effects
+            .filterIsInstance<MembershipEffect.AddressChanged>().map { it.address }
+        membership.platformList(listed("x" to ListedState.LIVE), 0) shouldContain
+            MembershipEffect.AddressChanged(x, "ip-x")
+        addresses(news(MemberState.ALIVE)) shouldBe emptyList()
+        addresses(news(MemberState.ALIVE, incarnation = 2).copy(address = "ip-new")) shouldBe listOf("ip-new")
+        addresses(news(MemberState.SUSPECT, incarnation = 2).copy(address = "ip-new")) shouldBe emptyList()
+    }
+
     test("a suspicion of this VM is refuted in the answer") {
         val answer = membership().received(x, probe(news(MemberState.SUSPECT, 5, 3, "me")), 0).answer
         answer.updates.first { it.vm == me.vm }.let { it.state to it.refutation } shouldBe (MemberState.ALIVE to 4L)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/control/ConfigurationLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/control/ConfigurationLoop.kt
@@ -104,25 +104,25 @@
      * because a read may be stale and must not count as a confirmation. The version of the head item is its revision.
      */
     suspend fun pollHead() {
-        val sentAt = now()
-        headCheckedAt = sentAt
-        val known = store.revision
-        when (platform.transact(listOf(TableOperation.Check(HEAD_KEY, known)))) {
-            is TransactResult.Committed -> control.decide { headConfirmed(known, sentAt) }
-            is TransactResult.Conflict -> readHead()
-            else -> control.decide { headUnanswered(sentAt) }
-        }
-    }
-
-    private suspend fun readHead() {
+        if (checkHead() !is TransactResult.Conflict) return
         val head = platform.record<HeadRecord>(HEAD_KEY)?.value ?: return
         control.decide { store.noteHead(head.revision) }
         catchUp(null)
+        checkHead()
+    }
+
+    private suspend fun checkHead(): TransactResult {
         val sentAt = now()
+        headCheckedAt = sentAt
         val revision = store.revision
-        if (platform.transact(listOf(TableOperation.Check(HEAD_KEY, revision))) is TransactResult.Committed) {
-            control.decide { headConfirmed(revision, sentAt) }
+        val result = platform.transact(listOf(TableOperation.Check(HEAD_KEY, revision)))
+        when (result) {
+            is TransactResult.Committed -> control.decide { headConfirmed(revision, sentAt) }
+            is TransactResult.Conflict -> Unit
+            is TransactResult.Unavailable, is TransactResult.OutcomeUnknown ->
+                control.decide { headUnanswered(sentAt) }
         }
+        return result
     }
 
     /** [from] says that [revision] is in force. */
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/control/FleetMembers.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/control/FleetMembers.kt
@@ -58,7 +58,9 @@
     /** The platform's list over time. Used on the control thread. */
     val listed = ListedVms()
     private val readySince = HashMap<VmId, Long>()
-    private val addresses = ConcurrentHashMap<VmId, String>(seedAddresses)
+    private val addresses = ConcurrentHashMap<VmId, String>(seedAddresses).apply {
+        membership.members().forEach { vm -> membership.addressOf(vm)?.let { put(vm, it) } }
+    }
 
     /** Members that live and accept requests, and for how long each has done so, in milliseconds. */
     fun readyMembers(): Map<VmId, Long> {
@@ -110,11 +112,11 @@
     private fun isOfSystem(listed: ListedVm) = listed.kind == ListedKind.VM
 
     private fun perform(effects: List<MembershipEffect>) {
-        membership.members().forEach { vm -> membership.addressOf(vm)?.let { addresses[vm] = it } }
         effects.forEach { effect ->
             when (effect) {
                 is MembershipEffect.Probe -> scope.launch { probe(effect.vm, effect.address, effect.request) }
                 is MembershipEffect.ProbeVia -> scope.launch { probeThrough(effect) }
+                is MembershipEffect.AddressChanged -> addresses[effect.vm] = effect.address
                 is MembershipEffect.StateChanged -> if (effect.to == MemberState.DEAD) events.processEnded(effect.vm)
                 is MembershipEffect.Restarted -> events.processEnded(effect.vm)
                 is MembershipEffect.Replaced -> events.replaced(effect.by)
