Count the true reasons of retries, gaps between chunks and prompt tokens

Cause: every retry was counted as a lost connection, only requests that succeeded were counted, and the gap between chunks and the tokens of prompts had metrics that nothing fed.

Change: a run counts each request that is sent again, with the reason why the attempt before it ended, also if it fails in the end. The gap is taken between the arrivals of two chunks. A grant that ran out before the dispatch is no retry any more.

Test: a request that meets an unreachable, an unloaded and an overloaded server counts these three reasons and is then answered.

Conclusion: the retry metric names what to look at.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/requests/CountedRequests.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/requests/CountedRequests.kt
@@ -12,9 +12,13 @@
 class CountedRequests(private val metrics: Metrics) : RequestMetrics {
     override fun firstToken(millis: Long) = metrics.firstToken(millis)
 
-    override fun finished(tokens: Long, retries: Int, loadWaitMillis: Long?, millis: Long) {
-        metrics.tokens(TokenKind.GENERATED, tokens)
-        repeat(retries) { metrics.retried(RetryReason.CONNECTION_LOST) }
+    override fun tokenGap(millis: Long) = metrics.tokenGap(millis)
+
+    override fun retried(reason: RetryReason) = metrics.retried(reason)
+
+    override fun finished(usage: Usage, loadWaitMillis: Long?, millis: Long) {
+        metrics.tokens(TokenKind.PROMPT, usage.promptTokens)
+        metrics.tokens(TokenKind.GENERATED, usage.completionTokens)
         loadWaitMillis?.let(metrics::waitedForLoad)
         metrics.requestEnded(RouteKind.ADAPTER, null, millis)
     }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/requests/InferenceHandler.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/requests/InferenceHandler.kt
@@ -129,7 +129,7 @@
         activeCall: ActiveCall,
         startedAt: Long,
     ) {
-        val run = InferenceRun(admitted, parts, activeCall)
+        val run = InferenceRun(admitted, parts, activeCall, metrics)
         var isOver = false
         try {
             val first = run.next()
@@ -142,10 +142,7 @@
             isOver = true
             when (last) {
                 is RunEvent.Failed -> refuse(received, last.failure)
-                else -> {
-                    val millis = parts.now() - startedAt
-                    metrics.finished(run.usage.completionTokens, run.retries, run.loadWaitMillis, millis)
-                }
+                else -> metrics.finished(run.usage, run.loadWaitMillis, parts.now() - startedAt)
             }
         } finally {
             withContext(NonCancellable) {
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/requests/InferenceRun.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/requests/InferenceRun.kt
@@ -6,6 +6,7 @@
 package org.lentilquay.daemon.requests
 
 import org.lentilquay.coordination.quota.Charge
+import org.lentilquay.daemon.metrics.RetryReason
 import org.lentilquay.protocol.ActiveRun
 import org.lentilquay.protocol.EngineHeaders
 import org.lentilquay.protocol.ResumeOrder
@@ -61,12 +62,17 @@
     private val admitted: AdmittedInference,
     private val parts: InferenceParts,
     private val activeCall: ActiveCall,
+    private val metrics: RequestMetrics,
 ) {
     private class Attempt(val place: Place, val run: EngineRun, val incarnation: Long?, val mayResume: Boolean)
 
     private val excluded = mutableSetOf<ServerId>()
     private var attempts = 0
 
+    /** Why the last attempt ended; it counts once the request is sent again. */
+    private var retryReason: RetryReason? = null
+    private var lastPartAt: Long? = null
+
     @Volatile
     private var current: Attempt? = null
     private var nextIndex = 0
@@ -84,8 +90,6 @@
     /** Whether a backend server may have received the request. */
     val mayHaveStarted: Boolean get() = mayHaveRun
 
-    val retries: Int get() = maxOf(0, attempts - 1)
-
     init {
         // Closing the connection ends the wait for the engine's next event.
         activeCall.whenCut { current?.run?.close() }
@@ -151,6 +155,7 @@
             admitted.route.defaultMaximumTokens,
             nextIndex,
         )
+        retryReason?.let(metrics::retried)
         val headers = listOf(EngineHeaders.REQUEST_ID to place.attemptId)
         val answer = parts.engines.open(place.address, admitted.request.form.path, body, headers)
         return accept(place, answer, mayResume = true)
@@ -159,22 +164,23 @@
     private suspend fun accept(place: Place, answer: EngineAnswer, mayResume: Boolean): Outcome<Attempt> =
         when (answer) {
             is EngineAnswer.Accepted -> checkHead(place, answer, mayResume)
-            is EngineAnswer.NotWritten -> giveUp(place, RunOutcome.CONNECTION_LOST, "server not reached", null)
+            is EngineAnswer.NotWritten -> giveUp(place, RetryReason.NOT_CONNECTED, "server not reached", null)
             is EngineAnswer.NotLoaded -> {
                 // The server is a good place once its owner has loaded the adapter again.
-                giveUp(place, RunOutcome.ADAPTER_MISSING, "adapter not loaded", answer.head.incarnation)
+                giveUp(place, RetryReason.ADAPTER_MISSING, "adapter not loaded", answer.head.incarnation)
                     .also { excluded -= place.server }
             }
             is EngineAnswer.Overloaded ->
-                giveUp(place, RunOutcome.SERVER_OVERLOADED, "server overloaded", answer.head.incarnation)
+                giveUp(place, RetryReason.SERVER_OVERLOADED, "server overloaded", answer.head.incarnation)
             is EngineAnswer.WrongStatus -> {
                 mayHaveRun = true
-                giveUp(place, RunOutcome.WRONG_ANSWER, "server answered ${answer.head.status}", answer.head.incarnation)
+                val message = "server answered ${answer.head.status}"
+                giveUp(place, RetryReason.WRONG_ANSWER, message, answer.head.incarnation)
             }
             is EngineAnswer.LostBeforeHeaders -> {
                 mayHaveRun = true
                 serverLost(place, null)
-                giveUp(place, RunOutcome.CONNECTION_LOST, "connection lost", null)
+                giveUp(place, RetryReason.CONNECTION_LOST, "connection lost", null)
             }
         }
 
@@ -183,7 +189,7 @@
         val fault = headFault(place, answer.head)
         if (fault != null) {
             answer.run.close()
-            return giveUp(place, RunOutcome.WRONG_ANSWER, fault, answer.head.incarnation)
+            return giveUp(place, RetryReason.WRONG_ANSWER, fault, answer.head.incarnation)
         }
         activeCall.answered()
         parts.placement.progress(place, answer.head.incarnation)
@@ -204,6 +210,7 @@
         return when (check) {
             is ChunkCheck.Next -> {
                 if (check.chunk.index != null) nextIndex++
+                noteGap()
                 usage = check.chunk.usage ?: usage.copy(completionTokens = maxOf(usage.completionTokens, chunks()))
                 RunEvent.Part(callerData(data, attempt.place.attemptId), check.chunk)
             }
@@ -211,6 +218,7 @@
             is ChunkCheck.Wrong -> {
                 excluded += attempt.place.server
                 parts.engines.cancel(attempt.place.address, attempt.place.attemptId)
+                retryReason = RetryReason.WRONG_ANSWER
                 end(attempt, RunOutcome.WRONG_ANSWER)
                 null
             }
@@ -231,12 +239,14 @@
         if (answer is EngineAnswer.Accepted) {
             if (attempt.mayResume && answer.head.incarnation == attempt.incarnation) {
                 current = Attempt(attempt.place, answer.run, attempt.incarnation, mayResume = false)
+                metrics.retried(RetryReason.RESUMED)
                 return
             }
             answer.run.close()
         }
         excluded += attempt.place.server
         if (isFromOtherProcess(answer, attempt)) serverLost(attempt.place, attempt.incarnation)
+        retryReason = RetryReason.CONNECTION_LOST
         end(attempt, RunOutcome.CONNECTION_LOST)
     }
 
@@ -256,14 +266,21 @@
         if (parts.crashes.verdict(admitted.fingerprint) == ContentVerdict.QUARANTINED) attempts = MAXIMUM_ATTEMPTS
     }
 
+    private fun noteGap() {
+        val now = parts.now()
+        lastPartAt?.let { metrics.tokenGap(now - it) }
+        lastPartAt = now
+    }
+
     private fun giveUp(
         place: Place,
-        outcome: RunOutcome,
+        reason: RetryReason,
         message: String,
         incarnation: Long?,
     ): Outcome.Failed {
         excluded += place.server
-        parts.placement.release(place, outcome, incarnation)
+        retryReason = reason
+        parts.placement.release(place, reason.outcome(), incarnation)
         activeCall.run = null
         val kind = if (mayHaveRun) ErrorKind.BACKEND_FAILED else ErrorKind.NO_CAPACITY
         return failure(kind, "backend server ${place.server}: $message")
@@ -298,6 +315,14 @@
     )
 }
 
+/** What the owner is told of an attempt that ended for this reason. */
+private fun RetryReason.outcome(): RunOutcome = when (this) {
+    RetryReason.ADAPTER_MISSING -> RunOutcome.ADAPTER_MISSING
+    RetryReason.SERVER_OVERLOADED -> RunOutcome.SERVER_OVERLOADED
+    RetryReason.WRONG_ANSWER -> RunOutcome.WRONG_ANSWER
+    RetryReason.NOT_CONNECTED, RetryReason.CONNECTION_LOST, RetryReason.RESUMED -> RunOutcome.CONNECTION_LOST
+}
+
 /**
  * How long, in milliseconds, a request that was interrupted waits for the next place. It is longer than a route's
  * patience: the caller already has a part of the answer, and suspect requests run one at a time on each server.
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/requests/RequestMetrics.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/requests/RequestMetrics.kt
@@ -3,6 +3,7 @@
  */
 package org.lentilquay.daemon.requests
 
+import org.lentilquay.daemon.metrics.RetryReason
 import org.lentilquay.state.ErrorKind
 
 /** Counts requests and their outcomes. Safe for use from several threads. */
@@ -11,10 +12,16 @@
     fun firstToken(millis: Long)
 
     /**
-     * An inference request was answered whole, [millis] after it came; [tokens] were relayed. [loadWaitMillis] is the
-     * time for which it waited for a load, or null.
+     * An inference request was answered whole, [millis] after it came. [loadWaitMillis] is the time for which it waited
+     * for a load, or null.
      */
-    fun finished(tokens: Long, retries: Int, loadWaitMillis: Long?, millis: Long)
+    fun finished(usage: Usage, loadWaitMillis: Long?, millis: Long)
+
+    /** A part of an answer came [millis] after the part before it. */
+    fun tokenGap(millis: Long)
+
+    /** A request is sent to a backend server again. */
+    fun retried(reason: RetryReason)
 
     /** A call to a plain service was answered [millis] after it came. */
     fun serviceAnswered(millis: Long)
--- /dev/null
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/requests/InferenceRunTest.kt
@@ -0,0 +1,134 @@
+package org.lentilquay.daemon.requests
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import org.lentilquay.coordination.quota.Charge
+import org.lentilquay.daemon.metrics.RetryReason
+import org.lentilquay.protocol.RunOutcome
+import org.lentilquay.state.AdapterVersion
+import org.lentilquay.state.ErrorKind
+import org.lentilquay.state.Outcome
+import org.lentilquay.state.Route
+import org.lentilquay.state.RouteId
+import org.lentilquay.state.ServerId
+import org.lentilquay.state.Target
+import org.lentilquay.state.TeamId
+import org.lentilquay.transport.engine.EngineClient
+import org.lentilquay.transport.http.ScriptedServer
+import org.lentilquay.transport.http.answering
+import org.lentilquay.transport.http.closedAddress
+import org.lentilquay.transport.http.write
+
+private val adapter = AdapterVersion("stove", 3)
+
+private class Counted : RequestMetrics {
+    val reasons = ArrayList<RetryReason>()
+    val gaps = ArrayList<Long>()
+
+    override fun firstToken(millis: Long) = Unit
+
+    override fun finished(usage: Usage, loadWaitMillis: Long?, millis: Long) = Unit
+
+    override fun tokenGap(millis: Long) {
+        gaps += millis
+    }
+
+    override fun retried(reason: RetryReason) {
+        reasons += reason
+    }
+
+    override fun serviceAnswered(millis: Long) = Unit
+
+    override fun failed(kind: ErrorKind) = Unit
+}
+
+private class Places(private val addresses: List<String>) : Placement {
+    private var next = 0
+    val outcomes = ArrayList<RunOutcome>()
+
+    override suspend fun reserve(request: PlaceRequest): Outcome<Place> {
+        val number = next++
+        val place = Place(
+            attemptId = request.attemptId,
+            server = ServerId("e$number"),
+            address = addresses[number],
+            fence = 1,
+            adapter = adapter,
+            waitedForLoad = false,
+            startBefore = 1_000,
+        )
+        return Outcome.Success(place)
+    }
+
+    override fun progress(place: Place, incarnation: Long?) = Unit
+
+    override fun release(place: Place, outcome: RunOutcome, incarnation: Long?) {
+        outcomes += outcome
+    }
+}
+
+private object NoCrashes : CrashHistory {
+    override suspend fun verdict(fingerprint: String) = ContentVerdict.CLEAR
+
+    override suspend fun serverLost(place: Place, incarnation: Long?, fingerprint: String) = Unit
+}
+
+private fun refusal(code: String) = """{"error":{"message":"m","type":"t","code":"$code"}}"""
+
+/** Answers with two chunks for the request id that it is asked with. */
+private fun engine() = ScriptedServer { request, socket ->
+    val id = Regex("(?i)x-request-id: (\\S+)").find(request.head)?.groupValues?.get(1)
+    val chunks = (0..1).joinToString("") {
+        """data: {"id":"$id","index":$it,"model":"stove@3","choices":[{"index":0,"delta":{"content":"w"}}]}""" + "\n\n"
+    }
+    val body = chunks + "data: [DONE]\n\n"
+    val length = body.length + body.count { it == '\n' }
+    socket.write(
+        "HTTP/1.1 200 OK\nContent-Type: text/event-stream\nX-Request-Id: $id\nContent-Length: $length\n\n$body",
+    )
+}
+
+/** Guards against a cause of repeated work that the metrics show as another one. */
+class InferenceRunTest : FunSpec({
+    test("each request that is sent again counts with its reason, and each further part with its gap") {
+        val servers = listOf(
+            answering(404, refusal("adapter_not_loaded")),
+            answering(503, refusal("engine_overloaded")),
+            engine(),
+        )
+        val places = Places(listOf(closedAddress()) + servers.map { it.address })
+        val counted = Counted()
+        val body = """{"model":"stove","messages":[{"role":"user","content":"hello"}]}"""
+        val read = readInferenceRequest(InferenceForm.CHAT, body.encodeToByteArray())
+        val admitted = AdmittedInference(
+            requestId = "r",
+            request = (read as Outcome.Success).value,
+            route = Route(RouteId("stove"), Target.AdapterTarget("stove")),
+            team = TeamId("t"),
+            baseModel = "llama",
+            adapter = adapter,
+            fingerprint = "f",
+            isSuspect = false,
+            charge = Charge(TeamId("t"), 1, 10),
+        )
+        EngineClient().use { engines ->
+            val parts = InferenceParts(places, engines, NoCrashes) { 0 }
+            val run = InferenceRun(admitted, parts, ActiveCalls().begin(null), counted)
+            repeat(2) { run.next().shouldBeInstanceOf<RunEvent.Part>() }
+            run.next() shouldBe RunEvent.Done
+        }
+        servers.forEach { it.close() }
+        counted.reasons shouldContainExactly
+            listOf(RetryReason.NOT_CONNECTED, RetryReason.ADAPTER_MISSING, RetryReason.SERVER_OVERLOADED)
+        counted.gaps shouldHaveSize 1
+        places.outcomes shouldContainExactly listOf(
+            RunOutcome.CONNECTION_LOST,
+            RunOutcome.ADAPTER_MISSING,
+            RunOutcome.SERVER_OVERLOADED,
+            RunOutcome.COMPLETED,
+        )
+    }
+})
