--- a/daemon/src/main/kotlin/org/lentilquay/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/Daemon.kt
@@ -29,9 +29,12 @@
 import org.lentilquay.state.Incarnation
 import org.lentilquay.state.VmId
 import org.lentilquay.transport.Secret
+import org.lentilquay.transport.http.ipAddressOf
 import org.lentilquay.transport.peer.RunningPeerServer
 import org.lentilquay.transport.peer.startPeerServer
 import java.net.BindException
+import java.net.InetSocketAddress
+import java.net.ServerSocket
 import kotlin.system.exitProcess
 
 private val log = KotlinLogging.logger {}
@@ -45,19 +48,24 @@
 
     /** Starts all listeners and loops; a listener that cannot be opened is a [BindException] that names it. */
     suspend fun start() {
+        requireFree("peers", settings.peers.listen)
+        requireFree("callers", settings.callers.listen)
+        requireFree("administration", settings.administration.listen)
         parts.members.events = Events()
         parts.calls.local = parts.dispatcher(Answers())
-        peers = listening("peers", settings.peers.listen) {
-            startPeerServer(it, parts.identity, secret, parts.calls.local, parts.metrics.peerTraffic)
-        }
+        peers = startPeerServer(
+            settings.peers.listen,
+            parts.identity,
+            secret,
+            parts.calls.local,
+            parts.metrics.peerTraffic,
+        )
         startLoops()
         val callers = listen(settings.callers.listen) { callerRoutes(parts.gate, parts.inference, parts.services) }
         val administration = listen(settings.administration.listen) {
             administrationRoutes(parts.operations, settings.operators, parts.metrics)
         }
-        listeners = listOf(callers, administration)
-        listening("callers", settings.callers.listen) { callers.start() }
-        listening("administration", settings.administration.listen) { administration.start() }
+        listeners = listOf(callers, administration).onEach { it.start() }
         log.change("started", "vm" to settings.vm, "domain" to settings.failureDomain)
     }
 
@@ -84,9 +92,9 @@
 
     private fun startLoops() {
         every(MEMBER_TICK_MILLIS) { parts.control.decide { tickMembers() } }
-        every(SESSION_TICK_MILLIS) { parts.session.tick() }
+        every(SESSION_TICK_MILLIS) { parts.control.decide { parts.session.tick() } }
         every(OWNERSHIP_TICK_MILLIS) { parts.control.decide { parts.ownership.tick() } }
-        every(timing.headPollMillis) { pollHead() }
+        every(timing.headPollMillis) { if (!parts.configuration.isLoaded) loadConfiguration() }
         every(LIST_MILLIS) { parts.members.readPlatformList() }
         every(SEAT_MILLIS) { if (!parts.isStopping) parts.seats.review() }
         every(RECORD_MILLIS) { parts.onceOnly.settleRecords(System.currentTimeMillis()) }
@@ -111,7 +119,7 @@
         parts.metrics.quotaSeats(parts.seats.held.size)
     }
 
-    private suspend fun pollHead() {
+    private suspend fun loadConfiguration() {
         parts.configuration.pollHead()
         if (!parts.configuration.isLoaded) {
             parts.control.decide { parts.membership.readyMembers() }
@@ -192,10 +200,14 @@
     exitProcess(REPLACED_EXIT_CODE)
 }
 
-private inline fun <T> listening(name: String, address: String, start: (String) -> T): T = try {
-    start(address)
-} catch (fault: BindException) {
-    throw BindException("cannot listen for $name at $address: ${fault.message}").apply { initCause(fault) }
+/** Ktor reports an address that is taken from a thread of its own and without naming it, so it is tried first. */
+private fun requireFree(name: String, address: String) {
+    val target = ipAddressOf(address) ?: throw BindException("$address for $name is not of the form ip:port")
+    try {
+        ServerSocket().use { it.bind(InetSocketAddress(target.ip, target.port)) }
+    } catch (fault: BindException) {
+        throw BindException("cannot listen for $name at $address: ${fault.message}").apply { initCause(fault) }
+    }
 }
 
 private fun listen(address: String, routes: Route.() -> Unit): EmbeddedServer<*, *> {
