--- a/proofs/src/test/kotlin/org/lentilquay/proofs/Fleet.kt
+++ b/proofs/src/test/kotlin/org/lentilquay/proofs/Fleet.kt
@@ -55,6 +55,7 @@
     val vans: Team = Team(TeamId("vans"), tokensPerSecond = 20_000, burstTokens = 200_000),
     val parts: Team = Team(TeamId("parts"), tokensPerSecond = 20_000, burstTokens = 200_000),
     val patienceMillis: Long = 3_000,
+    val platform: PlatformOptions = PlatformOptions(weightLoadsPerSecond = 20.0),
 )
 
 /** An engine that is warm from the start and answers in short time. */
@@ -63,7 +64,7 @@
 
 class Fleet(name: String, private val options: FleetOptions = FleetOptions()) : AutoCloseable {
     private val directory = Path.of("target", "proofs", name)
-    val platform: Platform = platform(PlatformOptions(weightLoadsPerSecond = 20.0))
+    val platform: Platform = platform(options.platform)
     val engines: List<ModelEngine> =
         options.engines.map { modelEngine(it.copy(weightStore = "http://127.0.0.1:${platform.port}")) }
     val service: PlainService = plainService(options.service)
@@ -124,6 +125,14 @@
         others.forEach { it.relay.cut(setOf(vm.name)) }
     }
 
+    /** Loses every byte that [from] sends to the VMs [to], and lets pass what they send to it. */
+    fun losePeers(from: Vm, to: List<Vm>) {
+        from.relay.loseTo(to.map { it.name }.toSet())
+        to.forEach { it.relay.loseFrom(setOf(from.name)) }
+    }
+
+    fun restorePeers() = vms.forEach { it.relay.restore() }
+
     fun cutTable(vararg cut: Vm) = platform.control(PlatformControl(cutOff = cut.map { it.name }.toSet()))
 
     fun runs(): List<EngineRun> = engines.flatMap { it.runs().runs }
--- a/proofs/src/test/kotlin/org/lentilquay/proofs/Relay.kt
+++ b/proofs/src/test/kotlin/org/lentilquay/proofs/Relay.kt
@@ -1,7 +1,7 @@
 /*
  * A TCP relay in front of the peer listener of one VM. It reads the name of the opening VM from the first frame of each
- * connection, so that each direction between two VMs can be cut on its own: existing connections are dropped and new
- * ones are refused.
+ * connection. The connections that a VM opens can be cut: existing ones are dropped and new ones are refused. Or the
+ * bytes of one direction can be lost, as with a one-way cut of the network: connections stay open and fall silent.
  */
 package org.lentilquay.proofs
 
@@ -11,6 +11,8 @@
 import java.io.DataInputStream
 import java.io.DataOutputStream
 import java.io.IOException
+import java.io.InputStream
+import java.io.OutputStream
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
@@ -18,10 +20,13 @@
 import kotlin.concurrent.thread
 
 private const val BACKLOG = 64
+private const val BUFFER_BYTES = 8_192
 
 class Relay(private val targetPort: Int) : AutoCloseable {
     private val listener = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
     private val cut = ConcurrentHashMap.newKeySet<String>()
+    private val silentFrom = ConcurrentHashMap.newKeySet<String>()
+    private val silentTo = ConcurrentHashMap.newKeySet<String>()
     private val open = ConcurrentHashMap<Socket, String>()
     private val cbor = Cbor { ignoreUnknownKeys = true }
 
@@ -39,7 +44,22 @@
         open.filterValues { it in from }.keys.forEach { quietly { it.close() } }
     }
 
-    fun restore() = cut.clear()
+    /** Loses the bytes that the VMs [from] send here on the connections that they open. */
+    fun loseFrom(from: Set<String>) {
+        silentFrom += from
+    }
+
+    /** Loses the bytes that are sent to the VMs [to] on the connections that they open. */
+    fun loseTo(to: Set<String>) {
+        silentTo += to
+    }
+
+    fun restore() {
+        val silent = silentFrom + silentTo
+        listOf(cut, silentFrom, silentTo).forEach { it.clear() }
+        // A connection that has lost bytes cannot be used again.
+        open.filterValues { it in silent }.keys.forEach { quietly { it.close() } }
+    }
 
     override fun close() {
         listener.close()
@@ -58,15 +78,28 @@
                 open[opening] = from
                 // A cut between the check and the entry into the map must not leave this connection open.
                 if (from in cut) return@quietly
-                DataOutputStream(target.getOutputStream()).apply { writeInt(hello.size) }.write(hello)
+                if (from !in silentFrom) {
+                    DataOutputStream(target.getOutputStream()).apply { writeInt(hello.size) }.write(hello)
+                }
                 thread(isDaemon = true) {
-                    opening.use { quietly { target.getInputStream().transferTo(opening.getOutputStream()) } }
+                    opening.use {
+                        quietly { pass(target.getInputStream(), opening.getOutputStream()) { from in silentTo } }
+                    }
                 }
-                input.transferTo(target.getOutputStream())
+                pass(input, target.getOutputStream()) { from in silentFrom }
             }
         }
         open.remove(opening)
     }
+
+    private fun pass(input: InputStream, output: OutputStream, isLost: () -> Boolean) {
+        val buffer = ByteArray(BUFFER_BYTES)
+        while (true) {
+            val count = input.read(buffer)
+            if (count < 0) return
+            if (!isLost()) output.write(buffer, 0, count)
+        }
+    }
 }
 
 /** Runs [action]; that a connection ends is expected here. */
--- a/standins/src/main/kotlin/org/lentilquay/standins/internal/WeightStore.kt
+++ b/standins/src/main/kotlin/org/lentilquay/standins/internal/WeightStore.kt
@@ -12,14 +12,19 @@
 internal class WeightStore(loadsPerSecond: Double, private val atFullSpeed: Int, private val fetchMillis: Long) {
     private val pacer = Pacer(loadsPerSecond, atFullSpeed)
     private val active = AtomicInteger()
+    private val asked = ArrayDeque<Long>()
 
     val fetches = AtomicLong()
     val delayedByRate = AtomicLong()
     val slowedByOthers = AtomicLong()
     val maximumAtOnce = AtomicInteger()
 
+    /** The most fetches that were asked for within any second, before the rate delayed them. */
+    val maximumInASecond = AtomicInteger()
+
     /** Takes the time that a fetch needs under the present load and returns the content, which depends on the name. */
     suspend fun fetch(name: String): ByteArray {
+        countAsked(monotonicMillis())
         if (pacer.await()) delayedByRate.incrementAndGet()
         val atOnce = active.incrementAndGet()
         try {
@@ -32,4 +37,15 @@
         }
         return "weights of $name".toByteArray()
     }
+
+    @Synchronized
+    private fun countAsked(now: Long) {
+        asked.addLast(now)
+        while (now - asked.first() >= MILLIS_PER_SECOND) asked.removeFirst()
+        maximumInASecond.accumulateAndGet(asked.size, ::max)
+    }
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1_000L
+    }
 }
