--- a/standins/src/main/kotlin/org/lentilquay/standins/Platform.kt
+++ b/standins/src/main/kotlin/org/lentilquay/standins/Platform.kt
@@ -111,7 +111,7 @@
         "weight_fetches_delayed" to weights.delayedByRate.get(),
         "weight_fetches_slowed" to weights.slowedByOthers.get(),
         "weight_fetches_at_once" to weights.maximumAtOnce.get().toLong(),
-        "weight_fetches_in_a_second" to weights.maximumInASecond.get().toLong(),
+        "weight_fetches_in_5_s" to weights.maximumInWindow.get().toLong(),
     )
 
     override fun stop() = listener.close()
