Mix up chunks of two answers behind right headers

Change: a switch of the engine stand-in sends right headers and, from the fourth chunk on, chunks of another answer. The session right-answers uses it on each engine.

Conclusion: an engine that mixes up answers in the middle of a stream is now tried as well.

--- a/proofs/src/test/kotlin/org/lentilquay/proofs/RightAnswerTest.kt
+++ b/proofs/src/test/kotlin/org/lentilquay/proofs/RightAnswerTest.kt
@@ -74,7 +74,9 @@
                 allRight(fleet, "engine ${index + 1} answers for a wrong model", asks("model $index", 12)) {}
                 engine.control(EngineControl(wrongModel = 0, wrongRequestId = 3))
                 allRight(fleet, "engine ${index + 1} answers for a wrong request", asks("request $index", 12)) {}
-                engine.control(EngineControl(wrongRequestId = 0))
+                engine.control(EngineControl(wrongRequestId = 0, strayChunks = 3))
+                allRight(fleet, "engine ${index + 1} mixes up chunks of two answers", asks("chunks $index", 12)) {}
+                engine.control(EngineControl(strayChunks = 0))
             }
             val slow = Ask("stove", "slow caller", tokens = 200)
             val slowly = fleet.caller.begin(fleet.vms[0], slow, pauseMillis = 30).await()
--- a/standins/src/main/kotlin/org/lentilquay/standins/EngineOptions.kt
+++ b/standins/src/main/kotlin/org/lentilquay/standins/EngineOptions.kt
@@ -52,6 +52,9 @@
     val logBodies: Boolean = false,
 )
 
+/** The index of the first chunk that [EngineControl.strayChunks] concerns. */
+const val STRAY_CHUNK = 3
+
 /** Body of `POST /control` of an engine; absent fields change nothing. */
 @Serializable
 data class EngineControl(
@@ -63,6 +66,8 @@
     @SerialName("wrong_model") val wrongModel: Int? = null,
     /** The next this many requests get the answer to another request. */
     @SerialName("wrong_request_id") val wrongRequestId: Int? = null,
+    /** The next this many streams have the right headers and, from [STRAY_CHUNK] on, chunks of another answer. */
+    @SerialName("stray_chunks") val strayChunks: Int? = null,
     /** Delay of requests and orders before they take effect. */
     @SerialName("delay_ms") val delayMillis: Long? = null,
     val leaving: Boolean? = null,
--- a/standins/src/main/kotlin/org/lentilquay/standins/internal/EngineCore.kt
+++ b/standins/src/main/kotlin/org/lentilquay/standins/internal/EngineCore.kt
@@ -20,6 +20,7 @@
 import org.lentilquay.standins.EngineOptions
 import org.lentilquay.standins.EngineRuns
 import org.lentilquay.standins.RunStage
+import org.lentilquay.standins.STRAY_CHUNK
 import java.util.concurrent.TimeUnit
 import kotlin.math.max
 
@@ -148,6 +149,7 @@
             failLoads = control.failLoads ?: switches.failLoads,
             wrongModel = control.wrongModel ?: switches.wrongModel,
             wrongRequestId = control.wrongRequestId ?: switches.wrongRequestId,
+            strayChunks = control.strayChunks ?: switches.strayChunks,
             delayMillis = control.delayMillis ?: switches.delayMillis,
             leaving = control.leaving ?: switches.leaving,
             reportLagMillis = control.reportLagMillis ?: switches.reportLagMillis,
@@ -177,6 +179,12 @@
         val bound = if (options.answerTokens > 0) options.answerTokens else Int.MAX_VALUE
         val total = minOf(request.maximumTokens, bound)
         val run = Run(request, identityFor(request), incarnations.current, max(total, 0), now)
+        val strays = switches.strayChunks ?: 0
+        if (strays > 0) {
+            switches = switches.copy(strayChunks = strays - 1)
+            counters.count("stray_chunks")
+            run.strayFrom = STRAY_CHUNK
+        }
         run.number = records.add(run)
         resumable[request.id] = run
         counters.count("accepted")
--- a/standins/src/main/kotlin/org/lentilquay/standins/internal/InferenceRequest.kt
+++ b/standins/src/main/kotlin/org/lentilquay/standins/internal/InferenceRequest.kt
@@ -19,6 +19,7 @@
 import kotlinx.serialization.json.put
 import kotlinx.serialization.json.putJsonArray
 import kotlinx.serialization.json.putJsonObject
+import org.lentilquay.standins.DeterministicOutput
 import org.lentilquay.standins.chatPrompt
 import org.lentilquay.standins.promptTokens
 import java.util.UUID
@@ -66,10 +67,12 @@
 
 /** The chunk for the token at [index]; the last one carries the finish reason and the usage. */
 internal fun Run.chunk(index: Int, isLast: Boolean): String {
-    val content = if (index < totalTokens) output.token(index) else ""
+    val isStray = index >= strayFrom
+    val source = if (isStray) DeterministicOutput(identity.model, "other ${identity.prompt}") else output
+    val content = if (index < totalTokens) source.token(index) else ""
     val reason = if (isLast) JsonPrimitive(finishReason) else JsonNull
     return buildJsonObject {
-        head(this@chunk, if (request.isChat) "chat.completion.chunk" else "text_completion")
+        head(this@chunk, if (request.isChat) "chat.completion.chunk" else "text_completion", isStray)
         put("index", index)
         putJsonArray("choices") {
             addJsonObject {
@@ -100,8 +103,8 @@
 
 private val Run.finishReason: String get() = if (isStoppedBySize) "stop" else "length"
 
-private fun JsonObjectBuilder.head(run: Run, kind: String) {
-    put("id", run.identity.requestId)
+private fun JsonObjectBuilder.head(run: Run, kind: String, isStray: Boolean = false) {
+    put("id", if (isStray) "other-${run.identity.requestId}" else run.identity.requestId)
     put("object", kind)
     put("model", run.identity.model)
 }
--- a/standins/src/main/kotlin/org/lentilquay/standins/internal/Run.kt
+++ b/standins/src/main/kotlin/org/lentilquay/standins/internal/Run.kt
@@ -28,6 +28,9 @@
     private val mutableProgress = MutableStateFlow(Progress(request.fromIndex, RunStage.QUEUED))
 
     val output: DeterministicOutput = DeterministicOutput(identity.model, identity.prompt)
+
+    /** From this index on, chunks are those of another answer. */
+    var strayFrom = Int.MAX_VALUE
     val progress: StateFlow<Progress> get() = mutableProgress
     val stage: RunStage get() = mutableProgress.value.stage
     val generated: Int get() = mutableProgress.value.end - request.fromIndex
