Hold requests for load permits until one is free

Cause: a load that had to wait for a permit asked ten times a second. 64 waiting loads are 640 messages a second at the owner of the weight store, and each load started up to 0.1 s after its permit was free, which adds to the time for which requests wait for an adapter.

Ruled out: a grant that the owner sends by itself. It needs an answer and its repetition, while a held request that is repeated is idempotent already.

Change: the owner holds a request for up to 0.6 s and answers when a permit is free, when it was withdrawn, or when the ownership ended. A load that does not ask keeps its turn but is given nothing.

The effect on load stalls was not measured apart.

Also: tests of a server that cannot be reached hold their port, because another program could take it; this made three tests fail while other test runs used the machine.

--- a/core/src/main/kotlin/org/lentilquay/coordination/loads/LoadPermits.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/loads/LoadPermits.kt
@@ -32,7 +32,7 @@
 data class LoadPermitAnswer(val isGranted: Boolean, val retryAfterMillis: Long)
 
 class LoadPermits(private val ratePerSecond: Int, private val parallel: Int, ownedSince: Long) {
-    private class Waiting(val since: Long, val requests: Int, val lastAsked: Long)
+    private class Waiting(val holder: VmId, val since: Long, val requests: Int, val lastAsked: Long)
 
     private class Permit(val holder: VmId, val renewedAt: Long)
 
@@ -56,17 +56,30 @@
             return GRANTED
         }
         if (loadId in returned) return LoadPermitAnswer(false, LOAD_POLL_MILLIS)
-        waiting[loadId] = Waiting(waiting[loadId]?.since ?: now, waitingRequests, now)
+        waiting[loadId] = Waiting(holder, waiting[loadId]?.since ?: now, waitingRequests, now)
+        return if (advance(now) { it == loadId }.isEmpty()) LoadPermitAnswer(false, LOAD_POLL_MILLIS) else GRANTED
+    }
+
+    /**
+     * Grants what is free now to the first of the waiting loads and returns those that got a permit. A load for which
+     * [isAsking] is false keeps its turn, but gets nothing until it asks again: its VM may be gone.
+     */
+    fun advance(now: Long, isAsking: (String) -> Boolean): List<String> {
+        expire(now)
         val free = freePermits(now)
-        val isFirst = waiting.entries
+        if (free == 0) return emptyList()
+        return waiting.entries
             .sortedWith(compareByDescending<Map.Entry<String, Waiting>> { it.value.requests }.thenBy { it.value.since })
             .take(free)
-            .any { it.key == loadId }
-        if (!isFirst) return LoadPermitAnswer(false, LOAD_POLL_MILLIS)
-        waiting.remove(loadId)
-        active[loadId] = Permit(holder, now)
+            .map { it.key }
+            .filter(isAsking)
+            .onEach { grant(it, now) }
+    }
+
+    private fun grant(loadId: String, now: Long) {
+        val asked = waiting.remove(loadId) ?: return
+        active[loadId] = Permit(asked.holder, now)
         starts.addLast(now)
-        return GRANTED
     }
 
     /** Takes back the permit of [loadId], or its request. Repeating it is harmless. */
--- a/core/src/test/kotlin/org/lentilquay/coordination/loads/LoadPermitsTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/loads/LoadPermitsTest.kt
@@ -44,6 +44,17 @@
         permits.request("c", VmId("vm-b"), 1, 3_000).isGranted shouldBe true
     }
 
+    // Guards against a permit for a load whose VM does not ask any more, and against a load that overtakes its turn.
+    test("a free permit goes to the first waiting loads that ask") {
+        val permits = LoadPermits(ratePerSecond = 5, parallel = 1, ownedSince = 0)
+        permits.request("active", vm, 1, 1_000).isGranted shouldBe true
+        listOf("first" to 3, "second" to 2).forEach { (id, requests) -> permits.request(id, vm, requests, 1_100) }
+        permits.advance(1_200) { true } shouldBe emptyList()
+        permits.done("active", 1_300)
+        permits.advance(1_300) { it == "second" } shouldBe emptyList()
+        permits.advance(1_300) { true } shouldBe listOf("first")
+    }
+
     // Guards against a weight store that gets more loads than its rate or more than two at once.
     test("rate and parallel limit hold under random requests, duplicates and returns") {
         for (seed in 1..300) {
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/Daemon.kt
@@ -97,6 +97,9 @@
         every(timing.headPollMillis) { if (!parts.configuration.isLoaded) loadConfiguration() }
         every(LIST_MILLIS) { parts.members.readPlatformList() }
         every(SEAT_MILLIS) { if (!parts.isStopping) parts.seats.review() }
+        every(LOAD_PERMIT_MILLIS) {
+            if (parts.weightStore.isHolding) parts.control.decide { parts.weightStore.advance() }
+        }
         every(RECORD_MILLIS) { parts.onceOnly.settleRecords(System.currentTimeMillis()) }
         scope.launch { while (!parts.crashes.readTable(System.currentTimeMillis())) delay(LIST_MILLIS) }
     }
@@ -175,7 +178,7 @@
         override suspend fun probeVia(request: PeerRequest.ProbeVia) = parts.members.probeVia(request)
 
         override suspend fun loadPermit(from: VmId, request: PeerRequest.LoadPermit): PeerAnswer =
-            parts.control.decide { parts.weightStore.request(from, request) } ?: PeerAnswer.NotOwner(null)
+            parts.weightStore.request(from, request)
 
         override suspend fun loadDone(request: PeerRequest.LoadDone): PeerAnswer =
             if (parts.control.decide { parts.weightStore.done(request) }) PeerAnswer.Done else PeerAnswer.NotOwner(null)
@@ -228,6 +231,9 @@
 private const val SEAT_MILLIS = 2_000L
 private const val RECORD_MILLIS = 1_000L
 
+/** The rate of the weight store frees permits at any time; a return frees them at once. */
+private const val LOAD_PERMIT_MILLIS = 25L
+
 /** Time in which the platform's balancer is expected to see that a VM is not ready. */
 private const val BALANCER_MILLIS = 2_000L
 private const val DRAIN_POLL_MILLIS = 50L
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/DaemonParts.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/DaemonParts.kt
@@ -140,7 +140,7 @@
 
     // Ownership, loads and orders.
     private val context = ControlContext(control, timer, timing, engines, metrics) { store.configuration }
-    val weightStore = WeightStoreOwner(settings.weightStore, timer::now)
+    val weightStore = WeightStoreOwner(settings.weightStore, control, timer::now)
     private val loadPermits = FleetLoadPermits(
         settings = settings.weightStore,
         owner = weightStore,
--- a/daemon/src/test/kotlin/org/lentilquay/transport/http/ScriptedServer.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/transport/http/ScriptedServer.kt
@@ -5,6 +5,7 @@
 package org.lentilquay.transport.http
 
 import java.net.InetAddress
+import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
@@ -55,5 +56,8 @@
 fun answering(status: Int, body: String, headers: String = "") =
     ScriptedServer { _, socket -> socket.answer(status, body, headers) }
 
+/** Bound but not listening: connections are refused, and no other program can take the port meanwhile. */
+private val closedSocket = Socket().apply { bind(InetSocketAddress(InetAddress.getLoopbackAddress(), 0)) }
+
 /** The address of a port on which nothing listens. */
-fun closedAddress(): String = ScriptedServer { _, _ -> }.use { it.address }
+fun closedAddress(): String = "127.0.0.1:${closedSocket.localPort}"
