Probe all members before a confirm is written

Cause: a confirm counted members that had answered within the last 3 s. In the first seconds of a partition a VM on the smaller side with access to the table could accept a withdrawal, while the larger side without the table went on serving for as long as the partition lasted (docs/design.md, 5.5).

Ruled out: waiting 3 s before each write, which uses most of the 4 s within which a change must be in force; a second round after the write, which can only report the fault.

Change: a confirm probes all members and counts those that answer, again while fewer than half do. What is left is a partition that begins between a probe and the write; the design page says so.

--- a/core/src/main/kotlin/org/lentilquay/coordination/membership/Membership.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/membership/Membership.kt
@@ -168,7 +168,10 @@
     fun domainOf(vm: VmId): DomainId? = if (vm == own.vm) own.domain else directory[vm]?.update?.domain
 
     /** Every member that is not gone for certain, this VM included. */
-    fun members(): Set<VmId> = directory.all.mapTo(HashSet()) { it.vm }.apply { add(own.vm) }
+    fun members(): Set<VmId> = others() + own.vm
+
+    /** Every other member that is not gone for certain. */
+    fun others(): Set<VmId> = directory.all.mapTo(HashSet()) { it.vm }
 
     /** Members that live and accept requests, this VM included if it does. Suspects are left out. */
     fun readyMembers(): Set<VmId> =
@@ -189,15 +192,21 @@
     }
 
     /** The counts for the rules of configuration freshness. */
-    fun reachability(now: Long): Reachability {
-        val told = directory.all.filter { isRecent(it.statusAt, now) }
-        return Reachability(
-            members = directory.all.size + 1,
-            reachable = reachable(now).size,
-            tableReachableByPeer = told.any { it.tableReachable },
-            highestRevision = told.maxOfOrNull { it.revision } ?: 0,
-        )
-    }
+    fun reachability(now: Long): Reachability =
+        reachability(reachable(now).size, directory.all.filter { isRecent(it.statusAt, now) })
+
+    /** The same, but only of members that were reached by questions sent from [since] on. */
+    fun reachabilitySince(since: Long): Reachability = reachability(
+        reachable = directory.all.count { (it.contactAt ?: Long.MIN_VALUE) >= since } + 1,
+        told = directory.all.filter { (it.statusAt ?: Long.MIN_VALUE) >= since },
+    )
+
+    private fun reachability(reachable: Int, told: List<Member>) = Reachability(
+        members = directory.all.size + 1,
+        reachable = reachable,
+        tableReachableByPeer = told.any { it.tableReachable },
+        highestRevision = told.maxOfOrNull { it.revision } ?: 0,
+    )
 
     /** Probes out of turn that carry urgent news: a death, a refutation or a planned stop. */
     private fun notices(now: Long): List<MembershipEffect> =
--- a/core/src/test/kotlin/org/lentilquay/coordination/membership/MembershipTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/membership/MembershipTest.kt
@@ -132,6 +132,9 @@
         membership.reachable(4_000) shouldContainExactlyInAnyOrder listOf(me.vm, x)
         membership.reachability(4_000).let { it.tableReachableByPeer to it.highestRevision } shouldBe (true to 7L)
         membership.reachable(4_001) shouldContainExactlyInAnyOrder listOf(me.vm)
+        listOf(1_000L to 2, 1_001L to 1).forEach { (since, reached) ->
+            membership.reachabilitySince(since).reachable shouldBe reached
+        }
     }
 
     listOf(Triple(8, 10, 3_500L), Triple(40, 5, 5_000L)).forEach { (size, seeds, bound) ->
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/DaemonParts.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/DaemonParts.kt
@@ -262,7 +262,7 @@
         loop = configuration,
         control = control,
         status = status,
-        now = timer::now,
+        reachabilityNow = members::reachabilityNow,
     )
 
     fun dispatcher(answers: CoordinationAnswers): PeerDispatcher =
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/administration/Operations.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/administration/Operations.kt
@@ -9,6 +9,7 @@
 import org.lentilquay.coordination.configuration.Confirmer
 import org.lentilquay.coordination.configuration.FleetSecret
 import org.lentilquay.coordination.configuration.LOG_PREFIX
+import org.lentilquay.coordination.configuration.Reachability
 import org.lentilquay.coordination.configuration.checkConfirmation
 import org.lentilquay.coordination.configuration.decodeEntry
 import org.lentilquay.coordination.configuration.logKey
@@ -45,7 +46,7 @@
     private val loop: ConfigurationLoop,
     private val control: ControlThread,
     private val status: StatusView,
-    private val now: () -> Long,
+    private val reachabilityNow: suspend () -> Reachability,
 ) : AdministrationActions {
     override suspend fun plan(request: PlanRequest, operator: String): Outcome<Plan> {
         loop.pollHead()
@@ -83,9 +84,10 @@
     private suspend fun confirm(plan: Plan, operator: String, attempt: Int): Outcome<Confirmation> {
         val confirmer = Confirmer(operator, own, secret)
         val earlier = earlierEntry(plan)
+        // Members that answered a moment ago may be cut off by now, and go on serving without this change.
+        val reachability = reachabilityNow()
         val verdict = control.decide {
             val epochMillis = System.currentTimeMillis()
-            val reachability = membership.reachability(now())
             checkConfirmation(plan, store.configuration, confirmer, epochMillis, reachability) {
                 store.entry(it) ?: earlier
             }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/control/FleetMembers.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/control/FleetMembers.kt
@@ -5,8 +5,10 @@
 package org.lentilquay.daemon.control
 
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import org.lentilquay.coordination.ListedVms
+import org.lentilquay.coordination.configuration.Reachability
 import org.lentilquay.coordination.membership.Membership
 import org.lentilquay.coordination.membership.MembershipEffect
 import org.lentilquay.coordination.membership.OwnStatus
@@ -89,6 +91,27 @@
         received.answer
     }
 
+    /**
+     * Probes every member and tells which can be reached at this moment. Members are probed again while fewer than half
+     * answer, because a busy VM may miss one probe.
+     */
+    suspend fun reachabilityNow(): Reachability {
+        val startedAt = now()
+        var reached = probeAll(startedAt)
+        repeat(MAXIMUM_REPETITIONS) { if (!reached.isAtLeastHalf) reached = probeAll(startedAt) }
+        return reached
+    }
+
+    private suspend fun probeAll(since: Long): Reachability {
+        val targets = control.decide {
+            membership.others().mapNotNull { vm ->
+                membership.addressOf(vm)?.let { MembershipEffect.Probe(vm, it, membership.probeFor(vm)) }
+            }
+        }
+        coroutineScope { targets.forEach { launch { probe(it.vm, it.address, it.request) } } }
+        return control.decide { membership.reachabilitySince(since) }
+    }
+
     /** Probes another VM on behalf of a third. */
     suspend fun probeVia(request: PeerRequest.ProbeVia): PeerAnswer {
         val probe = control.decide { membership.probeFor(request.target) }
@@ -147,3 +170,5 @@
         control.decide { perform(membership.probeViaAnswered(effect.target, reached, now())) }
     }
 }
+
+private const val MAXIMUM_REPETITIONS = 2
