Read the platform's list in turn, and pass digests of it on probes

Cause: every VM read the whole list every 2 s. At 370 VMs and 1,010 entries that is 50 KB a second for each VM, where control may use 4 KB.

Ruled out: three readers in each failure domain that pass changes on. A reader still receives 50 KB a second, VMs that disagree about the readers see nothing, and a VM would count as gone by hearsay, also from a VM that was paused: its quota seat could then have two holders. Content from peers with readers in turn has the same fault. docs/design.md, 4.12, lists them.

Change: probes and answers carry the digest of the list and the age of the reading that showed it. A VM reads the list itself when a peer shows a younger and different one, when the reading that it relies on is 2.5 to 3 s old, and in its turn, so that a large fleet reads about 8 times a second. Up to 16 VMs read every 2 s as before. Every decision rests on an own reading. Status and views are made when a probe is answered; a VM that had resumed after a pause could answer with the status from before it.

Not measured: a real fleet of more than 16 VMs, and bytes on the wire.

--- a/core/src/main/kotlin/org/lentilquay/coordination/membership/Membership.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/membership/Membership.kt
@@ -138,6 +138,7 @@
             tableReachable = status.tableReachable,
             revisionCurrent = status.revisionCurrent,
             ready = status.ready,
+            list = status.list,
         )
         return ProbeReceived(answer, effects)
     }
@@ -238,6 +239,7 @@
         revision = status.revision,
         tableReachable = status.tableReachable,
         ready = status.ready,
+        list = status.list,
     )
 
     private companion object {
--- a/core/src/main/kotlin/org/lentilquay/coordination/membership/MembershipEffect.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/membership/MembershipEffect.kt
@@ -4,6 +4,7 @@
  */
 package org.lentilquay.coordination.membership
 
+import org.lentilquay.protocol.ListView
 import org.lentilquay.protocol.MemberState
 import org.lentilquay.protocol.PeerAnswer
 import org.lentilquay.protocol.PeerRequest
@@ -41,4 +42,5 @@
     val tableReachable: Boolean = false,
     val revisionCurrent: Boolean = false,
     val ready: Boolean = false,
+    val list: ListView? = null,
 )
--- a/core/src/main/kotlin/org/lentilquay/protocol/PeerMessages.kt
+++ b/core/src/main/kotlin/org/lentilquay/protocol/PeerMessages.kt
@@ -81,6 +81,7 @@
         val revision: Long,
         val tableReachable: Boolean,
         val ready: Boolean,
+        val list: ListView? = null,
     ) : PeerRequest
 
     /** Asks the receiver to probe [target] on behalf of the sender. */
@@ -194,6 +195,7 @@
         /** Whether the answering VM confirmed its revision with the table service within its freshness bound. */
         val revisionCurrent: Boolean,
         val ready: Boolean,
+        val list: ListView? = null,
     ) : PeerAnswer
 
     @Serializable
@@ -267,6 +269,13 @@
     data class IdempotencyStatusAnswer(val state: CallState) : PeerAnswer
 }
 
+/** The platform's list as a VM knows it: a digest of its entries, and how long ago a reading showed them. */
+@Serializable
+data class ListView(
+    @SerialName("d") val digest: Long,
+    @SerialName("a") val ageMillis: Long,
+)
+
 /** A run that a fronting VM has on a backend server. */
 @Serializable
 data class ActiveRun(
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/Daemon.kt
@@ -88,7 +88,6 @@
         every(SESSION_TICK_MILLIS) { parts.control.decide { parts.session.tick() } }
         every(OWNERSHIP_TICK_MILLIS) { parts.control.decide { parts.ownership.tick() } }
         every(timing.headPollMillis) { if (!parts.configuration.isLoaded) loadConfiguration() }
-        every(LIST_MILLIS) { parts.members.readPlatformList() }
         every(SEAT_MILLIS) { if (!parts.isStopping) parts.seats.review() }
         every(RECORD_MILLIS) { parts.onceOnly.settleRecords(System.currentTimeMillis()) }
         scope.launch { while (!parts.crashes.readTable(System.currentTimeMillis())) delay(LIST_MILLIS) }
@@ -96,7 +95,7 @@
 
     private fun tickMembers() {
         parts.watch.judge()
-        parts.members.tick(parts.watch.ownStatus(parts.status.isReady()))
+        parts.members.tick()
         parts.metrics.freshness(
             when (parts.watch.state) {
                 FreshnessState.CURRENT -> org.lentilquay.daemon.metrics.FreshnessState.CURRENT
@@ -160,6 +159,8 @@
         override fun processEnded(vm: VmId) = parts.ownership.processEnded(vm)
 
         override fun replaced(by: Incarnation) = replacedBy(by.toString())
+
+        override fun ownStatus() = parts.watch.ownStatus(parts.status.isReady())
     }
 
     private inner class Answers : CoordinationAnswers {
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/control/FleetMembers.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/control/FleetMembers.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import org.lentilquay.coordination.ListedVms
+import org.lentilquay.coordination.membership.ListReadings
 import org.lentilquay.coordination.membership.Membership
 import org.lentilquay.coordination.membership.MembershipEffect
 import org.lentilquay.coordination.membership.OwnStatus
@@ -27,6 +28,7 @@
 import org.lentilquay.transport.platform.PlatformClient
 import org.lentilquay.transport.platform.ReadResult
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.random.Random
 
 /** What other parts do about changes of membership; called on the control thread. */
 interface MemberEvents {
@@ -41,6 +43,9 @@
 
     /** A later process runs under this VM's id. */
     fun replaced(by: Incarnation)
+
+    /** What this VM says about itself at the moment. */
+    fun ownStatus(): OwnStatus
 }
 
 class FleetMembers(
@@ -57,6 +62,8 @@
 
     /** The platform's list over time. Used on the control thread. */
     val listed = ListedVms()
+    private val readings = ListReadings(Random.Default)
+    private var isReading = false
     private val readySince = HashMap<VmId, Long>()
     private val addresses = ConcurrentHashMap<VmId, String>(seedAddresses).apply {
         membership.members().forEach { vm -> membership.addressOf(vm)?.let { put(vm, it) } }
@@ -73,9 +80,10 @@
     fun addressOf(vm: VmId): String? = addresses[vm]
 
     /** Does what is due. Call on the control thread, several times a second. */
-    fun tick(status: OwnStatus) {
-        membership.setStatus(status)
+    fun tick() {
+        refreshStatus()
         perform(membership.tick(now()))
+        if (!isReading && readings.isDue(now())) startReading()
     }
 
     /** Announces the planned stop of this VM. Call on the control thread. */
@@ -83,6 +91,9 @@
 
     /** Answers the probe of another VM. */
     suspend fun probed(from: VmId, probe: PeerRequest.Probe): PeerAnswer = control.decide {
+        // After a pause, the status of the last tick would say that this VM is still current.
+        refreshStatus()
+        readings.told(probe.list, now())
         val received = membership.received(from, probe, now())
         perform(received.effects)
         events.revisionSeen(from, probe.revision)
@@ -91,12 +102,30 @@
 
     /** Probes another VM on behalf of a third. */
     suspend fun probeVia(request: PeerRequest.ProbeVia): PeerAnswer {
-        val probe = control.decide { membership.probeFor(request.target) }
+        val probe = control.decide {
+            refreshStatus()
+            membership.probeFor(request.target)
+        }
         return PeerAnswer.ProbeViaAnswer(probe(request.target, request.address, probe))
     }
 
+    private fun refreshStatus() = membership.setStatus(events.ownStatus().copy(list = readings.view(now())))
+
+    private fun startReading() {
+        isReading = true
+        readings.started(now(), membership.members().size)
+        scope.launch {
+            try {
+                readPlatformList()
+            } finally {
+                control.decide { isReading = false }
+            }
+        }
+    }
+
     /** Reads the platform's list and takes over its VMs and leaving backend servers. */
-    suspend fun readPlatformList() {
+    private suspend fun readPlatformList() {
+        val sentAt = now()
         val list = (platform.vmList() as? ReadResult.Read)?.value ?: return
         val leaving = list
             .filter { it.kind == ListedKind.BACKEND && it.state == ListedState.LEAVING }
@@ -104,6 +133,7 @@
         if (leaving != fleet.leaving) fleet.listedLeaving(leaving)
         val vms = list.filter(::isOfSystem)
         control.decide {
+            readings.read(list, sentAt)
             listed.observed(vms.mapTo(HashSet()) { VmId(it.id) }, now())
             perform(membership.platformList(vms, now()))
         }
@@ -133,6 +163,7 @@
             if (answer == null) {
                 perform(membership.probeFailed(known, sentAt, now()))
             } else {
+                readings.told(answer.list, sentAt)
                 perform(membership.probeAnswered(vm, sentAt, answer, now()))
                 if (answer.revisionCurrent) events.peerConfirmed(answer.revision, sentAt)
                 events.revisionSeen(vm, answer.revision)
