--- a/daemon/src/main/kotlin/org/lentilquay/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/Daemon.kt
@@ -95,7 +95,6 @@
         every(SESSION_TICK_MILLIS) { parts.control.decide { parts.session.tick() } }
         every(OWNERSHIP_TICK_MILLIS) { parts.control.decide { parts.ownership.tick() } }
         every(timing.headPollMillis) { if (!parts.configuration.isLoaded) loadConfiguration() }
-        every(LIST_MILLIS) { parts.members.readPlatformList() }
         every(SEAT_MILLIS) { if (!parts.isStopping) parts.seats.review() }
         every(LOAD_PERMIT_MILLIS) {
             if (parts.weightStore.isHolding) parts.control.decide { parts.weightStore.advance() }
@@ -106,7 +105,7 @@
 
     private fun tickMembers() {
         parts.watch.judge()
-        parts.members.tick(parts.watch.ownStatus(parts.status.isReady()))
+        parts.members.tick()
         parts.metrics.freshness(
             when (parts.watch.state) {
                 FreshnessState.CURRENT -> org.lentilquay.daemon.metrics.FreshnessState.CURRENT
@@ -170,6 +169,8 @@
         override fun processEnded(vm: VmId) = parts.ownership.processEnded(vm)
 
         override fun replaced(by: Incarnation) = replacedBy(by.toString())
+
+        override fun ownStatus() = parts.watch.ownStatus(parts.status.isReady())
     }
 
     private inner class Answers : CoordinationAnswers {
