Let the estimate of a load time fall while no load ends

Cause: a server refuses a request whose expected wait is longer than its patience. The expected time of a load was learnt from loads alone, so once it was above the patience, every request that needed a load was refused and no load corrected it.

Ruled out: a cap on the estimate, which would queue requests in vain while loads really are slow.

Change: the estimate goes back to its initial value, half of the way in 2 s, while no load ends.

ServerAllocatorTest shows the recovery: a refusal after a load of 40 s, a queued request 10 s later.

--- a/core/src/main/kotlin/org/lentilquay/coordination/allocation/AllocatorPolicy.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/allocation/AllocatorPolicy.kt
@@ -30,6 +30,8 @@
     val initialServiceMillis: Long = 500,
     /** Assumed time from the wish for a load to its end until loads were measured. */
     val initialLoadMillis: Long = 400,
+    /** Time in which an unusual load time counts half, if no further load ends. */
+    val loadEstimateHalfLifeMillis: Long = 2_000,
     /** Assumed wait while the owner has no valid claim or no report of the server; both come about every second. */
     val unclaimedWaitMillis: Long = 1_000,
     /** Assumed wait for an adapter that a previous owner may still unload. */
--- a/core/src/main/kotlin/org/lentilquay/coordination/allocation/ServerAllocator.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/allocation/ServerAllocator.kt
@@ -284,7 +284,7 @@
         unconfirmed = runs.unconfirmed,
         coldLimit = health.coldLimit,
         averageServiceMillis = parts.estimator.serviceMillis,
-        averageLoadMillis = parts.estimator.loadMillis,
+        averageLoadMillis = parts.estimator.loadMillis(loadsAhead = 0, now),
     )
 
     private fun noteOutcome(run: Run?, outcome: RunOutcome, serverIncarnation: Long?, now: Long) {
--- a/core/src/main/kotlin/org/lentilquay/coordination/allocation/internal/LoadPlanner.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/allocation/internal/LoadPlanner.kt
@@ -98,7 +98,7 @@
     /** Ends a load that was ordered and adds the time from the wish to the end to [estimator]. */
     fun loadEnded(adapter: AdapterVersion, isLoaded: Boolean, estimator: WaitEstimator, now: Long) {
         val want = ordered.remove(adapter) ?: return
-        if (isLoaded) estimator.observeLoad(now - want.since, want.loadsAhead)
+        if (isLoaded) estimator.observeLoad(now - want.since, want.loadsAhead, now)
     }
 
     /** Holds new loads back, because the server has fewer free slots than assumed. */
--- a/core/src/main/kotlin/org/lentilquay/coordination/allocation/internal/Reservations.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/allocation/internal/Reservations.kt
@@ -138,12 +138,12 @@
         val loads = parts.loads
         return when {
             state == SlotState.PENDING_UNLOAD -> policy.pendingUnloadWaitMillis
-            state == SlotState.LOADING || loads.isWanted(adapter) -> parts.estimator.loadMillis(loadsAhead = 0)
+            state == SlotState.LOADING || loads.isWanted(adapter) -> parts.estimator.loadMillis(loadsAhead = 0, now)
             !parts.health.hasReport || !parts.ownership.mayOrder(now) ->
-                policy.unclaimedWaitMillis + parts.estimator.loadMillis(loadsAhead = 0)
-            loads.hasRoom(now) -> parts.estimator.loadMillis(loads.loadsAhead)
+                policy.unclaimedWaitMillis + parts.estimator.loadMillis(loadsAhead = 0, now)
+            loads.hasRoom(now) -> parts.estimator.loadMillis(loads.loadsAhead, now)
             else -> (parts.ownership.settledAt - now).coerceAtLeast(parts.estimator.serviceMillis) +
-                parts.estimator.loadMillis(loads.loadsAhead)
+                parts.estimator.loadMillis(loads.loadsAhead, now)
         }
     }
 
--- a/core/src/main/kotlin/org/lentilquay/coordination/allocation/internal/WaitEstimator.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/allocation/internal/WaitEstimator.kt
@@ -5,15 +5,16 @@
 package org.lentilquay.coordination.allocation.internal
 
 import org.lentilquay.coordination.allocation.AllocatorPolicy
+import kotlin.math.pow
 
 /** Averages of the server's recent runs and loads, in milliseconds and estimated tokens. */
 internal class WaitEstimator(private val policy: AllocatorPolicy) {
     private var service: Double = policy.initialServiceMillis.toDouble()
     private var load: Double = policy.initialLoadMillis.toDouble()
+    private var loadedAt = 0L
     private var tokens: Double = 0.0
 
     val serviceMillis: Long get() = service.toLong()
-    val loadMillis: Long get() = load.toLong()
 
     fun observeRun(millis: Long, estimatedTokens: Long) {
         service = average(service, millis.toDouble())
@@ -24,8 +25,9 @@
      * A load ended [millis] after its wish, behind [loadsAhead] others. Only its own part of that time counts: the
      * estimate for a load adds the ones ahead again, and counting them twice refused requests that had time enough.
      */
-    fun observeLoad(millis: Long, loadsAhead: Int) {
-        load = average(load, millis / behind(loadsAhead))
+    fun observeLoad(millis: Long, loadsAhead: Int, now: Long) {
+        load = average(expectedLoad(now), millis / behind(loadsAhead))
+        loadedAt = now
     }
 
     /** The wait behind [tokensAhead] queued tokens with [freePlaces] of [limit] places free. */
@@ -36,7 +38,17 @@
     }
 
     /** The wait for a load behind [loadsAhead] others. */
-    fun loadMillis(loadsAhead: Int): Long = (load * behind(loadsAhead)).toLong()
+    fun loadMillis(loadsAhead: Int, now: Long): Long = (expectedLoad(now) * behind(loadsAhead)).toLong()
+
+    /**
+     * Goes back to the initial value while no load ends. An estimate above the patience of requests refuses all that
+     * need a load, and without loads it would never be corrected.
+     */
+    private fun expectedLoad(now: Long): Double {
+        val initial = policy.initialLoadMillis.toDouble()
+        val age = (now - loadedAt).toDouble() / policy.loadEstimateHalfLifeMillis
+        return initial + (load - initial) * HALF.pow(age)
+    }
 
     private fun behind(loadsAhead: Int): Double = 1 + loadsAhead.toDouble() / PARALLEL_LOADS
 
@@ -45,5 +57,6 @@
     private companion object {
         /** The weight store serves two loads at once at full speed (docs/design.md, section 1.5). */
         const val PARALLEL_LOADS = 2
+        const val HALF = 0.5
     }
 }
--- a/core/src/test/kotlin/org/lentilquay/coordination/allocation/ServerAllocatorTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/allocation/ServerAllocatorTest.kt
@@ -276,6 +276,21 @@
             listOf(AllocatorEffect.WantLoad(adapter(2), 1, 0))
     }
 
+    // Guards against a server that refuses every request which needs a load, because no load corrects its estimate.
+    test("after a slow load the estimate of a load falls while none ends") {
+        val fixture = AllocatorFixture().settled()
+        fixture.reserve("slow", 1, wait = 60_000)
+        fixture.tick()
+        fixture.allocator.loadPermitted(adapter(1), fixture.now)
+        fixture.now += 40_000
+        fixture.allocator.loadFinished(adapter(1), LoadResult.LOADED, fixture.now)
+        fixture.claim()
+        fixture.reserve("refused", 4, wait = 3_000).failureKind() shouldBe ErrorKind.OVERLOADED
+        fixture.now += 10_000
+        fixture.claim()
+        fixture.reserve("queued", 4, wait = 3_000).shouldBeInstanceOf<ReserveDecision.Queued>()
+    }
+
     // Guards against grants on an adapter that a lost unload may have removed.
     mapOf(UnloadResult.NOT_SENT to false, UnloadResult.STILL_LOADED to true).forEach { (repeated, isReady) ->
         test("after a lost unload, a repetition that ends as $repeated makes the adapter usable: $isReady") {
