End requests that wait for a place when their call is cut

The VM was isolated in time (2.9 s after the change, by its log). The request waited for an owner that the VM could not reach, because a cut call only interrupted a run, and was then told that there is no capacity. It did not run.

Ruled out: the freshness rule, see the log; lost withdrawals (the VM refused all later requests).

Change: a cut call stops waiting for a place and is told its reason. The session sends its requests one after the other without waiting for answers, and demands that one that was sent within 4 s is refused; before, a slow answer kept it from asking again.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/requests/ActiveCalls.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/requests/ActiveCalls.kt
@@ -4,6 +4,7 @@
  */
 package org.lentilquay.daemon.requests
 
+import kotlinx.coroutines.CompletableDeferred
 import org.lentilquay.protocol.ActiveRun
 import org.lentilquay.state.CallerKey
 import org.lentilquay.state.Failure
@@ -22,6 +23,8 @@
     var cut: Failure? = null
         private set
 
+    private val cutSignal = CompletableDeferred<Unit>()
+
     @Volatile
     private var onCut: () -> Unit = {}
 
@@ -39,8 +42,12 @@
     /** Ends the call with [failure]. */
     fun cut(failure: Failure) {
         cut = failure
+        cutSignal.complete(Unit)
         onCut()
     }
+
+    /** Suspends until the call is cut. */
+    suspend fun awaitCut() = cutSignal.await()
 }
 
 /** All calls in progress. Safe for use from several threads. */
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/requests/InferenceRun.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/requests/InferenceRun.kt
@@ -5,6 +5,11 @@
  */
 package org.lentilquay.daemon.requests
 
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.launch
 import org.lentilquay.coordination.quota.Charge
 import org.lentilquay.daemon.metrics.RetryReason
 import org.lentilquay.protocol.ActiveRun
@@ -100,7 +105,8 @@
         while (true) {
             activeCall.cut?.let { return endCut(it) }
             val attempt = current ?: when (val opened = openNext()) {
-                is Outcome.Failed -> return RunEvent.Failed(truthful(opened.failure))
+                is Outcome.Failed ->
+                    return activeCall.cut?.let { endCut(it) } ?: RunEvent.Failed(truthful(opened.failure))
                 is Outcome.Success -> opened.value
             }
             when (val step = attempt.run.next()) {
@@ -131,7 +137,7 @@
         var last = Failure(ErrorKind.BACKEND_FAILED, "no backend server completed the request")
         while (attempts < MAXIMUM_ATTEMPTS) {
             val askedAt = parts.now()
-            val place = when (val reserved = parts.placement.reserve(placeRequest(attempts++))) {
+            val place = when (val reserved = reserveUnlessCut(placeRequest(attempts++))) {
                 is Outcome.Failed -> return reserved
                 is Outcome.Success -> reserved.value
             }
@@ -144,6 +150,23 @@
         return Outcome.Failed(last)
     }
 
+    /** Waits for a place, but no longer than until the call is cut. */
+    private suspend fun reserveUnlessCut(request: PlaceRequest): Outcome<Place> = coroutineScope {
+        val reserving = async { parts.placement.reserve(request) }
+        val cut = launch {
+            activeCall.awaitCut()
+            reserving.cancel()
+        }
+        try {
+            reserving.await()
+        } catch (_: CancellationException) {
+            ensureActive()
+            failure(ErrorKind.NO_CAPACITY, "the call was cut while it waited for a place")
+        } finally {
+            cut.cancel()
+        }
+    }
+
     private suspend fun open(place: Place): Outcome<Attempt> {
         if (parts.now() > place.startBefore || activeCall.cut != null) {
             parts.placement.release(place, RunOutcome.NOT_STARTED, null)
--- a/proofs/src/test/kotlin/org/lentilquay/proofs/WithdrawnKeyTest.kt
+++ b/proofs/src/test/kotlin/org/lentilquay/proofs/WithdrawnKeyTest.kt
@@ -3,23 +3,33 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldBeIn
+import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
 import org.lentilquay.state.ConfigurationChange
 import org.lentilquay.state.KeyId
 
 private const val NEXT_KEY = "key-text-of-the-vans-c2e8"
+private const val PROBE_MILLIS = 200L
 private val refusals = listOf("key_invalid", "key_withdrawn", "configuration_stale")
 
-/** Waits until every VM refuses [key] and the [streams] of it, one for each VM, are over; 4 s for all. */
+/**
+ * Sends requests with [key] to every VM until each has refused one, for at most 4 s, and waits for the end of the
+ * [streams] of it within the same time. A request that waits for a place does not hold up the next.
+ */
 internal fun SessionRecord.awaitRefused(fleet: Fleet, key: String, streams: List<Pending> = emptyList()) {
     val started = System.nanoTime()
-    fleet.vms.forEachIndexed { index, vm ->
-        val left = IN_FORCE_MILLIS - (System.nanoTime() - started) / 1_000_000
-        await("the key is refused and the stream is over on ${vm.name}", left) {
-            val ask = Ask("stove", "probe ${System.nanoTime()}", tokens = 1, key = key)
-            add(ask, fleet.caller.ask(vm, ask)).code in refusals && streams.getOrNull(index)?.answer?.isDone != false
+    fun leftMillis() = IN_FORCE_MILLIS - (System.nanoTime() - started) / 1_000_000
+    val probes = fleet.vms.associateWith { ArrayList<Pending>() }
+    fun Pending.isRefused() = add(ask, await()).code in refusals
+    fun unsettled() = probes.filterValues { sent -> sent.none { it.answer.isDone && it.isRefused() } }
+    while (leftMillis() > 0 && unsettled().isNotEmpty()) {
+        unsettled().forEach { (vm, sent) ->
+            sent += fleet.caller.begin(vm, Ask("stove", "probe ${System.nanoTime()}", tokens = 1, key = key))
         }
+        Thread.sleep(PROBE_MILLIS)
     }
+    await("the streams of the key are over", maxOf(leftMillis(), 1)) { streams.all { it.answer.isDone } }
+    probes.forEach { (vm, sent) -> withClue(vm.name) { sent.count { it.isRefused() } shouldBeGreaterThan 0 } }
     streams.forEach { withClue(it.ask.prompt) { it.await().code shouldBeIn refusals } }
 }
 
