--- a/daemon/src/test/kotlin/org/lentilquay/daemon/requests/InferenceRunTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/requests/InferenceRunTest.kt
@@ -6,10 +6,15 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitCancellation
 import org.lentilquay.coordination.quota.Charge
 import org.lentilquay.daemon.metrics.Metrics
 import org.lentilquay.protocol.RunOutcome
 import org.lentilquay.state.AdapterVersion
+import org.lentilquay.state.ErrorKind
+import org.lentilquay.state.Failure
 import org.lentilquay.state.Outcome
 import org.lentilquay.state.Route
 import org.lentilquay.state.RouteId
@@ -49,6 +54,20 @@
     }
 }
 
+/** Never has a place; [isAsked] is completed by the first request. */
+private class NoPlaces : Placement {
+    val isAsked = CompletableDeferred<Unit>()
+
+    override suspend fun reserve(request: PlaceRequest): Outcome<Place> {
+        isAsked.complete(Unit)
+        awaitCancellation()
+    }
+
+    override fun progress(place: Place, incarnation: Long?) = Unit
+
+    override fun release(place: Place, outcome: RunOutcome, incarnation: Long?) = Unit
+}
+
 private object NoCrashes : CrashHistory {
     override suspend fun verdict(fingerprint: String) = ContentVerdict.CLEAR
 
@@ -70,6 +89,22 @@
     )
 }
 
+private fun admitted(): AdmittedInference {
+    val body = """{"model":"stove","messages":[{"role":"user","content":"hello"}]}"""
+    val read = readInferenceRequest(InferenceForm.CHAT, body.encodeToByteArray())
+    return AdmittedInference(
+        requestId = "r",
+        request = (read as Outcome.Success).value,
+        route = Route(RouteId("stove"), Target.AdapterTarget("stove")),
+        team = TeamId("t"),
+        baseModel = "llama",
+        adapter = adapter,
+        fingerprint = "f",
+        isSuspect = false,
+        charge = Charge(TeamId("t"), 1, 10),
+    )
+}
+
 /** Guards against a cause of repeated work that the metrics show as another one. */
 class InferenceRunTest : FunSpec({
     test("each request that is sent again counts with its reason, and each further part with its gap") {
@@ -80,22 +115,9 @@
         )
         val places = Places(listOf(closedAddress()) + servers.map { it.address })
         val metrics = Metrics()
-        val body = """{"model":"stove","messages":[{"role":"user","content":"hello"}]}"""
-        val read = readInferenceRequest(InferenceForm.CHAT, body.encodeToByteArray())
-        val admitted = AdmittedInference(
-            requestId = "r",
-            request = (read as Outcome.Success).value,
-            route = Route(RouteId("stove"), Target.AdapterTarget("stove")),
-            team = TeamId("t"),
-            baseModel = "llama",
-            adapter = adapter,
-            fingerprint = "f",
-            isSuspect = false,
-            charge = Charge(TeamId("t"), 1, 10),
-        )
         EngineClient().use { engines ->
             val parts = InferenceParts(places, engines, NoCrashes) { 0 }
-            val run = InferenceRun(admitted, parts, ActiveCalls().begin(null), CountedRequests(metrics))
+            val run = InferenceRun(admitted(), parts, ActiveCalls().begin(null), CountedRequests(metrics))
             repeat(2) { run.next().shouldBeInstanceOf<RunEvent.Part>() }
             run.next() shouldBe RunEvent.Done
         }
@@ -112,4 +134,18 @@
             RunOutcome.COMPLETED,
         )
     }
+
+    // Guards against a request of a withdrawn key that goes on waiting, and then is told that there is no capacity.
+    test("a call that is cut while it waits for a place ends at once with its reason") {
+        val places = NoPlaces()
+        val call = ActiveCalls().begin(null)
+        EngineClient().use { engines ->
+            val parts = InferenceParts(places, engines, NoCrashes) { 0 }
+            val run = InferenceRun(admitted(), parts, call, CountedRequests(Metrics()))
+            val event = async { run.next() }
+            places.isAsked.await()
+            call.cut(Failure(ErrorKind.KEY_WITHDRAWN, "the key was withdrawn"))
+            event.await() shouldBe RunEvent.Failed(Failure(ErrorKind.KEY_INVALID, "the key was withdrawn"))
+        }
+    }
 })
