Add Nour's deployment and scenarios for peaks, shifts and failures to bench

Cause: bench ran one deployment with two scenarios, and its report left out how service was while something failed, how teams fared inside their rates, and which codes refusals had.

VMs and stand-ins of a fleet can vanish and come back on their ports, and what they had counted is kept. The report has waits for loads by bucket, tokens a step, refusals and broken requests inside the rate by code, shares by team, times of short and long requests, table calls, and service in each phase between two events.

--- a/bench/src/main/kotlin/org/lentilquay/bench/Chart.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/Chart.kt
@@ -22,7 +22,8 @@
                 """font-family="sans-serif" font-size="12">""",
         )
         appendLine("""<rect width="100%" height="100%" fill="white"/>""")
-        append(plot("first token p95, ms, by second (${report.scenario}, seed ${report.seed})", latencies, GAP, x))
+        val title = "first token p95, ms, by second (${report.run.scenario}, seed ${report.run.seed})"
+        append(plot(title, latencies, GAP, x))
         append(plot("refusals a second", refusals, GAP + HEIGHT + GAP, x))
         report.events.forEach { event ->
             val place = number(x(event.seconds))
--- a/bench/src/main/kotlin/org/lentilquay/bench/Fleet.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/Fleet.kt
@@ -10,9 +10,9 @@
 import org.lentilquay.protocol.ListedState
 import org.lentilquay.protocol.ListedVm
 import org.lentilquay.standins.EngineOptions
-import org.lentilquay.standins.ModelEngine
-import org.lentilquay.standins.PlainService
 import org.lentilquay.standins.Platform
+import org.lentilquay.standins.PlatformOptions
+import org.lentilquay.standins.ServiceOptions
 import org.lentilquay.standins.modelEngine
 import org.lentilquay.standins.plainService
 import org.lentilquay.standins.platform
@@ -24,14 +24,9 @@
 import java.io.File
 import java.net.InetAddress
 import java.net.ServerSocket
-import java.util.concurrent.TimeUnit
 
 internal const val OPERATOR_TOKEN = "bench-operator"
-private const val FLEET_SECRET = "bench-fleet-secret-0123456789"
-private const val SECRET_VARIABLE = "LENTILQUAY_FLEET_SECRET"
-private const val LOADS_PER_SECOND = 5
 private const val PORTS_PER_VM = 3
-private const val STOP_SECONDS = 3L
 private const val COLD_IN_FLIGHT = 4
 private const val SERVICE_IN_FLIGHT = 32
 
@@ -43,51 +38,37 @@
     val slots: Int = 16,
     val inFlight: Int = 32,
     val services: Int = 4,
+    /** What the weight store bears, 2 at once at full speed. */
+    val loadsPerSecond: Int = 5,
 )
 
-/** One running daemon. */
-class RunningVm internal constructor(
-    val name: String,
-    val domain: String,
-    val callersPort: Int,
-    val administrationPort: Int,
-    private val process: Process,
-) {
-    val pid: Long get() = process.pid()
-    val isAlive: Boolean get() = process.isAlive
-
-    internal fun stop() {
-        process.destroy()
-    }
-
-    internal fun awaitEnd() {
-        if (!process.waitFor(STOP_SECONDS, TimeUnit.SECONDS)) process.destroyForcibly().waitFor()
-    }
-}
-
-/** A fleet of [size] whose settings and logs are in [directory]. */
-class Fleet(val size: FleetSize, private val directory: File) : AutoCloseable {
-    val platform: Platform = platform()
-    private val runningEngines = ArrayList<ModelEngine>()
-    private val services = ArrayList<PlainService>()
+/** A fleet of [size] whose settings and logs are in [directory]; [engineOptions] hold the timing of the engines. */
+class Fleet(
+    val size: FleetSize,
+    private val directory: File,
+    private val engineOptions: EngineOptions = EngineOptions(),
+) : AutoCloseable {
+    val platform: Platform = platform(PlatformOptions(weightLoadsPerSecond = size.loadsPerSecond.toDouble()))
+    private val runningEngines = ArrayList<RunningStandIn>()
+    private val runningServices = ArrayList<RunningStandIn>()
     private val runningVms = ArrayList<RunningVm>()
     private val hook = Thread(::stopAll)
 
     init {
         Runtime.getRuntime().addShutdownHook(hook)
         directory.mkdirs()
-        val store = "http://127.0.0.1:${platform.port}"
-        repeat(size.engines) {
-            runningEngines += modelEngine(
-                EngineOptions(slots = size.slots, maximumInFlight = size.inFlight, weightStore = store),
-            )
+        repeat(size.engines) { index -> runningEngines += RunningStandIn(domainOf(index), ::openEngine) }
+        repeat(size.services) { index ->
+            runningServices += RunningStandIn(domainOf(index)) { port ->
+                plainService(ServiceOptions(port)).let { RunningStandIn.OpenStandIn(it.port, it) }
+            }
         }
-        repeat(size.services) { services += plainService() }
         val ports = freePorts(size.vms * PORTS_PER_VM).chunked(PORTS_PER_VM)
         ports.forEachIndexed { index, own -> runningVms += startVm(index, own, ports) }
     }
 
-    val engines: List<ModelEngine> get() = runningEngines
+    val engines: List<RunningStandIn> get() = runningEngines
+    val services: List<RunningStandIn> get() = runningServices
     val vms: List<RunningVm> get() = runningVms
 
     fun domainOf(index: Int): String = "domain-${index % size.domains + 1}"
@@ -115,11 +96,16 @@
         coldInFlight = COLD_IN_FLIGHT,
     )
 
+    private fun openEngine(port: Int): RunningStandIn.OpenStandIn {
+        val store = "http://127.0.0.1:${platform.port}"
+        val options = engineOptions
+            .copy(port = port, slots = size.slots, maximumInFlight = size.inFlight, weightStore = store)
+        return modelEngine(options).let { RunningStandIn.OpenStandIn(it.port, it) }
+    }
+
     private fun startVm(index: Int, own: List<Int>, all: List<List<Int>>): RunningVm {
         val name = "vm-${index + 1}"
         val (callers, administration, peers) = own
-        val entry = ListedVm(name, "127.0.0.1:$peers", domainOf(index), ListedKind.VM, ListedState.LIVE)
-        platform.register(entry)
         val seeds = all.withIndex().filter { it.index != index }.joinToString { (other, otherPorts) ->
             val address = "127.0.0.1:${otherPorts.last()}"
             """{"vm":"vm-${other + 1}","address":"$address","failureDomain":"${domainOf(other)}"}"""
@@ -136,28 +122,13 @@
               "fleetSecret": { "environment": "$SECRET_VARIABLE" },
               "seeds": [$seeds],
               "operators": [{ "name": "bench", "tokenSha256": "${sha256Of(OPERATOR_TOKEN)}" }],
-              "weightStore": { "name": "main", "loadsPerSecond": $LOADS_PER_SECOND, "parallelLoads": 2 }
+              "weightStore": { "name": "main", "loadsPerSecond": ${size.loadsPerSecond}, "parallelLoads": 2 }
             }
             """.trimIndent(),
         )
-        return RunningVm(name, domainOf(index), callers, administration, startProcess(name, file))
-    }
-
-    private fun startProcess(name: String, settings: File): Process {
-        val java = File(System.getProperty("java.home"), "bin/java").path
-        val builder = ProcessBuilder(
-            java,
-            "-cp",
-            System.getProperty("java.class.path"),
-            "-Xmx192m",
-            "-XX:+UseSerialGC",
-            "org.lentilquay.daemon.MainKt",
-            "--settings",
-            settings.path,
-        )
-        builder.environment()[SECRET_VARIABLE] = FLEET_SECRET
-        builder.redirectErrorStream(true).redirectOutput(File(directory, "$name.log"))
-        return builder.start()
+        val entry = ListedVm(name, "127.0.0.1:$peers", domainOf(index), ListedKind.VM, ListedState.LIVE)
+        platform.register(entry)
+        return RunningVm(entry, callers, administration, file)
     }
 
     override fun close() {
@@ -168,8 +139,8 @@
     private fun stopAll() {
         vms.forEach { it.stop() }
         vms.forEach { it.awaitEnd() }
-        engines.forEach { it.close() }
-        services.forEach { it.close() }
+        engines.forEach { it.stop() }
+        services.forEach { it.stop() }
         platform.close()
     }
 }
--- a/bench/src/main/kotlin/org/lentilquay/bench/FleetCost.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/FleetCost.kt
@@ -77,10 +77,17 @@
 private fun sent(metrics: Map<String, Double>, name: String): Double =
     metrics.entries.filter { it.key.startsWith("$name{") && "direction=\"sent\"" in it.key }.sumOf { it.value }
 
+/** Reads of the table in the platform stand-in's [counters]. */
+internal fun tableReads(counters: Map<String, Long>): Long = counters.sum("table_reads", "table_scans")
+
+/** Writes of the table in the platform stand-in's [counters], refused ones included. */
+internal fun tableWrites(counters: Map<String, Long>): Long = counters.sum("table_writes", "table_conflicts")
+
 /** Reads of table, objects and list in the platform stand-in's [counters]. */
 internal fun platformReads(counters: Map<String, Long>): Long =
-    listOf("table_reads", "table_scans", "object_reads", "list_reads").sumOf { counters[it] ?: 0 }
+    tableReads(counters) + counters.sum("object_reads", "list_reads")
 
 /** Writes of table and objects in the platform stand-in's [counters], refused ones included. */
-internal fun platformWrites(counters: Map<String, Long>): Long =
-    listOf("table_writes", "table_conflicts", "object_writes").sumOf { counters[it] ?: 0 }
+internal fun platformWrites(counters: Map<String, Long>): Long = tableWrites(counters) + counters.sum("object_writes")
+
+private fun Map<String, Long>.sum(vararg names: String): Long = names.sumOf { get(it) ?: 0 }
--- a/bench/src/main/kotlin/org/lentilquay/bench/LoadGenerator.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/LoadGenerator.kt
@@ -48,8 +48,11 @@
     val tokens: Int,
 )
 
-/** Sends requests to the VMs that [ports] lists at the time. */
-internal class LoadGenerator(private val ports: () -> List<Int>) : AutoCloseable {
+/** Sends requests to the VMs that [ports] lists at the time, each for the model that [modelOf] names. */
+internal class LoadGenerator(
+    private val ports: () -> List<Int>,
+    private val modelOf: (TraceRequest) -> String = { routeName(it.adapter) },
+) : AutoCloseable {
     private val json = Json { ignoreUnknownKeys = true }
     private val client = HttpClient(CIO) {
         install(HttpTimeout) { requestTimeoutMillis = TIMEOUT_MILLIS }
@@ -93,7 +96,7 @@
         val statement = client.preparePost("http://127.0.0.1:$port/v1/chat/completions") {
             bearerAuth(keyText(request.team))
             contentType(ContentType.Application.Json)
-            setBody(bodyOf(request))
+            setBody(bodyOf(request, modelOf(request)))
         }
         return statement.execute { response ->
             if (response.status == HttpStatusCode.OK) {
@@ -148,10 +151,13 @@
 /** The route to [adapter]. */
 internal fun routeName(adapter: Int): String = "route-$adapter"
 
-private fun bodyOf(request: TraceRequest): String {
+/** The name of [adapter]. */
+internal fun adapterName(adapter: Int): String = "adapter-$adapter"
+
+private fun bodyOf(request: TraceRequest, model: String): String {
     // The prompt differs between requests, so that no two have one fingerprint.
     val suffix = "question ${request.number}".padEnd(SUFFIX_BYTES, '.')
     val prompt = suffix + "x".repeat((request.promptBytes - SUFFIX_BYTES).coerceAtLeast(0))
-    return """{"model":"${routeName(request.adapter)}","stream":true,"max_tokens":${request.maximumTokens},""" +
+    return """{"model":"$model","stream":true,"max_tokens":${request.maximumTokens},""" +
         """"messages":[{"role":"user","content":"$prompt"}]}"""
 }
--- a/bench/src/main/kotlin/org/lentilquay/bench/Measurement.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/Measurement.kt
@@ -58,6 +58,7 @@
     rows.forEach { row ->
         appendLine(row.zip(widths) { value, width -> number(value).padStart(width) }.joinToString(""))
     }
+    if (lines.isEmpty()) return@buildString
     val slopes = listOf("slope") + columns.drop(1).map { number(lines.getValue(it).slope) }
     appendLine(slopes.zip(widths) { text, width -> text.padStart(width) }.joinToString(""))
 }
--- /dev/null
+++ b/bench/src/main/kotlin/org/lentilquay/bench/RequestFigures.kt
@@ -0,0 +1,41 @@
+/*
+ * How requests ended, and percentiles of their times in milliseconds.
+ */
+package org.lentilquay.bench
+
+import org.HdrHistogram.Histogram
+
+private const val LONGEST_MICROS = 600_000_000L
+private const val DIGITS = 3
+private const val MICROS_PER_MILLI = 1_000.0
+private const val MEDIAN = 50.0
+private const val P95 = 95.0
+private const val P99 = 99.0
+
+private val refusals = setOf(
+    "rate_limited",
+    "overloaded",
+    "no_capacity",
+    "configuration_stale",
+    "platform_unavailable",
+    "shutting_down",
+    "load_failed",
+    "no_ready_vm",
+)
+
+/** Whether the request was refused as not run. */
+internal val RequestResult.isRefused: Boolean get() = error in refusals
+
+/** Whether the request ended without a whole answer and without a refusal. */
+internal val RequestResult.isBroken: Boolean get() = error != null && !isRefused
+
+internal fun firstTokens(results: List<RequestResult>): Percentiles {
+    val histogram = Histogram(LONGEST_MICROS, DIGITS)
+    results.mapNotNull { it.firstTokenMillis }.forEach { histogram.recordValue((it * MICROS_PER_MILLI).toLong()) }
+    return percentiles(histogram)
+}
+
+internal fun percentiles(micros: Histogram): Percentiles {
+    val at = { percent: Double -> micros.getValueAtPercentile(percent) / MICROS_PER_MILLI }
+    return Percentiles(micros.totalCount, at(MEDIAN), at(P95), at(P99), micros.maxValue / MICROS_PER_MILLI)
+}
--- a/bench/src/main/kotlin/org/lentilquay/bench/RunCommand.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/RunCommand.kt
@@ -28,8 +28,9 @@
     private val seconds by option("--seconds", help = "Length of the trace").int().restrictTo(1..LONGEST_SECONDS)
         .default(DEFAULT_SECONDS)
     private val seed by option("--seed", help = "Seed of the trace").long().default(1)
-    private val rate by option("--rate", help = "Requests a second").double().restrictTo(LOWEST_RATE..HIGHEST_RATE)
-        .default(Workload().requestsPerSecond)
+    private val rate by option("--rate", help = "Usual requests a second; the deployment's if left out").double()
+        .restrictTo(LOWEST_RATE..HIGHEST_RATE)
+    private val label by option("--label", help = "Tells runs of different versions apart in `compare`").default("")
     private val jsonFile by option("--json", help = "File for the report as JSON; the chart goes beside it").file()
     private val directory by option("--directory", help = "Directory for settings and logs of the daemons").file()
         .default(File("out/bench"))
@@ -37,8 +38,8 @@
     override fun help(context: Context): String = "Runs a scenario against a fleet on this machine."
 
     override fun run() {
-        val workload = Workload(requestsPerSecond = rate)
-        val setting = RunSetting(scenario, workload, seed, loadAverage())
+        val workload = scenario.workload(rate)
+        val setting = RunSetting(scenario, workload, seconds, seed, label, loadAverage())
         val record = ScenarioRun(scenario, workload, seconds, seed, File(directory, scenario.title))
             .run { echo(it, err = true) }
         val report = reportOf(setting, record)
--- a/bench/src/main/kotlin/org/lentilquay/bench/ScenarioRun.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/ScenarioRun.kt
@@ -1,6 +1,6 @@
 /*
  * Runs one scenario: starts the fleet, configures it by plans, waits until every engine is owned and warm, sends the
- * trace, drains and returns a failure domain if the scenario says so, and takes readings all the time.
+ * trace, disturbs the fleet as the scenario says, and takes readings all the time.
  */
 package org.lentilquay.bench
 
@@ -12,14 +12,10 @@
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
-import kotlinx.serialization.json.Json
 import org.lentilquay.coordination.configuration.sha256Of
-import org.lentilquay.protocol.LoadReport
 import org.lentilquay.state.Adapter
 import org.lentilquay.state.CallerKey
 import org.lentilquay.state.ConfigurationChange
-import org.lentilquay.state.DomainId
-import org.lentilquay.state.DomainState
 import org.lentilquay.state.KeyId
 import org.lentilquay.state.Route
 import org.lentilquay.state.RouteId
@@ -31,8 +27,6 @@
 
 private const val ADAPTERS_IN_PLAN = 500
 private const val SAMPLE_MILLIS = 250L
-private const val NANOS_PER_SECOND = 1e9
-private const val MILLIS_PER_SECOND = 1_000L
 private const val PROBES = 30
 private const val PROBE_TOKENS = 4
 private const val PROBE_BYTES = 30
@@ -44,19 +38,6 @@
 /** Fills the slots at half the rate of the trace, so that the trace does not begin with a load for every request. */
 private const val WARM_UP_SECONDS = 25
 
-/** An operator's act at [seconds] from the start of the trace. */
-internal class Event(val name: String, val seconds: Double)
-
-/** Counters of all parts at one time. */
-internal class Counters(
-    val metrics: Map<String, Double>,
-    val engines: Map<String, Long>,
-    val platform: Map<String, Long>,
-)
-
-/** One look at the engines, [seconds] from the start of the trace. */
-internal class Sample(val seconds: Double, val running: List<Int>, val accepted: List<Long>)
-
 /** Everything that a run measured. */
 internal class RunRecord(
     val trace: List<TraceRequest>,
@@ -70,8 +51,8 @@
     val samples: List<Sample>,
     val events: List<Event>,
     val seconds: Double,
-    /** The places, among the engines, of those in the drained domain. */
-    val drainedEngines: List<Int>,
+    /** The places, among the engines, of those in the domain that left. */
+    val leavingEngines: List<Int>,
 )
 
 internal class ScenarioRun(
@@ -81,9 +62,7 @@
     private val seed: Long,
     private val directory: File,
 ) {
-    private val json = Json { ignoreUnknownKeys = true }
     private val samples = CopyOnWriteArrayList<Sample>()
-    private val events = CopyOnWriteArrayList<Event>()
 
     @Volatile
     private var readyPorts: List<Int> = emptyList()
@@ -96,7 +75,7 @@
         operator.awaitOwned()
         say("configuration in force, engines owned")
         readyPorts = fleet.vms.map { it.callersPort }
-        LoadGenerator { readyPorts }.use { generator ->
+        LoadGenerator({ readyPorts }).use { generator ->
             runBlocking {
                 awaitService(generator)
                 say("engines warm; filling their slots and the teams' buckets, which start empty")
@@ -117,7 +96,7 @@
         operator.change(ConfigurationChange.Batch(fleet.serverChanges() + teams))
         val revision = (1..workload.adapters).chunked(ADAPTERS_IN_PLAN).map { part ->
             val changes = part.flatMap { adapter ->
-                val name = "adapter-$adapter"
+                val name = adapterName(adapter)
                 val route = Route(RouteId(routeName(adapter)), Target.AdapterTarget(name))
                 listOf(
                     ConfigurationChange.PutAdapter(Adapter(name, "base", setOf(1), 1)),
@@ -144,23 +123,22 @@
     }
 
     private suspend fun measure(fleet: Fleet, operator: FleetOperator, generator: LoadGenerator): RunRecord {
-        val beforeWarmUp = read(fleet, operator)
-        val slower = workload.copy(requestsPerSecond = workload.requestsPerSecond / 2)
-        val warmUp = generator.run(traceOf(slower, WARM_UP_SECONDS, seed + 1), System.nanoTime())
+        val reader = FleetReader(fleet, operator)
+        val beforeWarmUp = reader.counters()
+        val warmUp = generator.run(traceOf(workload.usual(part = 0.5), WARM_UP_SECONDS, seed + 1), System.nanoTime())
         generator.gaps.reset()
         val trace = traceOf(workload, seconds, seed)
-        val before = read(fleet, operator)
+        val disturbances = Disturbances(scenario, seconds, fleet, operator, reader)
+        val before = reader.counters()
         val start = System.nanoTime()
         val results = coroutineScope {
-            val watching = listOf(watchEngines(fleet, operator, start), watchReadiness(fleet, operator))
-            val acts = launch(Dispatchers.IO) { if (scenario.drainsDomain) drainAndReturn(operator, start) }
+            val watching = listOf(watchEngines(reader, start), watchReadiness(fleet, operator))
+            val acts = launch(Dispatchers.IO) { disturbances.run(start) }
             generator.run(trace, start).also {
                 acts.join()
                 watching.forEach(Job::cancel)
             }
         }
-        val elapsed = secondsSince(start)
-        val drained = fleet.engines.indices.filter { scenario.drainsDomain && fleet.domainOf(it) == DRAINED_DOMAIN }
         return RunRecord(
             trace = trace,
             results = results,
@@ -168,38 +146,20 @@
             warmUp = warmUp,
             beforeWarmUp = beforeWarmUp,
             before = before,
-            after = read(fleet, operator),
+            after = reader.counters(),
             samples = samples,
-            events = events,
-            seconds = elapsed,
-            drainedEngines = drained,
+            events = disturbances.events,
+            seconds = secondsSince(start),
+            leavingEngines = disturbances.leavingEngines,
         )
     }
 
-    private suspend fun drainAndReturn(operator: FleetOperator, start: Long) {
-        val domain = DomainId(DRAINED_DOMAIN)
-        delay(seconds * MILLIS_PER_SECOND / EVENT_PARTS)
-        operator.change(ConfigurationChange.SetDomainState(domain, DomainState.DRAINED))
-        events += Event("drain confirmed", secondsSince(start))
-        delay(seconds * MILLIS_PER_SECOND / EVENT_PARTS)
-        events += Event("return requested", secondsSince(start))
-        operator.change(ConfigurationChange.SetDomainState(domain, DomainState.SERVING))
-    }
-
-    private fun CoroutineScope.watchEngines(fleet: Fleet, operator: FleetOperator, start: Long): Job =
-        launch(Dispatchers.IO) {
-            while (isActive) {
-                val running = fleet.engines.map { engine ->
-                    val report = json.decodeFromString<LoadReport>(
-                        operator.get("http://127.0.0.1:${engine.port}/load").body(),
-                    )
-                    report.running.values.sum()
-                }
-                val accepted = fleet.engines.map { operator.counters(it.port)["accepted"] ?: 0 }
-                samples += Sample(secondsSince(start), running, accepted)
-                delay(SAMPLE_MILLIS)
-            }
+    private fun CoroutineScope.watchEngines(reader: FleetReader, start: Long): Job = launch(Dispatchers.IO) {
+        while (isActive) {
+            samples += reader.sample(secondsSince(start))
+            delay(SAMPLE_MILLIS)
         }
+    }
 
     /** Acts as the platform's balancer, which sends callers only to VMs that say that they are ready. */
     private fun CoroutineScope.watchReadiness(fleet: Fleet, operator: FleetOperator): Job = launch(Dispatchers.IO) {
@@ -208,19 +168,4 @@
             delay(SAMPLE_MILLIS)
         }
     }
-
-    private fun read(fleet: Fleet, operator: FleetOperator): Counters = Counters(
-        sum(fleet.vms.map(operator::metrics)) { first, second -> first + second },
-        sum(fleet.engines.map { operator.counters(it.port) }) { first, second -> first + second },
-        fleet.platform.counters(),
-    )
-
-    private companion object {
-        const val EVENT_PARTS = 3
-    }
 }
-
-private fun secondsSince(start: Long): Double = (System.nanoTime() - start) / NANOS_PER_SECOND
-
-private fun <T : Any> sum(maps: List<Map<String, T>>, add: (T, T) -> T): Map<String, T> =
-    HashMap<String, T>().apply { maps.forEach { map -> map.forEach { (name, value) -> merge(name, value, add) } } }
