List scenarios, compare reports over seeds, and mark failures in the chart

Cause: reports could only be read one by one, so a change was judged by one run and one seed; the chart drew the names of two events over each other and showed no broken requests.

--- a/bench/src/main/kotlin/org/lentilquay/bench/Chart.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/Chart.kt
@@ -1,5 +1,6 @@
 /*
- * The timeline of a run as an SVG: the first token's p95 and the refusals of each second, with the events marked.
+ * The timeline of a run as an SVG: the first token's p95, the refusals and the broken requests of each second. Events
+ * are marked by lines, and the time between a failure and its end by a coloured area.
  */
 package org.lentilquay.bench
 
@@ -8,32 +9,54 @@
 private const val MARGIN = 60
 private const val GAP = 50
 private const val TEXT_GAP = 8
+private const val LINE_HEIGHT = 16
+private const val PLOTS = 3
 
 /** The timeline of [report] as the text of an SVG file. */
 internal fun chartOf(report: RunReport): String {
     val seconds = maxOf(1, report.timeline.lastOrNull()?.second ?: 0)
     val x = { second: Double -> MARGIN + WIDTH * second / seconds }
+    val bottom = PLOTS * (HEIGHT + GAP)
+    val totalHeight = bottom + GAP + report.events.size * LINE_HEIGHT
+    val title = "${report.run.scenario}, seed ${report.run.seed}"
     val latencies = report.timeline.mapNotNull { point -> point.firstTokenP95?.let { point.second to it } }
     val refusals = report.timeline.map { it.second to it.refused.toDouble() }
-    val totalHeight = 2 * (HEIGHT + GAP) + GAP
+    val broken = report.timeline.map { it.second to it.broken.toDouble() }
     return buildString {
         appendLine(
             """<svg xmlns="http://www.w3.org/2000/svg" width="${WIDTH + 2 * MARGIN}" height="$totalHeight" """ +
                 """font-family="sans-serif" font-size="12">""",
         )
         appendLine("""<rect width="100%" height="100%" fill="white"/>""")
-        val title = "first token p95, ms, by second (${report.run.scenario}, seed ${report.run.seed})"
-        append(plot(title, latencies, GAP, x))
+        append(failureArea(report.events, bottom, x))
+        append(plot("first token p95, ms, by second ($title)", latencies, GAP, x))
         append(plot("refusals a second", refusals, GAP + HEIGHT + GAP, x))
-        report.events.forEach { event ->
-            val place = number(x(event.seconds))
-            appendLine("""<line x1="$place" x2="$place" y1="$GAP" y2="${totalHeight - GAP}" stroke="red"/>""")
-            appendLine("""<text x="$place" y="${totalHeight - GAP / 2}" fill="red">${event.name}</text>""")
-        }
+        append(plot("broken requests a second", broken, GAP + 2 * (HEIGHT + GAP), x))
+        report.events.forEachIndexed { row, event -> append(mark(event, row, bottom, x)) }
         appendLine("</svg>")
     }
 }
 
+/** The area between a failure and its end, which are the two events of a run that has them. */
+private fun failureArea(events: List<EventFigures>, bottom: Int, x: (Double) -> Double): String {
+    if (events.size != 2) return ""
+    val (begin, end) = events.map { x(it.seconds) }
+    val width = number(end - begin)
+    return """
+        <rect x="${number(begin)}" y="$GAP" width="$width" height="${bottom - GAP}" fill="mistyrose"/>
+    """.trimIndent() + "\n"
+}
+
+/** A line over all plots, with the name of [event] in a row of its own, so that names do not cover each other. */
+private fun mark(event: EventFigures, row: Int, bottom: Int, x: (Double) -> Double): String {
+    val place = number(x(event.seconds))
+    val textAt = bottom + LINE_HEIGHT * (row + 1)
+    return """
+        <line x1="$place" x2="$place" y1="$GAP" y2="$textAt" stroke="red"/>
+        <text x="$place" y="$textAt" dx="4" fill="red">${event.name}, ${number(event.seconds)} s</text>
+    """.trimIndent() + "\n"
+}
+
 private fun plot(title: String, points: List<Pair<Int, Double>>, top: Int, x: (Double) -> Double): String {
     val maximum = maxOf(1.0, points.maxOfOrNull { it.second } ?: 0.0)
     val line = points.joinToString(" ") { (second, value) ->
--- a/bench/src/main/kotlin/org/lentilquay/bench/LoadGenerator.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/LoadGenerator.kt
@@ -46,6 +46,8 @@
     val firstTokenMillis: Double?,
     val error: String?,
     val tokens: Int,
+    /** When the caller should try again, as the error said. */
+    val retryAfterMillis: Long? = null,
 )
 
 /** Sends requests to the VMs that [ports] lists at the time, each for the model that [modelOf] names. */
@@ -89,7 +91,7 @@
         } catch (failure: IllegalStateException) {
             "client_${failure.javaClass.simpleName}"
         }
-        return RequestResult(request, reader.firstMillis, error, reader.tokens)
+        return RequestResult(request, reader.firstMillis, error, reader.tokens, reader.retryAfterMillis)
     }
 
     private suspend fun exchange(request: TraceRequest, port: Int, times: StreamTimes): String? {
@@ -102,7 +104,7 @@
             if (response.status == HttpStatusCode.OK) {
                 readStream(response.bodyAsChannel(), times)
             } else {
-                errorCode(response.bodyAsText()) ?: "http_${response.status.value}"
+                errorCode(response.bodyAsText(), times) ?: "http_${response.status.value}"
             }
         }
     }
@@ -113,13 +115,13 @@
             if (!line.startsWith(DATA)) continue
             val data = line.substring(DATA.length)
             if (data == END) return null
-            if (data.startsWith("{\"error\"")) return errorCode(data) ?: "unknown_error"
+            if (data.startsWith("{\"error\"")) return errorCode(data, times) ?: "unknown_error"
             times.token()
         }
     }
 
-    private fun errorCode(text: String): String? = try {
-        json.decodeFromString<ErrorBody>(text).error.code
+    private fun errorCode(text: String, times: StreamTimes): String? = try {
+        json.decodeFromString<ErrorBody>(text).error.also { times.retryAfterMillis = it.retryAfterMillis }.code
     } catch (_: SerializationException) {
         null
     }
@@ -133,6 +135,7 @@
         private set
     var tokens = 0
         private set
+    var retryAfterMillis: Long? = null
 
     fun token() {
         val now = System.nanoTime()
--- a/bench/src/main/kotlin/org/lentilquay/bench/Main.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/Main.kt
@@ -8,7 +8,10 @@
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.core.subcommands
 
-fun main(arguments: Array<String>) = BenchCommand().subcommands(CapacityCommand(), RunCommand()).main(arguments)
+fun main(arguments: Array<String>) =
+    BenchCommand()
+        .subcommands(ListCommand(), RunCommand(), CompareCommand(), CapacityCommand())
+        .main(arguments)
 
 private class BenchCommand : NoOpCliktCommand(name = "bench") {
     override fun help(context: Context): String = "Measures lentilquay on this machine, over the loopback address only."
--- a/bench/src/main/kotlin/org/lentilquay/bench/ReportFigures.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/ReportFigures.kt
@@ -41,6 +41,7 @@
         insideRate = inside.size,
         refusedInsideRate = errorCounts(resultsInside) { it.isRefused },
         brokenInsideRate = errorCounts(resultsInside) { it.isBroken },
+        refusedWait = refusedWaits(results),
         firstToken = firstTokens(results),
         firstTokenOfShort = firstTokens(results.filterNot { it.request.isLong }),
         firstTokenOfLong = firstTokens(results.filter { it.request.isLong }),
--- a/bench/src/main/kotlin/org/lentilquay/bench/ReportText.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/ReportText.kt
@@ -24,6 +24,7 @@
     line("errors", errors.ifEmpty { "none" })
     line("refused inside the team's rate", "${refusedInsideRate.values.sum()} of $insideRate $refusedInsideRate")
     line("broken inside the team's rate", "${brokenInsideRate.values.sum()} of $insideRate $brokenInsideRate")
+    if (refusedWait.count > 0) line("wait that overloaded refusals expected, ms", refusedWait.text())
     line("first token, ms", firstToken.text())
     line("  of short requests", firstTokenOfShort.text())
     line("  of long requests", firstTokenOfLong.text())
--- a/bench/src/main/kotlin/org/lentilquay/bench/RequestFigures.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/RequestFigures.kt
@@ -29,9 +29,16 @@
 /** Whether the request ended without a whole answer and without a refusal. */
 internal val RequestResult.isBroken: Boolean get() = error != null && !isRefused
 
-internal fun firstTokens(results: List<RequestResult>): Percentiles {
+internal fun firstTokens(results: List<RequestResult>): Percentiles =
+    percentiles(results.mapNotNull { it.firstTokenMillis })
+
+/** The expected waits for which requests were refused as `overloaded`. */
+internal fun refusedWaits(results: List<RequestResult>): Percentiles =
+    percentiles(results.filter { it.error == "overloaded" }.mapNotNull { it.retryAfterMillis?.toDouble() })
+
+private fun percentiles(millis: List<Double>): Percentiles {
     val histogram = Histogram(LONGEST_MICROS, DIGITS)
-    results.mapNotNull { it.firstTokenMillis }.forEach { histogram.recordValue((it * MICROS_PER_MILLI).toLong()) }
+    millis.forEach { histogram.recordValue((it * MICROS_PER_MILLI).toLong().coerceAtMost(LONGEST_MICROS)) }
     return percentiles(histogram)
 }
 
--- a/bench/src/main/kotlin/org/lentilquay/bench/RunReport.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/RunReport.kt
@@ -102,6 +102,8 @@
     val insideRate: Int,
     val refusedInsideRate: Map<String, Int>,
     val brokenInsideRate: Map<String, Int>,
+    /** The expected waits that `overloaded` refusals told. */
+    val refusedWait: Percentiles,
     val firstToken: Percentiles,
     val firstTokenOfShort: Percentiles,
     val firstTokenOfLong: Percentiles,
