Measure the time and processor time that one daemon adds

Cause: the goals name an added p99 under 3 ms at 1,000 requests a second and 50,000 relayed tokens a second per core, and nothing measured either.

Ruled out: times at the daemon's own clock (they leave out accepting and reading of connections); all direct calls before all others (the load of the machine changes within a minute, so both take turns).

Change: `bench overhead` sends short and long answers at rising rates, directly to an engine and through one daemon, until the daemon does not hold a rate. It reports percentiles of the first token, the daemon's CPU time for each request and token, and the load average of each row.

--- a/bench/src/main/kotlin/org/lentilquay/bench/Main.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/Main.kt
@@ -10,7 +10,7 @@
 
 fun main(arguments: Array<String>) =
     BenchCommand()
-        .subcommands(ListCommand(), RunCommand(), CompareCommand(), CapacityCommand())
+        .subcommands(ListCommand(), RunCommand(), CompareCommand(), OverheadCommand(), CapacityCommand())
         .main(arguments)
 
 private class BenchCommand : NoOpCliktCommand(name = "bench") {
