--- a/bench/src/main/kotlin/org/lentilquay/bench/LoadGenerator.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/LoadGenerator.kt
@@ -46,10 +46,15 @@
     val firstTokenMillis: Double?,
     val error: String?,
     val tokens: Int,
+    /** When the caller should try again, as the error said. */
+    val retryAfterMillis: Long? = null,
 )
 
-/** Sends requests to the VMs that [ports] lists at the time. */
-internal class LoadGenerator(private val ports: () -> List<Int>) : AutoCloseable {
+/** Sends requests to the VMs that [ports] lists at the time, each for the model that [modelOf] names. */
+internal class LoadGenerator(
+    private val ports: () -> List<Int>,
+    private val modelOf: (TraceRequest) -> String = { routeName(it.adapter) },
+) : AutoCloseable {
     private val json = Json { ignoreUnknownKeys = true }
     private val client = HttpClient(CIO) {
         install(HttpTimeout) { requestTimeoutMillis = TIMEOUT_MILLIS }
@@ -86,20 +91,20 @@
         } catch (failure: IllegalStateException) {
             "client_${failure.javaClass.simpleName}"
         }
-        return RequestResult(request, reader.firstMillis, error, reader.tokens)
+        return RequestResult(request, reader.firstMillis, error, reader.tokens, reader.retryAfterMillis)
     }
 
     private suspend fun exchange(request: TraceRequest, port: Int, times: StreamTimes): String? {
         val statement = client.preparePost("http://127.0.0.1:$port/v1/chat/completions") {
             bearerAuth(keyText(request.team))
             contentType(ContentType.Application.Json)
-            setBody(bodyOf(request))
+            setBody(bodyOf(request, modelOf(request)))
         }
         return statement.execute { response ->
             if (response.status == HttpStatusCode.OK) {
                 readStream(response.bodyAsChannel(), times)
             } else {
-                errorCode(response.bodyAsText()) ?: "http_${response.status.value}"
+                errorCode(response.bodyAsText(), times) ?: "http_${response.status.value}"
             }
         }
     }
@@ -110,13 +115,13 @@
             if (!line.startsWith(DATA)) continue
             val data = line.substring(DATA.length)
             if (data == END) return null
-            if (data.startsWith("{\"error\"")) return errorCode(data) ?: "unknown_error"
+            if (data.startsWith("{\"error\"")) return errorCode(data, times) ?: "unknown_error"
             times.token()
         }
     }
 
-    private fun errorCode(text: String): String? = try {
-        json.decodeFromString<ErrorBody>(text).error.code
+    private fun errorCode(text: String, times: StreamTimes): String? = try {
+        json.decodeFromString<ErrorBody>(text).error.also { times.retryAfterMillis = it.retryAfterMillis }.code
     } catch (_: SerializationException) {
         null
     }
@@ -130,6 +135,7 @@
         private set
     var tokens = 0
         private set
+    var retryAfterMillis: Long? = null
 
     fun token() {
         val now = System.nanoTime()
@@ -148,10 +154,13 @@
 /** The route to [adapter]. */
 internal fun routeName(adapter: Int): String = "route-$adapter"
 
-private fun bodyOf(request: TraceRequest): String {
+/** The name of [adapter]. */
+internal fun adapterName(adapter: Int): String = "adapter-$adapter"
+
+private fun bodyOf(request: TraceRequest, model: String): String {
     // The prompt differs between requests, so that no two have one fingerprint.
     val suffix = "question ${request.number}".padEnd(SUFFIX_BYTES, '.')
     val prompt = suffix + "x".repeat((request.promptBytes - SUFFIX_BYTES).coerceAtLeast(0))
-    return """{"model":"${routeName(request.adapter)}","stream":true,"max_tokens":${request.maximumTokens},""" +
+    return """{"model":"$model","stream":true,"max_tokens":${request.maximumTokens},""" +
         """"messages":[{"role":"user","content":"$prompt"}]}"""
 }
