--- a/proofs/src/test/kotlin/org/lentilquay/proofs/RefusalTest.kt
+++ b/proofs/src/test/kotlin/org/lentilquay/proofs/RefusalTest.kt
@@ -5,6 +5,9 @@
 import org.lentilquay.standins.EngineControl
 import org.lentilquay.standins.EngineOptions
 import org.lentilquay.state.ConfigurationChange
+import org.lentilquay.state.ConfigurationChange.SetDomainState
+import org.lentilquay.state.DomainId
+import org.lentilquay.state.DomainState
 import org.lentilquay.state.Route
 import org.lentilquay.state.RouteId
 import org.lentilquay.state.Target
@@ -54,11 +57,31 @@
             val reused = fleet.caller.call(vm, "bookings/deposits", "reused", "body-2")
             note("other body under the key: " + add("body-2", reused))
             note("runs", listOf("none", "query", "body-1", "body-2").map { fleet.timesRun(it) })
+            loseAnswers(fleet)
             disturb(fleet)
         }
     }
 })
 
+/** The engine runs requests and their answers are lost; once, no further place is left after that. */
+private fun SessionRecord.loseAnswers(fleet: Fleet) {
+    val (engine, vm) = fleet.engines[0] to fleet.vms[1]
+    fun begin(prompt: String) = fleet.caller.begin(vm, Ask("stove", prompt))
+    fun Pending.outcome() = add(ask, await()).toString() + ", ran ${fleet.runsOf(ask).isNotEmpty()}"
+    engine.control(EngineControl(loseAnswers = 4))
+    note("each answer is lost: " + begin("lost").outcome())
+    engine.control(EngineControl(loseAnswers = 0))
+    fleet.awaitServing("stove")
+    engine.control(EngineControl(loseAnswers = 1, delayMillis = 800))
+    val last = begin("lost without another place")
+    Thread.sleep(200)
+    vm.apply(SetDomainState(DomainId("east"), DomainState.DRAINED))
+    note("an answer is lost and no place is left: " + last.outcome())
+    engine.control(EngineControl(loseAnswers = 0, delayMillis = 0))
+    vm.apply(SetDomainState(DomainId("east"), DomainState.SERVING))
+    fleet.awaitServing("stove")
+}
+
 /** Sends more than the engine holds while it restarts, its loads fail, the platform is out, and a VM stops. */
 private fun SessionRecord.disturb(fleet: Fleet) {
     val engine = fleet.engines[0]
--- a/standins/src/main/kotlin/org/lentilquay/standins/EngineOptions.kt
+++ b/standins/src/main/kotlin/org/lentilquay/standins/EngineOptions.kt
@@ -68,6 +68,8 @@
     @SerialName("wrong_request_id") val wrongRequestId: Int? = null,
     /** The next this many streams have the right headers and, from [STRAY_CHUNK] on, chunks of another answer. */
     @SerialName("stray_chunks") val strayChunks: Int? = null,
+    /** The next this many requests run, and their connections are cut before the answer headers. */
+    @SerialName("lose_answers") val loseAnswers: Int? = null,
     /** Delay of requests and orders before they take effect. */
     @SerialName("delay_ms") val delayMillis: Long? = null,
     val leaving: Boolean? = null,
--- a/standins/src/main/kotlin/org/lentilquay/standins/ModelEngine.kt
+++ b/standins/src/main/kotlin/org/lentilquay/standins/ModelEngine.kt
@@ -164,7 +164,10 @@
             return refuse(HttpStatusCode.BadRequest, "malformed_request", failure.message.orEmpty())
         }
         when (val acceptance = core.accept(inference)) {
-            is Acceptance.Accepted -> answer(acceptance.run, inference.fromIndex, inference.isStream)
+            is Acceptance.Accepted -> {
+                if (core.takeLostAnswer()) cutConnection()
+                answer(acceptance.run, inference.fromIndex, inference.isStream)
+            }
             is Acceptance.Refused -> {
                 stamp(inference.id, inference.model, core.incarnation)
                 refuse(acceptance.status, acceptance.code)
--- a/standins/src/main/kotlin/org/lentilquay/standins/internal/EngineCore.kt
+++ b/standins/src/main/kotlin/org/lentilquay/standins/internal/EngineCore.kt
@@ -95,6 +95,14 @@
     fun admitOrder(kind: String, token: Long): Boolean =
         fence.admits(token).also { counters.count(if (it) "orders_$kind" else "orders_stale") }
 
+    /** Whether the answer of a request that was accepted just now is to be lost. */
+    @Synchronized
+    fun takeLostAnswer(): Boolean {
+        val left = switches.loseAnswers ?: 0
+        if (left > 0) switches = switches.copy(loseAnswers = left - 1)
+        return left > 0
+    }
+
     suspend fun load(order: LoadAdapterOrder): LoadResult = beginLoad(order).await()
 
     /** Frees the slot of [name]. Runs that still use the adapter are cut. */
@@ -150,6 +158,7 @@
             wrongModel = control.wrongModel ?: switches.wrongModel,
             wrongRequestId = control.wrongRequestId ?: switches.wrongRequestId,
             strayChunks = control.strayChunks ?: switches.strayChunks,
+            loseAnswers = control.loseAnswers ?: switches.loseAnswers,
             delayMillis = control.delayMillis ?: switches.delayMillis,
             leaving = control.leaving ?: switches.leaving,
             reportLagMillis = control.reportLagMillis ?: switches.reportLagMillis,
