Measure the client side of calls over HTTP, and read lines without a deprecated call

Cause: the cost of a claim, a load report and a table call was known only with both sides in one process, and the load generator used the deprecated readUTF8Line.

Ruled out: measuring with the stand-ins in the process of the client, which cannot tell the sides apart.

Conclusion: the cost of one connection for each call can be compared before and after a change.

--- a/bench/src/main/kotlin/org/lentilquay/bench/LoadGenerator.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/LoadGenerator.kt
@@ -16,7 +16,7 @@
 import io.ktor.http.HttpStatusCode
 import io.ktor.http.contentType
 import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.readUTF8Line
+import io.ktor.utils.io.readLine
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
@@ -106,7 +106,7 @@
 
     private suspend fun readStream(channel: ByteReadChannel, times: StreamTimes): String? {
         while (true) {
-            val line = channel.readUTF8Line() ?: return "ended_early"
+            val line = channel.readLine() ?: return "ended_early"
             if (!line.startsWith(DATA)) continue
             val data = line.substring(DATA.length)
             if (data == END) return null
--- a/bench/src/main/kotlin/org/lentilquay/bench/MessageCost.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/MessageCost.kt
@@ -1,6 +1,6 @@
 /*
  * Measures the encoded bytes of message exchanges between VMs and the CPU time to encode and decode them on one
- * thread, which is the work of both sides together. Sockets are not part of it.
+ * thread, which is the work of both sides together; sockets are not part of it. Calls over HTTP are in HttpCost.
  */
 package org.lentilquay.bench
 
@@ -40,12 +40,12 @@
 private const val WARM_UP = 40_000
 private const val ENTRY_ROUNDS = 500
 
-/** Measures a reservation, a token pull and a revision notice with the fetch of its entry. */
+/** Measures a reservation, a token pull, a revision notice with the fetch of its entry, and calls over HTTP. */
 fun measureMessageCost(): List<Measurement> = listOf(
     measureExchange("Reservation: Reserve, Granted, Progress, Release with answers", reservation()),
     measureExchange("Token pull: TakeTokens, Tokens", tokenPull()),
     measureRevision(),
-)
+) + measureHttpCost()
 
 private fun reservation(): List<PeerFrame> {
     val id = "req-${UUID.nameUUIDFromBytes(byteArrayOf(1))}-1"
