Drop unused expressions from the loops of TcpNetwork and BodyReader

Cause: the compiler warned "Expression is unused" for two loops with an empty body.

Ruled out: suppressing the warning.

Change: both loops read in their body and test the result.

Conclusion: no change of behaviour.

--- a/daemon/src/main/kotlin/org/lentilquay/transport/TcpNetwork.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/TcpNetwork.kt
@@ -106,7 +106,9 @@
         val buffer = ByteBuffer.allocate(WAKE_BYTES)
         while (true) {
             selector.select(source, SelectInterest.READ)
-            while (pipe.source().read(buffer.clear()) > 0) Unit
+            do {
+                val taken = pipe.source().read(buffer.clear())
+            } while (taken > 0)
         }
     }
 }
--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/BodyReader.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/BodyReader.kt
@@ -87,7 +87,9 @@
         remaining = size.takeIf { it.isNotEmpty() && it[0].isLetterOrDigit() }?.toLongOrNull(HEXADECIMAL)
             ?: throw IOException("unreadable size of a chunk")
         if (remaining == 0L) {
-            while (chunkLine().isNotEmpty()) Unit
+            do {
+                val trailer = chunkLine()
+            } while (trailer.isNotEmpty())
             isEnded = true
         }
     }
