Offer baselines of placement as a setting for experiments

Cause: the placement by the home of an adapter was never compared with what common load balancers do. Also, refusals of a team over its rate counted as wrongful, because the bucket of the report and that of the fleet admit different ones of its requests.

Ruled out: baselines inside the load generator (requests would pass the owners by, which hold pins and limits); a spill-over in the baselines (they would no longer be those that others use); more servers for plain services (these keep the hash).

Refusals inside the rate leave out teams over their rate. A run sends up to 80 probing requests before it gives up, and says how they failed.

--- a/bench/src/main/kotlin/org/lentilquay/bench/Comparison.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/Comparison.kt
@@ -17,7 +17,8 @@
 
 /** Runs with the same setting form a group, unless one seed is among them twice: then it is the runs that differ. */
 internal fun groupsOf(reports: List<NamedReport>): List<ReportGroup> =
-    reports.groupBy { with(it.report.run) { listOf(scenario, traceSeconds, requestsPerSecond, label) } }.values
+    reports.groupBy { with(it.report.run) { listOf(scenario, traceSeconds, requestsPerSecond, placement, label) } }
+        .values
         .flatMap { alike ->
             if (alike.distinctBy { it.report.run.seed }.size == alike.size) {
                 listOf(ReportGroup(titleOf(alike.map { it.report.run }), alike.map { it.report }))
@@ -29,7 +30,7 @@
 private fun titleOf(runs: List<RunFigures>): String {
     val loads = runs.flatMap { listOf(it.loadAverageAtStart, it.loadAverageAtEnd) }
     return with(runs.first()) {
-        val name = listOf(scenario, label).filter(String::isNotEmpty).joinToString(" ")
+        val name = listOf(scenario, placement, label).filter(String::isNotEmpty).joinToString(" ")
         val seeds = runs.map { it.seed }.sorted()
         "$name, $traceSeconds s at ${number(requestsPerSecond)}/s, seeds $seeds, " +
             "load average ${number(loads.min())} to ${number(loads.max())}"
--- a/bench/src/main/kotlin/org/lentilquay/bench/Fleet.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/Fleet.kt
@@ -6,6 +6,7 @@
 package org.lentilquay.bench
 
 import org.lentilquay.coordination.configuration.sha256Of
+import org.lentilquay.daemon.settings.PlacementOrder
 import org.lentilquay.protocol.ListedKind
 import org.lentilquay.protocol.ListedState
 import org.lentilquay.protocol.ListedVm
@@ -42,11 +43,15 @@
     val loadsPerSecond: Int = 5,
 )
 
-/** A fleet of [size] whose settings and logs are in [directory]; [engineOptions] hold the timing of the engines. */
+/**
+ * A fleet of [size] whose settings and logs are in [directory]; [engineOptions] hold the timing of the engines, and
+ * [placement] the order in which the daemons ask for places.
+ */
 class Fleet(
     val size: FleetSize,
     private val directory: File,
     private val engineOptions: EngineOptions = EngineOptions(),
+    private val placement: PlacementOrder = PlacementOrder.HOME_FIRST,
 ) : AutoCloseable {
     val platform: Platform = platform(PlatformOptions(weightLoadsPerSecond = size.loadsPerSecond.toDouble()))
     private val runningEngines = ArrayList<RunningStandIn>()
@@ -122,7 +127,8 @@
               "fleetSecret": { "environment": "$SECRET_VARIABLE" },
               "seeds": [$seeds],
               "operators": [{ "name": "bench", "tokenSha256": "${sha256Of(OPERATOR_TOKEN)}" }],
-              "weightStore": { "name": "main", "loadsPerSecond": ${size.loadsPerSecond}, "parallelLoads": 2 }
+              "weightStore": { "name": "main", "loadsPerSecond": ${size.loadsPerSecond}, "parallelLoads": 2 },
+              "placement": { "order": "${placement.label}" }
             }
             """.trimIndent(),
         )
@@ -145,6 +151,9 @@
     }
 }
 
+/** The name of the order in settings. */
+internal val PlacementOrder.label: String get() = PlacementOrder.serializer().descriptor.getElementName(ordinal)
+
 /** Ports that were free a moment ago. All are held at once, so that they differ. */
 private fun freePorts(count: Int): List<Int> {
     val sockets = List(count) { ServerSocket(0, 1, InetAddress.getLoopbackAddress()) }
--- a/bench/src/main/kotlin/org/lentilquay/bench/ReportFigures.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/ReportFigures.kt
@@ -3,6 +3,8 @@
  */
 package org.lentilquay.bench
 
+import org.lentilquay.daemon.settings.PlacementOrder
+
 private const val MILLIS_PER_SECOND = 1_000.0
 private const val MEDIAN = 0.5
 private const val P95 = 0.95
@@ -18,6 +20,7 @@
     val workload: Workload,
     val seconds: Int,
     val seed: Long,
+    val placement: PlacementOrder,
     val label: String,
     val loadAverageAtStart: Double,
 )
@@ -26,9 +29,11 @@
     val limits = TeamLimits(setting.workload)
     val inside = insideRate(record.trace, limits.rates, limits.bursts)
     val results = record.results
-    val resultsInside = results.filter { it.request.number in inside }
     val teams = teamFigures(results, inside)
     val keeping = teams.filterNot { it.isOverRate }
+    val resultsInside = keeping.map { it.team }.toSet().let { names ->
+        results.filter { teamName(it.request.team) in names && it.request.number in inside }
+    }
     val p95 = keeping.filter { it.firstToken.count > 0 }.map { it.firstToken.p95 }.sorted()
     val platform = difference(record.before.platform, record.after.platform)
     val engines = difference(record.before.engines, record.after.engines).filterKeys { !it.startsWith(MAXIMUM_PREFIX) }
@@ -38,7 +43,7 @@
         requests = results.size,
         answered = results.count { it.error == null },
         errors = errorCounts(results) { true },
-        insideRate = inside.size,
+        insideRate = resultsInside.size,
         refusedInsideRate = errorCounts(resultsInside) { it.isRefused },
         brokenInsideRate = errorCounts(resultsInside) { it.isBroken },
         refusedWait = refusedWaits(results),
@@ -68,6 +73,7 @@
 private fun runFigures(setting: RunSetting, record: RunRecord): RunFigures = RunFigures(
     scenario = setting.scenario.title,
     deployment = setting.scenario.deployment.title,
+    placement = setting.placement.label,
     label = setting.label,
     seed = setting.seed,
     traceSeconds = setting.seconds,
@@ -78,12 +84,15 @@
     delays = "not emulated; in the deployment: ${setting.scenario.deployment.delays}",
 )
 
+private fun teamName(team: Int) = "team-$team"
+
 private fun teamFigures(results: List<RequestResult>, inside: Set<Int>): List<TeamFigures> =
     results.groupBy { it.request.team }.toSortedMap().map { (team, own) ->
         val ownInside = own.filter { it.request.number in inside }
         TeamFigures(
-            team = "team-$team",
+            team = teamName(team),
             requests = own.size,
+            answered = own.count { it.error == null },
             firstToken = firstTokens(own),
             refused = own.count { it.isRefused },
             insideRate = ownInside.size,
--- a/bench/src/main/kotlin/org/lentilquay/bench/ReportText.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/ReportText.kt
@@ -8,7 +8,7 @@
 internal fun RunReport.text(): String = buildString {
     fun line(label: String, value: Any) = appendLine(label.padEnd(LABEL_WIDTH) + value)
     with(run) {
-        line("scenario", "$scenario ($deployment) $label")
+        line("scenario", "$scenario ($deployment), placement $placement $label")
         line("seed, length, usual rate", "$seed, $traceSeconds s, ${number(requestsPerSecond)} a second")
         line("load average at start and end", "${number(loadAverageAtStart)} ${number(loadAverageAtEnd)}")
         line("delays between domains", delays)
@@ -33,9 +33,12 @@
 
 private fun RunReport.teamLines(line: (String, Any) -> Unit) {
     teams.forEach {
-        val rate = "inside the rate answered ${it.answeredInsideRate} of ${it.insideRate}"
-        val note = if (it.isOverRate) ", over its rate" else ""
-        line("  ${it.team}: first token, ms", "${it.firstToken.text()}  n ${it.requests}  $rate$note")
+        val rate = if (it.isOverRate) {
+            "over its rate: answered ${it.answered}, inside ${it.insideRate}"
+        } else {
+            "inside the rate answered ${it.answeredInsideRate} of ${it.insideRate}"
+        }
+        line("  ${it.team}: first token, ms", "${it.firstToken.text()}  n ${it.requests}  $rate")
     }
     line("worst team's p95 first token / median team's", worstTeamToMedian?.let(::number) ?: "none")
     line("least share answered inside the rate of a team", leastAnsweredShareOfTeam?.let(::number) ?: "none")
--- a/bench/src/main/kotlin/org/lentilquay/bench/RunCommand.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/RunCommand.kt
@@ -15,6 +15,7 @@
 import com.github.ajalt.clikt.parameters.types.long
 import com.github.ajalt.clikt.parameters.types.restrictTo
 import kotlinx.serialization.json.Json
+import org.lentilquay.daemon.settings.PlacementOrder
 import java.io.File
 
 private const val DEFAULT_SECONDS = 60
@@ -30,6 +31,8 @@
     private val seed by option("--seed", help = "Seed of the trace").long().default(1)
     private val rate by option("--rate", help = "Usual requests a second; the deployment's if left out").double()
         .restrictTo(LOWEST_RATE..HIGHEST_RATE)
+    private val placement by option("--placement", help = "How the daemons spread requests over engines")
+        .choice(PlacementOrder.entries.associateBy { it.label }).default(PlacementOrder.HOME_FIRST)
     private val label by option("--label", help = "Tells runs of different versions apart in `compare`").default("")
     private val jsonFile by option("--json", help = "File for the report as JSON; the chart goes beside it").file()
     private val directory by option("--directory", help = "Directory for settings and logs of the daemons").file()
@@ -39,8 +42,8 @@
 
     override fun run() {
         val workload = scenario.workload(rate)
-        val setting = RunSetting(scenario, workload, seconds, seed, label, loadAverage())
-        val record = ScenarioRun(scenario, workload, seconds, seed, File(directory, scenario.title))
+        val setting = RunSetting(scenario, workload, seconds, seed, placement, label, loadAverage())
+        val record = ScenarioRun(setting, File(directory, scenario.title))
             .run { echo(it, err = true) }
         val report = reportOf(setting, record)
         echo(report.text())
--- a/bench/src/main/kotlin/org/lentilquay/bench/RunReport.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/RunReport.kt
@@ -13,12 +13,16 @@
 data class TeamFigures(
     val team: String,
     val requests: Int,
+    val answered: Int,
     val firstToken: Percentiles,
     val refused: Int,
     /** Requests inside the team's rate, and those of them with a whole answer. */
     val insideRate: Int,
     val answeredInsideRate: Int,
-    /** Whether a twentieth of its requests or more are over its rate. */
+    /**
+     * Whether a twentieth of its requests or more are over its rate. Its bucket in the fleet then admits others of its
+     * requests than the bucket of the report, so only the number of its answers can be compared with [insideRate].
+     */
     val isOverRate: Boolean,
 )
 
@@ -81,6 +85,7 @@
 data class RunFigures(
     val scenario: String,
     val deployment: String,
+    val placement: String,
     val label: String,
     val seed: Long,
     /** Length of the trace. */
@@ -99,6 +104,7 @@
     val requests: Int,
     val answered: Int,
     val errors: Map<String, Int>,
+    /** Requests inside their team's rate, and how they were refused or broke, of the teams that keep to their rates. */
     val insideRate: Int,
     val refusedInsideRate: Map<String, Int>,
     val brokenInsideRate: Map<String, Int>,
--- a/bench/src/main/kotlin/org/lentilquay/bench/ScenarioRun.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/ScenarioRun.kt
@@ -27,7 +27,9 @@
 
 private const val ADAPTERS_IN_PLAN = 500
 private const val SAMPLE_MILLIS = 250L
-private const val PROBES = 30
+
+/** Enough for baselines of placement, with which probes for one adapter need a load on several engines. */
+private const val PROBES = 80
 private const val PROBE_TOKENS = 4
 private const val PROBE_BYTES = 30
 private const val PROBE_PAUSE_MILLIS = 400L
@@ -55,19 +57,15 @@
     val leavingEngines: List<Int>,
 )
 
-internal class ScenarioRun(
-    private val scenario: Scenario,
-    private val workload: Workload,
-    private val seconds: Int,
-    private val seed: Long,
-    private val directory: File,
-) {
+internal class ScenarioRun(private val setting: RunSetting, private val directory: File) {
+    private val scenario = setting.scenario
+    private val workload = setting.workload
     private val samples = CopyOnWriteArrayList<Sample>()
 
     @Volatile
     private var readyPorts: List<Int> = emptyList()
 
-    fun run(say: (String) -> Unit): RunRecord = Fleet(scenario.fleet, directory).use { fleet ->
+    fun run(say: (String) -> Unit): RunRecord = openFleet().use { fleet ->
         val operator = FleetOperator(fleet)
         operator.awaitReady()
         say("daemons ready")
@@ -84,6 +82,8 @@
         }
     }
 
+    private fun openFleet() = Fleet(scenario.fleet, directory, placement = setting.placement)
+
     private fun configure(fleet: Fleet, operator: FleetOperator) {
         val limits = TeamLimits(workload)
         val teams = workload.teamShares.indices.flatMap { team ->
@@ -110,25 +110,27 @@
 
     private suspend fun awaitService(generator: LoadGenerator) {
         var inARow = 0
-        var last: RequestResult? = null
+        val errors = ArrayList<String>()
         repeat(PROBES) { number ->
             val adapter = workload.adapters - number % PROBES_IN_A_ROW
             val probe = TraceRequest(-1 - number, 0, adapter, 0, false, PROBE_TOKENS, PROBE_BYTES, number)
-            last = generator.send(probe, System.nanoTime())
-            if (last?.error == null) inARow++ else inARow = 0
+            val error = generator.send(probe, System.nanoTime()).error
+            inARow = if (error == null) inARow + 1 else 0
+            error?.let(errors::add)
             if (inARow == PROBES_IN_A_ROW) return
             delay(PROBE_PAUSE_MILLIS)
         }
-        error("the fleet does not serve: the last of $PROBES probing requests ended with ${last?.error}")
+        error("the fleet does not serve: of $PROBES probing requests failed ${errors.groupingBy { it }.eachCount()}")
     }
 
     private suspend fun measure(fleet: Fleet, operator: FleetOperator, generator: LoadGenerator): RunRecord {
         val reader = FleetReader(fleet, operator)
         val beforeWarmUp = reader.counters()
-        val warmUp = generator.run(traceOf(workload.usual(part = 0.5), WARM_UP_SECONDS, seed + 1), System.nanoTime())
+        val warmUpTrace = traceOf(workload.usual(part = 0.5), WARM_UP_SECONDS, setting.seed + 1)
+        val warmUp = generator.run(warmUpTrace, System.nanoTime())
         generator.gaps.reset()
-        val trace = traceOf(workload, seconds, seed)
-        val disturbances = Disturbances(scenario, seconds, fleet, operator, reader)
+        val trace = traceOf(workload, setting.seconds, setting.seed)
+        val disturbances = Disturbances(scenario, setting.seconds, fleet, operator, reader)
         val before = reader.counters()
         val start = System.nanoTime()
         val results = coroutineScope {
--- a/bench/src/test/kotlin/org/lentilquay/bench/ComparisonTest.kt
+++ b/bench/src/test/kotlin/org/lentilquay/bench/ComparisonTest.kt
@@ -11,7 +11,7 @@
 
 private fun report(scenario: String, seed: Long, inside: Int = 100, refused: Int = 0, isLost: Boolean = false) =
     RunReport(
-        run = RunFigures(scenario, "Emberline", "", seed, 30, 8.0, 31.0, 1.5, 2.5, "not emulated"),
+        run = RunFigures(scenario, "Emberline", "home-first", "", seed, 30, 8.0, 31.0, 1.5, 2.5, "not emulated"),
         requests = 100,
         answered = 100 - refused,
         errors = emptyMap(),
@@ -50,6 +50,7 @@
         sizes(first, report("lost", seed = 2)) shouldBe listOf(1, 1)
         sizes(first, report("steady", seed = 1)) shouldBe listOf(1, 1)
         sizes(first, first.copy(run = first.run.copy(label = "new"))) shouldBe listOf(1, 1)
+        sizes(first, first.copy(run = first.run.copy(placement = "random"))) shouldBe listOf(1, 1)
         sizes(first, first.copy(run = first.run.copy(requestsPerSecond = 9.0))) shouldBe listOf(1, 1)
     }
 
--- a/bench/src/test/kotlin/org/lentilquay/bench/ReportTest.kt
+++ b/bench/src/test/kotlin/org/lentilquay/bench/ReportTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.shouldBe
 import org.HdrHistogram.Histogram
+import org.lentilquay.daemon.settings.PlacementOrder
 
 private val nothing = Counters(emptyMap(), emptyMap(), emptyMap())
 
@@ -65,7 +66,7 @@
     // Guards against a refusal of a team over its rate that counts as wrongful, and one inside that does not.
     test("the report tells refusals inside the rate by code") {
         val scenario = Scenario.EMBERLINE_DOMAIN_LOST
-        val setting = RunSetting(scenario, scenario.workload(rate = null), 30, 1, "", 0.0)
+        val setting = RunSetting(scenario, scenario.workload(rate = null), 30, 1, PlacementOrder.HOME_FIRST, "", 0.0)
         val report = reportOf(setting, record(results, events, samples))
         report.refusedInsideRate shouldContainExactly mapOf("overloaded" to 1, "rate_limited" to 1)
         report.brokenInsideRate shouldContainExactly mapOf("connection_EOFException" to 1)
@@ -73,6 +74,19 @@
         report.leastAnsweredShareOfTeam shouldBe 0.4
     }
 
+    // Guards against refusals of a loud team that count as wrongful because its bucket admitted others of its requests.
+    test("a team over its rate is left out of the refusals inside the rate") {
+        val scenario = Scenario.NOUR_LOUD_TEAM
+        val setting = RunSetting(scenario, scenario.workload(rate = null), 30, 1, PlacementOrder.HOME_FIRST, "", 0.0)
+        val loud = List(400) { result(it, 1.0, "rate_limited") }
+        val others = listOf(result(400, 1.0, team = 1), result(401, 1.0, "overloaded", team = 1))
+        val report = reportOf(setting, record(loud + others, emptyList(), samples))
+        report.teams.map { it.isOverRate } shouldBe listOf(true, false)
+        report.insideRate shouldBe 2
+        report.refusedInsideRate shouldContainExactly mapOf("overloaded" to 1)
+        report.leastAnsweredShareOfTeam shouldBe 0.5
+    }
+
     // Guards against waits that are reported shorter than they were.
     test("the bound of the least bucket that holds a part of the values") {
         val metrics = mapOf(
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/DaemonParts.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/DaemonParts.kt
@@ -40,6 +40,7 @@
 import org.lentilquay.daemon.control.SessionLoop
 import org.lentilquay.daemon.control.SocketFleetCalls
 import org.lentilquay.daemon.control.WeightStoreOwner
+import org.lentilquay.daemon.control.placementRanking
 import org.lentilquay.daemon.control.record
 import org.lentilquay.daemon.metrics.Metrics
 import org.lentilquay.daemon.requests.ActiveCalls
@@ -184,7 +185,14 @@
         now = timer::now,
     )
     val crashes = CrashNotices(Suspects(), calls, platform, control, { reachableMembers() }, timer::now)
-    private val placement = FleetPlacement(fleet, owners, scope, timing.grantValidityMillis, timer::now)
+    private val placement = FleetPlacement(
+        fleet,
+        owners,
+        placementRanking(settings.placement.order),
+        scope,
+        timing.grantValidityMillis,
+        timer::now,
+    )
     private val counted = CountedRequests(metrics)
     private val dispatch = ServiceDispatch(placement, ServiceClient(), timer::now)
     val onceOnly = OnceOnlyCalls(
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/control/FleetPlacement.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/control/FleetPlacement.kt
@@ -8,11 +8,11 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import org.lentilquay.coordination.rendezvousRanking
 import org.lentilquay.daemon.requests.Place
 import org.lentilquay.daemon.requests.PlaceRequest
 import org.lentilquay.daemon.requests.PlaceTarget
 import org.lentilquay.daemon.requests.Placement
+import org.lentilquay.daemon.settings.PlacementOrder
 import org.lentilquay.protocol.PeerAnswer
 import org.lentilquay.protocol.PeerRequest
 import org.lentilquay.protocol.RunOutcome
@@ -26,10 +26,14 @@
 class FleetPlacement(
     private val fleet: FleetView,
     private val owners: OwnerCalls,
+    /** Orders engines; services are always ordered by the hash. */
+    private val ranking: PlacementRanking,
     private val scope: CoroutineScope,
     private val grantValidityMillis: Long,
     private val now: () -> Long,
 ) : Placement {
+    private val serviceRanking = placementRanking(PlacementOrder.HOME_FIRST)
+
     /** What one round over the ranked servers gave. */
     private sealed interface Round {
         data class Found(val place: Place) : Round
@@ -54,7 +58,7 @@
 
     /** One round over the ranked servers; null if no owner answered. */
     private suspend fun tryOnce(request: PlaceRequest, deadline: Long): Outcome<Place>? {
-        val candidates = candidates(request).take(MAXIMUM_RANK)
+        val candidates = candidates(request)
         if (candidates.isEmpty()) {
             return failed(ErrorKind.NO_CAPACITY, "no backend server may take this request at the moment")
         }
@@ -72,18 +76,19 @@
     }
 
     override fun release(place: Place, outcome: RunOutcome, incarnation: Long?) {
+        ranking.ended(place.server)
         val message = PeerRequest.Release(place.attemptId, place.server, outcome, incarnation)
         scope.launch { owners.deliver(place.server, message) }
     }
 
     private fun candidates(request: PlaceRequest): List<BackendServer> {
-        val key = when (val target = request.target) {
-            is PlaceTarget.Engine -> target.adapter.engineName
-            is PlaceTarget.Service -> request.attemptId
-        }
         val all = fleet.serversFor(request.target)
         // A server that failed this request before is tried again only if there is no other.
-        return rendezvousRanking(key, all.filter { it.id !in request.excluded }.ifEmpty { all }) { it.id.text }
+        val open = all.filter { it.id !in request.excluded }.ifEmpty { all }
+        return when (val target = request.target) {
+            is PlaceTarget.Engine -> ranking.ranked(target.adapter.engineName, open)
+            is PlaceTarget.Service -> serviceRanking.ranked(request.attemptId, open)
+        }
     }
 
     private suspend fun askInOrder(request: PlaceRequest, candidates: List<BackendServer>, deadline: Long): Round {
@@ -142,7 +147,10 @@
             do {
                 val sentAt = now()
                 answer = owners.ask(server.id, reserveMessage(request, server, deadline - sentAt, spillMillis))
-                if (answer is PeerAnswer.Granted) return Polled.Granted(placeOf(answer, sentAt))
+                if (answer is PeerAnswer.Granted) {
+                    ranking.started(answer.server)
+                    return Polled.Granted(placeOf(answer, sentAt))
+                }
             } while (answer is PeerAnswer.Queued && now() < deadline)
         } finally {
             // A poll that was given up, also by cancellation, must not keep a place in the queue.
@@ -196,9 +204,6 @@
     is PlaceTarget.Service -> open.filter { it.kind == ServerKind.SERVICE && it.serves == target.service }
 }
 
-/** Servers that are tried for one request; further ranks would only spread an adapter over more slots. */
-private const val MAXIMUM_RANK = 3
-
 /**
  * Expected wait, in milliseconds, above which the next server in rank is asked. It is over the usual time of one load:
  * a lower bound sends the first request for each idle adapter to a server that is not its home.
--- /dev/null
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/control/PlacementRanking.kt
@@ -0,0 +1,61 @@
+/*
+ * The order in which the owners of backend servers are asked for a place. The default is that of docs/design.md,
+ * section 4.11; the others are baselines of common load balancers, for comparisons only. They choose one server for
+ * each request and never spill over to another. Methods may be called from any thread.
+ */
+package org.lentilquay.daemon.control
+
+import org.lentilquay.coordination.rendezvousRanking
+import org.lentilquay.daemon.settings.PlacementOrder
+import org.lentilquay.state.BackendServer
+import org.lentilquay.state.ServerId
+import java.util.concurrent.ConcurrentHashMap
+
+/** Chooses servers for requests. */
+interface PlacementRanking {
+    /** The servers of [servers] to ask for the request with [key], the first one first. */
+    fun ranked(key: String, servers: List<BackendServer>): List<BackendServer>
+
+    /** A request got a place on [server]. */
+    fun started(server: ServerId) = Unit
+
+    /** A request left its place on [server]. */
+    fun ended(server: ServerId) = Unit
+}
+
+/** The ranking for the setting [order]. */
+fun placementRanking(order: PlacementOrder): PlacementRanking = when (order) {
+    PlacementOrder.HOME_FIRST -> HashRanking(MAXIMUM_RANK)
+    PlacementOrder.CONSISTENT_HASHING -> HashRanking(maximumRank = 1)
+    PlacementOrder.RANDOM -> RandomRanking
+    PlacementOrder.LEAST_OUTSTANDING -> LeastOutstandingRanking()
+}
+
+private class HashRanking(private val maximumRank: Int) : PlacementRanking {
+    override fun ranked(key: String, servers: List<BackendServer>): List<BackendServer> =
+        rendezvousRanking(key, servers) { it.id.text }.take(maximumRank)
+}
+
+private object RandomRanking : PlacementRanking {
+    override fun ranked(key: String, servers: List<BackendServer>): List<BackendServer> =
+        listOfNotNull(servers.randomOrNull())
+}
+
+/** Counts only what this VM has sent, as a load balancer without shared state does. */
+private class LeastOutstandingRanking : PlacementRanking {
+    private val outstanding = ConcurrentHashMap<ServerId, Int>()
+
+    override fun ranked(key: String, servers: List<BackendServer>): List<BackendServer> =
+        listOfNotNull(servers.shuffled().minByOrNull { outstanding[it.id] ?: 0 })
+
+    override fun started(server: ServerId) {
+        outstanding.merge(server, 1, Int::plus)
+    }
+
+    override fun ended(server: ServerId) {
+        outstanding.computeIfPresent(server) { _, count -> (count - 1).takeIf { it > 0 } }
+    }
+}
+
+/** Servers that are tried for one request; further ranks would only spread an adapter over more slots. */
+private const val MAXIMUM_RANK = 3
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/settings/Settings.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/settings/Settings.kt
@@ -30,6 +30,8 @@
     val timing: TimingSettings = TimingSettings(),
     val weightStore: WeightStoreSettings,
     val log: LogSettings = LogSettings(),
+    /** For experiments only; leave it out in service. */
+    val placement: PlacementSettings = PlacementSettings(),
 )
 
 /** Where a listener binds, as `ip:port`. */
@@ -115,6 +117,29 @@
 @Serializable
 data class WeightStoreSettings(val name: String, val loadsPerSecond: Double, val parallelLoads: Int = 2)
 
+/** How inference requests are spread over engines. Every VM of a fleet needs the same value. For experiments only. */
+@Serializable
+data class PlacementSettings(val order: PlacementOrder = PlacementOrder.HOME_FIRST)
+
+@Serializable
+enum class PlacementOrder {
+    /** First the home of the adapter, then the next two servers in rank if the wait is long. */
+    @SerialName("home-first")
+    HOME_FIRST,
+
+    /** Baseline: the home of the adapter only. */
+    @SerialName("consistent-hashing")
+    CONSISTENT_HASHING,
+
+    /** Baseline: any server. */
+    @SerialName("random")
+    RANDOM,
+
+    /** Baseline: the server on which this VM has the fewest requests. */
+    @SerialName("least-outstanding")
+    LEAST_OUTSTANDING,
+}
+
 @Serializable
 data class LogSettings(val format: LogFormat = LogFormat.JSON)
 
