Count a crash only when the process of the grant does not report any more

Cause: a connection that was lost before the answer headers counted as a crash of the server, because its process was not known then.

Ruled out: not counting such losses at all; a request that crashes engines before they answer would never be quarantined.

Change: a grant names the process that the owner knows. After a loss the fronting VM reads the load report: if the same process still answers, the request is tried again and nothing is counted. The same holds after a failed resume.

Figures: InferenceRunTest, 3 new cases: 0 crashes for the same process, 1 for another and for an unknown one.

--- a/core/src/main/kotlin/org/lentilquay/coordination/allocation/ServerAllocator.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/allocation/ServerAllocator.kt
@@ -55,6 +55,9 @@
     private val slots = parts.slots
     private val loads = parts.loads
 
+    /** The process of the server that is known, or null before the first answer or report. */
+    val serverIncarnation: Long? get() = health.incarnation
+
     /**
      * Asks for a place; repeated with the same request id it polls. Effects for other requests and loads are returned
      * by the next call that returns effects, so [tick] should follow an answer of [ReserveDecision.Queued].
--- a/core/src/main/kotlin/org/lentilquay/protocol/PeerMessages.kt
+++ b/core/src/main/kotlin/org/lentilquay/protocol/PeerMessages.kt
@@ -230,6 +230,8 @@
         val adapter: AdapterVersion?,
         /** Whether the request waited for a load of its adapter. */
         val waitedForLoad: Boolean,
+        /** The process of the server that the owner knows, or null. */
+        val incarnation: Long? = null,
     ) : PeerAnswer
 
     /** The request is queued; poll again. */
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/control/FleetPlacement.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/control/FleetPlacement.kt
@@ -179,6 +179,7 @@
         adapter = granted.adapter,
         waitedForLoad = granted.waitedForLoad,
         startBefore = sentAt + grantValidityMillis,
+        incarnation = granted.incarnation,
     )
 
     private fun reserveMessage(
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/control/OwnedServer.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/control/OwnedServer.kt
@@ -145,7 +145,7 @@
 
     /** Plain services send no reports; the allocator keeps its doubt after a lost connection for its own bound. */
     private suspend fun assumeReport() = control.decide {
-        val incarnation = allocator.snapshot(now).serverIncarnation ?: UNKNOWN_INCARNATION
+        val incarnation = allocator.serverIncarnation ?: UNKNOWN_INCARNATION
         val report = LoadReport(
             incarnation = incarnation,
             asOfMillis = now,
@@ -195,6 +195,7 @@
             fence = fence,
             adapter = request.adapter,
             waitedForLoad = decision.waitedForLoad,
+            incarnation = allocator.serverIncarnation,
         )
         is ReserveDecision.Queued -> PeerAnswer.Queued(decision.expectedWaitMillis)
         is ReserveDecision.Busy -> PeerAnswer.Busy(decision.expectedWaitMillis)
@@ -209,6 +210,7 @@
         fence = fence,
         adapter = effect.adapter,
         waitedForLoad = effect.waitedForLoad,
+        incarnation = allocator.serverIncarnation,
     )
 
     private fun seekPermit(wish: AllocatorEffect.WantLoad) {
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/requests/InferenceRun.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/requests/InferenceRun.kt
@@ -27,6 +27,7 @@
 import org.lentilquay.transport.engine.EngineAnswer
 import org.lentilquay.transport.engine.EngineClient
 import org.lentilquay.transport.engine.EngineRun
+import org.lentilquay.transport.engine.ReportResult
 import org.lentilquay.transport.engine.RunHead
 import org.lentilquay.transport.engine.StreamStep
 
@@ -202,7 +203,7 @@
             }
             is EngineAnswer.LostBeforeHeaders -> {
                 mayHaveRun = true
-                serverLost(place, null)
+                if (!isSameProcess(place, place.incarnation)) serverLost(place, place.incarnation)
                 giveUp(place, RetryReason.CONNECTION_LOST, "connection lost", null)
             }
         }
@@ -274,14 +275,21 @@
     }
 
     /** Whether the process that ran the request has ended, as far as the answer to the resume order shows. */
-    private fun isFromOtherProcess(answer: EngineAnswer, attempt: Attempt): Boolean = when (answer) {
-        is EngineAnswer.NotWritten, is EngineAnswer.LostBeforeHeaders -> true
+    private suspend fun isFromOtherProcess(answer: EngineAnswer, attempt: Attempt): Boolean = when (answer) {
+        is EngineAnswer.NotWritten, is EngineAnswer.LostBeforeHeaders ->
+            !isSameProcess(attempt.place, attempt.incarnation)
         is EngineAnswer.Accepted -> answer.head.incarnation != attempt.incarnation
         is EngineAnswer.WrongStatus -> answer.head.incarnation != attempt.incarnation
         is EngineAnswer.NotLoaded -> answer.head.incarnation != attempt.incarnation
         is EngineAnswer.Overloaded -> answer.head.incarnation != attempt.incarnation
     }
 
+    /** Whether the process [incarnation] still reports: then a connection was lost and the server did not crash. */
+    private suspend fun isSameProcess(place: Place, incarnation: Long?): Boolean {
+        val report = parts.engines.loadReport(place.address) as? ReportResult.Received
+        return incarnation != null && report?.report?.incarnation == incarnation
+    }
+
     private suspend fun serverLost(place: Place, incarnation: Long?) {
         isSuspect = true
         parts.crashes.serverLost(place, incarnation, admitted.fingerprint)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/requests/Placement.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/requests/Placement.kt
@@ -47,6 +47,8 @@
     val waitedForLoad: Boolean,
     /** Monotonic time, in milliseconds, until which the dispatch must have begun. */
     val startBefore: Long,
+    /** The process of the server at the time of the grant, if the owner knew it. */
+    val incarnation: Long? = null,
 )
 
 /** Finds places. */
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/requests/InferenceRunTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/requests/InferenceRunTest.kt
@@ -9,8 +9,11 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitCancellation
+import kotlinx.serialization.json.Json
 import org.lentilquay.coordination.quota.Charge
 import org.lentilquay.daemon.metrics.Metrics
+import org.lentilquay.protocol.EngineState
+import org.lentilquay.protocol.LoadReport
 import org.lentilquay.protocol.RunOutcome
 import org.lentilquay.state.AdapterVersion
 import org.lentilquay.state.ErrorKind
@@ -23,13 +26,14 @@
 import org.lentilquay.state.TeamId
 import org.lentilquay.transport.engine.EngineClient
 import org.lentilquay.transport.http.ScriptedServer
+import org.lentilquay.transport.http.answer
 import org.lentilquay.transport.http.answering
 import org.lentilquay.transport.http.closedAddress
 import org.lentilquay.transport.http.write
 
 private val adapter = AdapterVersion("stove", 3)
 
-private class Places(private val addresses: List<String>) : Placement {
+private class Places(private val addresses: List<String>, private val incarnation: Long? = null) : Placement {
     private var next = 0
     val outcomes = ArrayList<RunOutcome>()
 
@@ -43,6 +47,7 @@
             adapter = adapter,
             waitedForLoad = false,
             startBefore = 1_000,
+            incarnation = incarnation,
         )
         return Outcome.Success(place)
     }
@@ -74,6 +79,24 @@
     override suspend fun serverLost(place: Place, incarnation: Long?, fingerprint: String) = Unit
 }
 
+private class NotedCrashes : CrashHistory {
+    var count = 0
+
+    override suspend fun verdict(fingerprint: String) = ContentVerdict.CLEAR
+
+    override suspend fun serverLost(place: Place, incarnation: Long?, fingerprint: String) {
+        count++
+    }
+}
+
+/** Closes the connections of runs without an answer, and reports as the process 7. */
+private fun losingEngine() = ScriptedServer { request, socket ->
+    if (request.head.startsWith("GET")) {
+        val report = LoadReport(7, 1, EngineState.WARM, 2, emptyList(), emptyMap(), 8)
+        socket.answer(200, Json.encodeToString(report))
+    }
+}
+
 private fun refusal(code: String) = """{"error":{"message":"m","type":"t","code":"$code"}}"""
 
 /** Answers with two chunks for the request id that it is asked with. */
@@ -135,6 +158,21 @@
         )
     }
 
+    // Guards against a quarantine of requests whose answers were lost on the way, and of none that crash a server.
+    mapOf(7L to 0, 6L to 1, null to 1).forEach { (granted, crashes) ->
+        test("a run lost on the process 7, granted for the process $granted, counts as $crashes crashes") {
+            val (lossy, whole) = losingEngine() to engine()
+            val noted = NotedCrashes()
+            EngineClient().use { engines ->
+                val parts = InferenceParts(Places(listOf(lossy.address, whole.address), granted), engines, noted) { 0 }
+                val run = InferenceRun(admitted(), parts, ActiveCalls().begin(null), CountedRequests(Metrics()))
+                run.next().shouldBeInstanceOf<RunEvent.Part>()
+            }
+            noted.count shouldBe crashes
+            listOf(lossy, whole).forEach { it.close() }
+        }
+    }
+
     // Guards against a request of a withdrawn key that goes on waiting, and then is told that there is no capacity.
     test("a call that is cut while it waits for a place ends at once with its reason") {
         val places = NoPlaces()
