--- a/daemon/src/main/kotlin/org/lentilquay/daemon/DaemonParts.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/DaemonParts.kt
@@ -7,7 +7,6 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.launch
 import org.lentilquay.coordination.configuration.ConfigurationStore
 import org.lentilquay.coordination.configuration.FleetSecret
 import org.lentilquay.coordination.configuration.Freshness
@@ -197,7 +196,7 @@
         membership = membership,
         activeCalls = activeCalls,
         isLoaded = { configuration.isLoaded },
-        confirmHead = { scope.launch { configuration.pollHead() } },
+        confirmHead = { configuration.startHeadCheck() },
         now = timer::now,
     )
 
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/control/WeightStoreTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/control/WeightStoreOwnerTest.kt
@@ -21,7 +21,7 @@
 private fun done(loadId: String) = PeerRequest.LoadDone(loadId, "main")
 
 /** Guards against loads that wait longer than the store needs, and against requests that are held for no answer. */
-class WeightStoreTest : FunSpec({
+class WeightStoreOwnerTest : FunSpec({
     val control = ControlThread()
     afterSpec { control.close() }
     val settings = WeightStoreSettings("main", loadsPerSecond = 5.0, parallelLoads = 1)
