Use one piece of code for thread time, grants and the recovery from an outage

Four measurements took the thread's processor time with the same lines; a grant was built in two places, and the incarnation had to be added to both; Freshness.isRecovering evaluated the rule for going on without the table again, which also notes a time, although the verdict and the reachability already tell it.

Ruled out: merging classes that only look alike (constants, options, constructors, the two stand-in interfaces).

Change: threadNanos in Measurement, one function for grants, and a check of the verdict in FreshnessWatch. No behaviour changes. The test's assertion on the removed function now asserts the verdict OUTAGE at the same time.

--- a/bench/src/main/kotlin/org/lentilquay/bench/DecisionCost.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/DecisionCost.kt
@@ -24,7 +24,6 @@
 import org.lentilquay.state.Team
 import org.lentilquay.state.TeamId
 import org.lentilquay.state.VmId
-import java.lang.management.ManagementFactory
 
 @Suppress("MagicNumber")
 private val queueLengths = listOf(10, 100, 250, 500)
@@ -153,9 +152,4 @@
     return pass()
 }
 
-private fun nanosEach(action: (Int) -> Unit): Double {
-    val threads = ManagementFactory.getThreadMXBean()
-    val start = threads.currentThreadCpuTime
-    repeat(ROUNDS, action)
-    return (threads.currentThreadCpuTime - start).toDouble() / ROUNDS
-}
+private fun nanosEach(action: (Int) -> Unit): Double = threadNanos { repeat(ROUNDS, action) }.toDouble() / ROUNDS
--- a/bench/src/main/kotlin/org/lentilquay/bench/HeapCost.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/HeapCost.kt
@@ -117,12 +117,8 @@
     store.offer(listOf(LogEntry(store.revision + 1, "plan", "operator", change, 0, "vm")))
 }
 
-private fun microsEach(action: (Int) -> Unit): Double {
-    val threads = ManagementFactory.getThreadMXBean()
-    val start = threads.currentThreadCpuTime
-    repeat(CHANGES, action)
-    return (threads.currentThreadCpuTime - start) / NANOS_PER_MICRO / CHANGES
-}
+private fun microsEach(action: (Int) -> Unit): Double =
+    threadNanos { repeat(CHANGES, action) } / NANOS_PER_MICRO / CHANGES
 
 private fun usedHeap(): Long {
     repeat(COLLECTIONS) { System.gc() }
--- a/bench/src/main/kotlin/org/lentilquay/bench/Measurement.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/Measurement.kt
@@ -37,6 +37,14 @@
 /** The load average of the last minute. */
 internal fun loadAverage(): Double = ManagementFactory.getOperatingSystemMXBean().systemLoadAverage
 
+/** The processor time, in nanoseconds, that this thread spends in [action]. */
+internal inline fun threadNanos(action: () -> Unit): Long {
+    val threads = ManagementFactory.getThreadMXBean()
+    val start = threads.currentThreadCpuTime
+    action()
+    return threads.currentThreadCpuTime - start
+}
+
 internal fun linesOf(columns: List<String>, rows: List<List<Double>>): Map<String, Line> {
     val x = rows.map { it.first() }
     return columns.withIndex().drop(1).associate { (index, name) -> name to fit(x, rows.map { it[index] }) }
--- a/bench/src/main/kotlin/org/lentilquay/bench/MembershipCost.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/MembershipCost.kt
@@ -14,7 +14,6 @@
 import org.lentilquay.state.DomainId
 import org.lentilquay.state.Incarnation
 import org.lentilquay.state.VmId
-import java.lang.management.ManagementFactory
 import kotlin.random.Random
 
 /** The fleets that are measured: today's size, two between, and the target scale. */
@@ -74,7 +73,6 @@
     private val vms = LinkedHashMap<String, Vm>()
     private val byId = HashMap<VmId, Vm>()
     private var incarnation = 1L
-    private val threads = ManagementFactory.getThreadMXBean()
     var bytes = 0L
         private set
     var messages = 0L
@@ -90,9 +88,7 @@
         messages = 0
         start(random.nextInt(size))
         val end = now + MEASURED_MILLIS
-        val cpuStart = threads.currentThreadCpuTime
-        while (now < end) now = step(now)
-        nanos = threads.currentThreadCpuTime - cpuStart
+        nanos = threadNanos { while (now < end) now = step(now) }
     }
 
     private fun start(index: Int) {
--- a/bench/src/main/kotlin/org/lentilquay/bench/MessageCost.kt
+++ b/bench/src/main/kotlin/org/lentilquay/bench/MessageCost.kt
@@ -19,7 +19,6 @@
 import org.lentilquay.state.ConfigurationChange
 import org.lentilquay.state.ServerId
 import org.lentilquay.state.TeamId
-import java.lang.management.ManagementFactory
 import java.util.UUID
 
 @Suppress("MagicNumber")
@@ -119,9 +118,6 @@
 
 private fun bytesOf(frames: List<PeerFrame>): Int = frames.sumOf { Cbor.encodeToByteArray(it).size + PREFIX_BYTES }
 
-private fun codecNanos(frames: List<PeerFrame>, count: Int): Long {
-    val threads = ManagementFactory.getThreadMXBean()
-    val start = threads.currentThreadCpuTime
+private fun codecNanos(frames: List<PeerFrame>, count: Int): Long = threadNanos {
     repeat(count) { frames.forEach { Cbor.decodeFromByteArray<PeerFrame>(Cbor.encodeToByteArray(it)) } }
-    return threads.currentThreadCpuTime - start
 }
--- a/core/src/main/kotlin/org/lentilquay/coordination/configuration/Freshness.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/configuration/Freshness.kt
@@ -20,7 +20,10 @@
     /** The configuration was confirmed within the bound. */
     CURRENT,
 
-    /** Nobody reaches the table and a strict majority of members is here: no change can be accepted elsewhere. */
+    /**
+     * Nobody reaches the table and a strict majority of members is here: no change can be accepted elsewhere. It lasts
+     * [RECOVERY_MILLIS] longer once a peer reaches the table.
+     */
     OUTAGE,
 
     /** Changes may have been accepted elsewhere: keyed requests are refused and keyed streams are cut. */
@@ -97,10 +100,6 @@
         return outageSeenAt.let { it != null && now - it <= RECOVERY_MILLIS }
     }
 
-    /** Whether this VM lives on [RECOVERY_MILLIS] and should confirm the head at once. */
-    fun isRecovering(now: Long, revision: Long, reachability: Reachability): Boolean =
-        reachability.tableReachableByPeer && mayContinueWithoutTable(now, revision, reachability)
-
     /** A confirmation counts once its head is in force here, for the time since its question was sent. */
     private fun isCovered(confirmations: ArrayDeque<Confirmation>, now: Long, revision: Long): Boolean =
         confirmations.any { it.head <= revision && now - it.sentAt <= boundMillis }
--- a/core/src/test/kotlin/org/lentilquay/coordination/configuration/FreshnessTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/configuration/FreshnessTest.kt
@@ -32,7 +32,7 @@
         val recovering = majority.copy(tableReachableByPeer = true)
         freshness.state(8_000, 5, majority) shouldBe FreshnessState.OUTAGE
         freshness.state(8_100, 5, recovering.copy(highestRevision = 6)) shouldBe FreshnessState.ISOLATED
-        freshness.isRecovering(8_100, 5, recovering) shouldBe true
+        freshness.state(8_100, 5, recovering) shouldBe FreshnessState.OUTAGE
         freshness.state(8_000 + RECOVERY_MILLIS, 5, recovering) shouldBe FreshnessState.OUTAGE
         freshness.state(8_001 + RECOVERY_MILLIS, 5, recovering) shouldBe FreshnessState.ISOLATED
     }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/control/FreshnessWatch.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/control/FreshnessWatch.kt
@@ -38,8 +38,8 @@
     fun judge() {
         val reachability = membership.reachability(now())
         val next = freshness.state(now(), store.revision, reachability, isLoaded())
-        val isDue = now() - confirmedAt >= CONFIRM_MILLIS
-        if (next == FreshnessState.OUTAGE && isDue && freshness.isRecovering(now(), store.revision, reachability)) {
+        val isRecovering = next == FreshnessState.OUTAGE && reachability.tableReachableByPeer
+        if (isRecovering && now() - confirmedAt >= CONFIRM_MILLIS) {
             confirmedAt = now()
             confirmHead()
         }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/control/OwnedServer.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/control/OwnedServer.kt
@@ -165,7 +165,8 @@
 
     private fun perform(effects: List<AllocatorEffect>) = effects.forEach { effect ->
         when (effect) {
-            is AllocatorEffect.Grant -> answer(effect.requestId, granted(effect))
+            is AllocatorEffect.Grant ->
+                answer(effect.requestId, granted(effect.requestId, effect.adapter, effect.waitedForLoad))
             is AllocatorEffect.Refuse -> answer(effect.requestId, PeerAnswer.Refused(effect.failure))
             is AllocatorEffect.NotOwner -> answer(effect.requestId, PeerAnswer.NotOwner(null))
             is AllocatorEffect.WantLoad -> seekPermit(effect)
@@ -188,28 +189,20 @@
     }
 
     private fun answerOf(decision: ReserveDecision, request: PeerRequest.Reserve): PeerAnswer = when (decision) {
-        is ReserveDecision.Granted -> PeerAnswer.Granted(
-            requestId = request.requestId,
-            server = server.id,
-            address = server.address,
-            fence = fence,
-            adapter = request.adapter,
-            waitedForLoad = decision.waitedForLoad,
-            incarnation = allocator.serverIncarnation,
-        )
+        is ReserveDecision.Granted -> granted(request.requestId, request.adapter, decision.waitedForLoad)
         is ReserveDecision.Queued -> PeerAnswer.Queued(decision.expectedWaitMillis)
         is ReserveDecision.Busy -> PeerAnswer.Busy(decision.expectedWaitMillis)
         is ReserveDecision.Refused -> PeerAnswer.Refused(decision.failure)
         ReserveDecision.NotOwner -> PeerAnswer.NotOwner(null)
     }
 
-    private fun granted(effect: AllocatorEffect.Grant) = PeerAnswer.Granted(
-        requestId = effect.requestId,
+    private fun granted(requestId: String, adapter: AdapterVersion?, waitedForLoad: Boolean) = PeerAnswer.Granted(
+        requestId = requestId,
         server = server.id,
         address = server.address,
         fence = fence,
-        adapter = effect.adapter,
-        waitedForLoad = effect.waitedForLoad,
+        adapter = adapter,
+        waitedForLoad = waitedForLoad,
         incarnation = allocator.serverIncarnation,
     )
 
