--- /dev/null
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/EngineController.kt
@@ -0,0 +1,281 @@
+/*
+ * Decides which orders one engine gets: it loads the base model of an empty engine and the adapters that requests
+ * need, and unloads the adapter that was not used for longest when the places are taken. One order is under way at a
+ * time, and each names the number of orders that the engine has accepted so far, so that an order whose answer was
+ * lost can not be carried out after a later one. Until then it counts as carried out for the bound on places.
+ *
+ * Single-threaded use; times are monotonic milliseconds.
+ */
+package org.lentilquay.coordination.gateway
+
+import org.lentilquay.state.gateway.AdapterName
+import org.lentilquay.state.gateway.EngineProfile
+
+/** How the wish for an adapter stands. */
+sealed interface AdapterStanding {
+    /** Requests can be sent now. */
+    data class Ready(val version: Long) : AdapterStanding
+
+    /** The load is ordered and expected to be done at [readyAt]. */
+    data class Loading(val readyAt: Long) : AdapterStanding
+
+    /** The load waits for its order. */
+    data object Waiting : AdapterStanding
+
+    /** All places are in use. */
+    data object Full : AdapterStanding
+}
+
+/** Time from the acceptance of an order until the adapter can be used; docs/platform.md, section 5. */
+private const val FRESH_LOAD_MILLIS = 270L
+private const val REPEATED_LOAD_MILLIS = 35L
+
+/** An adapter that is not in a report for this long after its load was accepted has not been loaded. */
+private const val LOAD_LOST_MILLIS = 3_000L
+
+/** An adapter that was used within this time may still have requests. */
+private const val IN_USE_MILLIS = 1_500L
+
+/** Adapters on their way to one engine at the same time; the platform's bound. */
+private const val LOADS_AT_ONCE = 4
+
+/** Adapters that an engine keeps at hand after their unload, so that they load faster. */
+private const val REMEMBERED_ADAPTERS = 64
+
+/** A wish that nobody renewed for this long is dropped. */
+private const val WISH_MILLIS = 2_000L
+
+/** How old a report may be when it arrives. */
+private const val REPORT_LAG_MILLIS = 250L
+
+/** Time until an order whose outcome is unknown may be followed by another one. */
+private const val UNKNOWN_ORDER_MILLIS = 300L
+
+class EngineController(private val profile: EngineProfile) {
+    private class Held(var version: Long, var readyAt: Long, val acceptedAt: Long) {
+        var usedAt = acceptedAt
+        var isConfirmed = false
+        var isUnloading = false
+    }
+
+    private class Wish(val since: Long, var renewedAt: Long)
+
+    private val held = HashMap<AdapterName, Held>()
+    private val wishes = LinkedHashMap<AdapterName, Wish>()
+    private val remembered = LinkedHashSet<AdapterName>()
+    private val required = HashMap<AdapterName, Long>()
+    private var models: Set<String> = emptySet()
+    private var acceptedOrders: Long? = null
+    private var startedAt: Long? = null
+    private var isAdopted = false
+    private var underWay: EngineOrder? = null
+    private var isBusy = false
+
+    /** A load whose answer was lost and that the engine may still carry out. */
+    private var doubtful: AdapterName? = null
+    private var mayOrderFrom = 0L
+    private var modelToLoad: String? = null
+
+    /** Requests running and waiting at the last report. */
+    var running: Int = 0
+        private set
+    var queued: Int = 0
+        private set
+
+    /** Whether the state of the engine must be read before the next order. */
+    val needsReport: Boolean get() = acceptedOrders == null || doubtful != null || held.values.any { it.isUnloading }
+
+    /** Whether the engine holds a base model. */
+    val hasModel: Boolean get() = models.isNotEmpty()
+
+    /** The number of orders that the engine has accepted, as far as known. */
+    val expectedOrders: Long? get() = acceptedOrders
+
+    /** The adapters that can be used at [now], with their versions. */
+    fun ready(now: Long): Map<AdapterName, Long> =
+        held.filterValues { it.readyAt <= now && !it.isUnloading }.mapValues { it.value.version }
+
+    /** Asks for [adapter] in [version] or later and tells how that stands. */
+    fun want(adapter: AdapterName, version: Long, now: Long): AdapterStanding {
+        val present = held[adapter]
+        if (present != null && !present.isUnloading && present.version >= version) {
+            present.usedAt = now
+            if (present.readyAt <= now) return AdapterStanding.Ready(present.version)
+            return AdapterStanding.Loading(present.readyAt)
+        }
+        required.merge(adapter, version, ::maxOf)
+        wishes.getOrPut(adapter) { Wish(now, now) }.renewedAt = now
+        val isFull = acceptedOrders != null && present == null && !hasRoom(adapter.model) && victim(now) == null
+        return if (isFull) AdapterStanding.Full else AdapterStanding.Waiting
+    }
+
+    /** The wish for [adapter] has ended. */
+    fun unwant(adapter: AdapterName) {
+        wishes.remove(adapter)
+    }
+
+    /** Requests used [adapter] at [at]. */
+    fun used(adapter: AdapterName, at: Long) {
+        held[adapter]?.let { it.usedAt = maxOf(it.usedAt, at) }
+    }
+
+    /** A newer version of [adapter] exists; an older one is replaced. */
+    fun announced(adapter: AdapterName, version: Long) {
+        required.merge(adapter, version, ::maxOf)
+    }
+
+    /** The base model that an empty engine is to load. */
+    fun assignModel(model: String?) {
+        modelToLoad = model
+    }
+
+    /** Takes in a report that was asked for at [askedAt]. */
+    fun reported(report: EngineReport, askedAt: Long, now: Long) {
+        running = report.running
+        queued = report.queued
+        val known = acceptedOrders
+        val isOtherProcess = !isAdopted || report.startedAtEpochMillis != startedAt
+        if (isOtherProcess) return adopt(report, now)
+        // A report from before the last order says nothing about it.
+        if (report.acceptedOrders < (known ?: 0) || underWay != null || askedAt < mayOrderFrom) return
+        isBusy = report.isBusy
+        models = report.models
+        if (known == null || report.acceptedOrders > known) {
+            acceptedOrders = report.acceptedOrders
+            doubtful = null
+        }
+        reconcile(report, now)
+    }
+
+    private fun adopt(report: EngineReport, now: Long) {
+        isAdopted = true
+        startedAt = report.startedAtEpochMillis
+        acceptedOrders = report.acceptedOrders
+        models = report.models
+        isBusy = report.isBusy
+        doubtful = null
+        held.clear()
+        remembered.clear()
+        reconcile(report, now)
+    }
+
+    private fun reconcile(report: EngineReport, now: Long) {
+        report.adapters.forEach { (adapter, version) ->
+            val present = held.getOrPut(adapter) { Held(version, now, now) }
+            present.isConfirmed = true
+            if (present.version <= version) {
+                present.version = version
+                present.readyAt = minOf(present.readyAt, now)
+            }
+        }
+        report.coming.forEach { adapter -> held.getOrPut(adapter) { Held(0, now + FRESH_LOAD_MILLIS, now) } }
+        held.entries.removeIf { (adapter, present) ->
+            val isMissing = adapter !in report.adapters && adapter !in report.coming
+            isMissing && (present.isUnloading || present.isConfirmed || now - present.acceptedAt > LOAD_LOST_MILLIS)
+        }
+    }
+
+    /** The order to send now, or null. The caller reports its end to [ended]. */
+    fun nextOrder(now: Long): EngineOrder? {
+        if (underWay != null || acceptedOrders == null || now < mayOrderFrom) return null
+        val order = modelOrder() ?: if (isBusy) null else adapterOrder(now)
+        underWay = order
+        return order
+    }
+
+    private fun modelOrder(): EngineOrder? {
+        val model = modelToLoad ?: return null
+        if (models.isNotEmpty() || isBusy) return null
+        return EngineOrder.LoadModel(model)
+    }
+
+    private fun adapterOrder(now: Long): EngineOrder? {
+        wishes.entries.removeIf { now - it.value.renewedAt > WISH_MILLIS }
+        val outdated = held.entries.firstOrNull { (adapter, present) ->
+            !present.isUnloading && present.readyAt <= now && present.version < (required[adapter] ?: 0)
+        }
+        if (outdated != null) return EngineOrder.LoadAdapter(outdated.key)
+        val wanted = wishes.keys.firstOrNull { it.model in models && (it !in held || isOutdated(it)) }
+        val hasFreeLoad = held.values.count { it.readyAt > now } < LOADS_AT_ONCE
+        return when {
+            wanted == null || !hasFreeLoad -> null
+            wanted in held || hasRoom(wanted.model) -> EngineOrder.LoadAdapter(wanted)
+            else -> victim(now)?.let { EngineOrder.UnloadAdapter(it) }
+        }
+    }
+
+    private fun isOutdated(adapter: AdapterName): Boolean =
+        held[adapter]?.let { !it.isUnloading && it.version < (required[adapter] ?: 0) } ?: true
+
+    /** The order that [nextOrder] gave has ended. */
+    fun ended(order: EngineOrder, outcome: OrderOutcome, now: Long) {
+        underWay = null
+        when (outcome) {
+            OrderOutcome.ACCEPTED -> accepted(order, now)
+            OrderOutcome.ALREADY_DONE -> alreadyDone(order, now)
+            OrderOutcome.CONFLICT, OrderOutcome.OTHER_PROCESS -> readAgain(now)
+            OrderOutcome.REFUSED -> {
+                if (order is EngineOrder.LoadAdapter) wishes.remove(order.adapter)
+                readAgain(now)
+            }
+            OrderOutcome.NOT_SENT -> mayOrderFrom = now + UNKNOWN_ORDER_MILLIS
+            OrderOutcome.UNKNOWN -> unknown(order, now)
+        }
+    }
+
+    /** The number of accepted orders is not known; reports from before now may still show an old one. */
+    private fun readAgain(now: Long) {
+        acceptedOrders = null
+        mayOrderFrom = now + REPORT_LAG_MILLIS
+    }
+
+    private fun accepted(order: EngineOrder, now: Long) {
+        acceptedOrders = acceptedOrders?.plus(1)
+        doubtful = null
+        when (order) {
+            is EngineOrder.LoadModel -> isBusy = true
+            is EngineOrder.LoadAdapter -> {
+                wishes.remove(order.adapter)
+                val millis = if (remembered.remove(order.adapter)) REPEATED_LOAD_MILLIS else FRESH_LOAD_MILLIS
+                held[order.adapter] = Held(maxOf(1, required[order.adapter] ?: 1), now + millis, now)
+            }
+            is EngineOrder.UnloadAdapter -> held[order.adapter]?.isUnloading = true
+        }
+    }
+
+    private fun alreadyDone(order: EngineOrder, now: Long) {
+        acceptedOrders = acceptedOrders?.plus(1)
+        doubtful = null
+        when (order) {
+            is EngineOrder.LoadModel -> models = models + order.model
+            is EngineOrder.LoadAdapter -> {
+                wishes.remove(order.adapter)
+                held[order.adapter] = Held(maxOf(1, required[order.adapter] ?: 1), now, now)
+                readAgain(now)
+            }
+            is EngineOrder.UnloadAdapter -> {
+                held.remove(order.adapter)
+                remembered += order.adapter
+                if (remembered.size > REMEMBERED_ADAPTERS) remembered.remove(remembered.first())
+            }
+        }
+    }
+
+    private fun unknown(order: EngineOrder, now: Long) {
+        mayOrderFrom = now + UNKNOWN_ORDER_MILLIS
+        when (order) {
+            is EngineOrder.LoadAdapter -> doubtful = order.adapter
+            is EngineOrder.UnloadAdapter -> held[order.adapter]?.isUnloading = true
+            is EngineOrder.LoadModel -> Unit
+        }
+    }
+
+    private fun hasRoom(model: String): Boolean {
+        val uncertain = if (doubtful != null && doubtful !in held) 1 else 0
+        return held.size + uncertain < profile.adapterCapacity(model)
+    }
+
+    private fun victim(now: Long): AdapterName? = held.entries
+        .filter { !it.value.isUnloading && it.value.readyAt <= now && now - it.value.usedAt > IN_USE_MILLIS }
+        .minByOrNull { it.value.usedAt }?.key
+}
--- a/core/src/main/kotlin/org/lentilquay/protocol/PeerMessages.kt
+++ b/core/src/main/kotlin/org/lentilquay/protocol/PeerMessages.kt
@@ -14,6 +14,7 @@
 import org.lentilquay.state.ServerId
 import org.lentilquay.state.TeamId
 import org.lentilquay.state.VmId
+import org.lentilquay.state.gateway.AdapterName
 
 /** The version of the protocol between VMs that this build speaks. */
 const val PEER_PROTOCOL_VERSION: Int = 1
@@ -181,6 +182,21 @@
     @Serializable
     @SerialName("idempotency-status")
     data class IdempotencyStatus(val nonce: String) : PeerRequest
+
+    /** Asks the VM in control of the engine [server] to make [adapter] ready in [version] or later. */
+    @Serializable
+    @SerialName("ensure-adapter")
+    data class EnsureAdapter(
+        val server: ServerId,
+        val adapter: AdapterName,
+        val version: Long,
+        val waitMillis: Long,
+    ) : PeerRequest
+
+    /** Asks for what the receiver knows of the watched [table], if that is newer than [afterVersion]. */
+    @Serializable
+    @SerialName("read-watched")
+    data class ReadWatched(val table: String, val afterVersion: Long) : PeerRequest
 }
 
 @Serializable
@@ -269,8 +285,27 @@
     @Serializable
     @SerialName("idempotency-status-answer")
     data class IdempotencyStatusAnswer(val state: CallState) : PeerAnswer
+
+    /** The adapter can be used now. */
+    @Serializable
+    @SerialName("adapter-ready")
+    data class AdapterReady(val version: Long) : PeerAnswer
+
+    /** The engine can not make the adapter ready in time. */
+    @Serializable
+    @SerialName("adapter-unavailable")
+    data class AdapterUnavailable(val reason: AdapterRefusal) : PeerAnswer
+
+    /** All rows of a watched table as of [version]; null if the receiver knows nothing newer. */
+    @Serializable
+    @SerialName("watched")
+    data class Watched(val version: Long, val rows: Map<String, String>?) : PeerAnswer
 }
 
+/** Why an adapter can not be made ready. */
+@Serializable
+enum class AdapterRefusal { NOT_CONTROLLER, NO_FREE_PLACE, NOT_IN_TIME }
+
 /** The platform's list as a VM knows it: a digest of its entries, and how long ago a reading showed them. */
 @Serializable
 data class ListView(
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/control/SeatLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/control/SeatLoop.kt
@@ -17,8 +17,8 @@
 import org.lentilquay.protocol.TableItem
 import org.lentilquay.state.SeatRecord
 import org.lentilquay.state.VmId
-import org.lentilquay.transport.platform.PlatformClient
 import org.lentilquay.transport.platform.ReadResult
+import org.lentilquay.transport.platform.TableService
 
 private val log = KotlinLogging.logger {}
 
@@ -26,7 +26,7 @@
     private val keeper: SeatKeeper,
     private val buckets: TeamBuckets,
     private val pulls: PullPlan,
-    private val platform: PlatformClient,
+    private val platform: TableService,
     private val control: ControlThread,
     private val members: suspend () -> SeatMembers,
     private val now: () -> Long,
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/control/TableWrites.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/control/TableWrites.kt
@@ -8,12 +8,12 @@
 import org.lentilquay.coordination.WriteResult
 import org.lentilquay.protocol.TableItem
 import org.lentilquay.protocol.TableOperation
-import org.lentilquay.transport.platform.PlatformClient
 import org.lentilquay.transport.platform.ReadResult
+import org.lentilquay.transport.platform.TableService
 import org.lentilquay.transport.platform.TransactResult
 
 /** Sends [operations] as one transaction. */
-suspend fun PlatformClient.write(operations: List<TableOperation>): WriteResult = when (transact(operations)) {
+suspend fun TableService.write(operations: List<TableOperation>): WriteResult = when (transact(operations)) {
     is TransactResult.Committed -> WriteResult.COMMITTED
     is TransactResult.Conflict -> WriteResult.CONFLICT
     is TransactResult.Unavailable -> WriteResult.NOT_SENT
@@ -24,7 +24,7 @@
 class ReadRecord<T>(val value: T?, val version: Long)
 
 /** Reads the item at [key] as JSON; null if the table did not answer. */
-suspend inline fun <reified T> PlatformClient.record(key: String): ReadRecord<T>? =
+suspend inline fun <reified T> TableService.record(key: String): ReadRecord<T>? =
     when (val result = item(key)) {
         is ReadResult.Unavailable -> null
         is ReadResult.Read -> ReadRecord(result.value?.let { decodeOrNull<T>(it) }, result.value?.version ?: 0)
--- /dev/null
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ControlledEngine.kt
@@ -0,0 +1,165 @@
+/*
+ * One engine that this VM controls: reads its reports, sends the orders that the controller decides on, one at a time,
+ * and lets requests wait until their adapter is ready.
+ */
+package org.lentilquay.daemon.gateway
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.lentilquay.coordination.gateway.AdapterStanding
+import org.lentilquay.coordination.gateway.EngineController
+import org.lentilquay.coordination.gateway.EngineOrder
+import org.lentilquay.coordination.gateway.OrderOutcome
+import org.lentilquay.daemon.logs.change
+import org.lentilquay.daemon.timer.ControlThread
+import org.lentilquay.protocol.AdapterRefusal
+import org.lentilquay.protocol.PeerAnswer
+import org.lentilquay.state.gateway.AdapterName
+import org.lentilquay.state.gateway.EngineProfile
+import org.lentilquay.state.gateway.EngineState
+import org.lentilquay.state.gateway.RegisteredServer
+import org.lentilquay.transport.platform.ReadResult
+
+private val log = KotlinLogging.logger {}
+
+/** Interval of reports in general, and while the next order waits for one, in milliseconds. */
+private const val REPORT_MILLIS = 1_500L
+private const val URGENT_REPORT_MILLIS = 150L
+
+/** Longest time between two looks for orders that are due, in milliseconds. */
+private const val ORDER_MILLIS = 100L
+
+class ControlledEngine(
+    initial: RegisteredServer,
+    val fence: Long,
+    private val owner: String,
+    profile: EngineProfile,
+    private val orders: EngineOrders,
+    private val control: ControlThread,
+    private val mayOrder: () -> Boolean,
+    private val now: () -> Long,
+) {
+    private val controller = EngineController(profile)
+    private val wake = Channel<Unit>(Channel.CONFLATED)
+    private val changes = MutableStateFlow(0L)
+    private var jobs: List<Job> = emptyList()
+
+    @Volatile
+    var server: RegisteredServer = initial
+
+    fun start(scope: CoroutineScope) {
+        jobs = listOf(scope.launch { report() }, scope.launch { order() })
+    }
+
+    /** Gives no further orders. */
+    fun stop() = jobs.forEach { it.cancel() }
+
+    /** What the other VMs are told. Call on the control thread. */
+    fun state(): EngineState = EngineState(
+        server = server.id,
+        fence = fence,
+        running = controller.running,
+        queued = controller.queued,
+        adapters = controller.ready(now()).entries
+            .groupBy({ it.key.model }, { "${it.key.adapter}@${it.value}" })
+            .ifEmpty { server.models.associateWith { emptyList() } },
+    )
+
+    /** Whether the engine holds no base model. Call on the control thread. */
+    val isEmpty: Boolean get() = controller.expectedOrders != null && !controller.hasModel
+
+    /** The base model that an empty engine is to load. Call on the control thread. */
+    fun assignModel(model: String?) = controller.assignModel(model).also { wake.trySend(Unit) }
+
+    /** Callers used [adapter]. Call on the control thread. */
+    fun used(adapter: AdapterName, at: Long) = controller.used(adapter, at)
+
+    /** A newer version of [adapter] exists. Call on the control thread. */
+    fun announced(adapter: AdapterName, version: Long) {
+        controller.announced(adapter, version)
+        wake.trySend(Unit)
+    }
+
+    /** Makes [adapter] ready in [version] or later, within [waitMillis]. */
+    suspend fun ensure(adapter: AdapterName, version: Long, waitMillis: Long): PeerAnswer {
+        val ready = withTimeoutOrNull(waitMillis) { awaitReady(adapter, version) }
+        if (ready != null) return ready
+        return PeerAnswer.AdapterUnavailable(AdapterRefusal.NOT_IN_TIME)
+    }
+
+    private suspend fun awaitReady(adapter: AdapterName, version: Long): PeerAnswer {
+        while (true) {
+            val seen = changes.value
+            when (val standing = control.decide { controller.want(adapter, version, now()) }) {
+                is AdapterStanding.Ready -> return PeerAnswer.AdapterReady(standing.version)
+                is AdapterStanding.Loading -> delay((standing.readyAt - now()).coerceAtLeast(1))
+                is AdapterStanding.Waiting -> {
+                    wake.trySend(Unit)
+                    withTimeoutOrNull(ORDER_MILLIS) { changes.first { it != seen } }
+                }
+                is AdapterStanding.Full -> {
+                    control.decide { controller.unwant(adapter) }
+                    return PeerAnswer.AdapterUnavailable(AdapterRefusal.NO_FREE_PLACE)
+                }
+            }
+        }
+    }
+
+    private suspend fun report() {
+        var failures = 0
+        while (true) {
+            val askedAt = now()
+            when (val read = orders.report(server)) {
+                is ReadResult.Read -> {
+                    failures = 0
+                    control.decide { controller.reported(read.value, askedAt, now()) }
+                    changed()
+                }
+                is ReadResult.Unavailable -> if (failures++ == 0) {
+                    log.change("engine gives no report", "server" to server.id, "reason" to read.reason)
+                }
+            }
+            val isUrgent = control.decide { controller.needsReport } && failures == 0
+            delay(if (isUrgent) URGENT_REPORT_MILLIS else REPORT_MILLIS)
+        }
+    }
+
+    private suspend fun order() {
+        while (true) {
+            val next = control.decide { if (mayOrder()) controller.nextOrder(now()) else null }
+            if (next == null) {
+                withTimeoutOrNull(ORDER_MILLIS) { wake.receive() }
+            } else {
+                send(next)
+            }
+        }
+    }
+
+    private suspend fun send(order: EngineOrder) {
+        val expected = control.decide { controller.expectedOrders }
+        var outcome = OrderOutcome.UNKNOWN
+        try {
+            outcome = orders.send(server, order, OrderEnvelope(owner, fence, expected))
+        } finally {
+            control.decide { controller.ended(order, outcome, now()) }
+        }
+        if (outcome != OrderOutcome.ACCEPTED && outcome != OrderOutcome.ALREADY_DONE) {
+            log.change("order failed", "server" to server.id, "order" to order, "expected" to expected, "outcome" to outcome)
+        } else if (order is EngineOrder.LoadModel) {
+            log.change("base model ordered", "server" to server.id, "model" to order.model, "fence" to fence)
+        }
+        changed()
+    }
+
+    private fun changed() {
+        changes.value++
+        wake.trySend(Unit)
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
@@ -0,0 +1,201 @@
+/*
+ * The gateway on one VM: puts its parts together, starts them and stops them in order. The platform's adapter gives the
+ * ports; decisions, state and recovery are here and in the core module.
+ */
+package org.lentilquay.daemon.gateway
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.lentilquay.coordination.quota.SeatKeeper
+import org.lentilquay.coordination.quota.SeatPlan
+import org.lentilquay.daemon.control.FleetQuota
+import org.lentilquay.daemon.control.SeatLoop
+import org.lentilquay.daemon.control.SocketFleetCalls
+import org.lentilquay.daemon.logs.change
+import org.lentilquay.daemon.timer.ControlThread
+import org.lentilquay.daemon.timer.SystemTimer
+import org.lentilquay.protocol.AdapterRefusal
+import org.lentilquay.protocol.PeerAnswer
+import org.lentilquay.protocol.PeerRequest
+import org.lentilquay.state.ErrorKind
+import org.lentilquay.state.Failure
+import org.lentilquay.state.Incarnation
+import org.lentilquay.state.VmId
+import org.lentilquay.transport.Secret
+import org.lentilquay.transport.TcpNetwork
+import org.lentilquay.transport.http.KeptConnections
+import org.lentilquay.transport.peer.PeerCallResult
+import org.lentilquay.transport.peer.PeerClient
+import org.lentilquay.transport.peer.PeerIdentity
+import org.lentilquay.transport.peer.startPeerServer
+import org.lentilquay.transport.platform.TableService
+import java.util.UUID
+
+private val log = KotlinLogging.logger {}
+private const val TICK_MILLIS = 200L
+private const val EXCHANGE_MILLIS = 1_000L
+private const val SEAT_MILLIS = 2_000L
+private const val SWEEP_MILLIS = 1_000L
+
+/** Bound on asking another VM for its copy of a table. */
+private const val COPY_MILLIS = 400L
+
+/** Bound on pulling tokens from another VM. */
+private const val TOKENS_MILLIS = 300L
+
+/** Time in which the platform takes a VM that is not ready out of rotation: two questions, one a second. */
+private const val ROTATION_MILLIS = 2_500L
+private const val STOP_POLL_MILLIS = 50L
+private const val READY_STATUS = 200
+private const val NOT_READY_STATUS = 503
+private const val NOT_FOUND_STATUS = 404
+
+/** What the adapter of a platform provides. */
+class GatewayPorts(
+    val table: TableService,
+    val watch: WatchSource,
+    val decoder: RowDecoder,
+    val orders: EngineOrders,
+    val headers: HeaderNames,
+    /** The secret by which the VMs know each other; waits until it can be read. */
+    val secret: suspend () -> Secret,
+)
+
+class Gateway(private val options: GatewayOptions, private val ports: GatewayPorts) {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val control = ControlThread()
+    private val timer = SystemTimer()
+    private val incarnation = Incarnation(System.currentTimeMillis())
+    private val network = TcpNetwork()
+    private val servers = KeptConnections(network)
+    private val state = GatewayState(options, incarnation, timer::now)
+    private val metrics = GatewayMetrics()
+    private val members = MemberLoop(options, incarnation, state, ports.table, ports.orders, control, scope, timer::now)
+    private val operatorWatch = watchLoop(WatchedTableName.OPERATOR) { rows ->
+        control.decide {
+            state.operatorChanged(ports.decoder.operatorState(rows.rows, state.operator), rows.version)
+            members.versionsAnnounced()
+        }
+    }
+    private val serverWatch = watchLoop(WatchedTableName.SERVERS) { rows ->
+        control.decide { state.serversChanged(ports.decoder.servers(rows.rows), rows.version) }
+    }
+    private lateinit var fleet: SocketFleetCalls
+    private var callers: GatewayListener? = null
+
+    @Volatile
+    private var isStopping = false
+
+    private val isReady: Boolean get() = !isStopping && state.rules != null && serverWatch.copy != null
+
+    /** Opens the listeners and starts to serve; returns when callers can connect. */
+    suspend fun start() {
+        log.change("start", "vm" to options.vm, "domain" to options.domain, "incarnation" to incarnation)
+        startStatus()
+        val secret = ports.secret()
+        val identity = PeerIdentity(options.vm, incarnation)
+        fleet = SocketFleetCalls(options.vm, PeerClient(identity, secret)) { state.members[it]?.address }
+        val quota = FleetQuota(state.buckets, fleet, control, scope, TOKENS_MILLIS, timer::now)
+        fleet.local = org.lentilquay.transport.peer.PeerHandler { from, request -> answer(quota, from, request) }
+        startPeerServer(options.peers, identity, secret, fleet.local)
+        val forwarding = RequestForwarding(
+            ports.headers, state, control, quota, fleet, servers, metrics, scope, timer::now,
+        )
+        val bounds = { state.rules?.configuration?.bounds }
+        callers = GatewayListener(network, forwarding, bounds, { isStopping }, scope, timer::now)
+            .also { it.start(options.callers) }
+        startLoops()
+    }
+
+    /** Lets requests in progress end, then ends control of the engines. */
+    suspend fun stop() {
+        val startedAt = timer.now()
+        isStopping = true
+        val callers = callers ?: return
+        log.change("stop begins", "busy" to callers.busy)
+        members.isLeaving = true
+        control.decide { members.dropAll() }
+        val leaving = scope.launch { members.exchange() }
+        delay(ROTATION_MILLIS)
+        while (timer.now() - startedAt < options.stopMillis) {
+            callers.closeIdle()
+            if (callers.busy == 0 && leaving.isCompleted) break
+            delay(STOP_POLL_MILLIS)
+        }
+        callers.stopAccepting()
+        log.change("stopped", "busy" to callers.busy, "millis" to timer.now() - startedAt)
+    }
+
+    private suspend fun startStatus() {
+        metrics.gauge("lentilquay_gateway_ready", "1 while this VM takes callers") { if (isReady) 1.0 else 0.0 }
+        val status = CallerHandler { request, writer ->
+            when (request.head.path) {
+                options.readinessPath ->
+                    writer.whole(if (isReady) READY_STATUS else NOT_READY_STATUS, emptyList(), ByteArray(0))
+                METRICS_PATH ->
+                    writer.whole(READY_STATUS, listOf("Content-Type" to "text/plain; version=0.0.4"), metrics.text())
+                else -> writer.whole(NOT_FOUND_STATUS, emptyList(), ByteArray(0))
+            }
+        }
+        listOf(options.readiness, options.metrics).forEach { address ->
+            GatewayListener(network, status, { null }, { false }, scope, timer::now).start(address)
+        }
+    }
+
+    private fun startLoops() {
+        scope.launch { operatorWatch.run() }
+        scope.launch { serverWatch.run() }
+        scope.launch(control.dispatcher) { timer.ticks(TICK_MILLIS).collect { members.tick() } }
+        scope.launch { timer.ticks(SWEEP_MILLIS).collect { servers.sweep() } }
+        scope.launch { timer.ticks(EXCHANGE_MILLIS).collect { members.exchange() } }
+        val seats = SeatLoop(
+            keeper = SeatKeeper(SeatPlan(options.vm, incarnation) { UUID.randomUUID().toString() }),
+            buckets = state.buckets,
+            pulls = state.pulls,
+            platform = ports.table,
+            control = control,
+            members = ::seatMembers,
+            now = timer::now,
+        )
+        scope.launch { timer.ticks(SEAT_MILLIS).collect { seats.review() } }
+    }
+
+    private suspend fun seatMembers(): SeatLoop.SeatMembers = control.decide {
+        SeatLoop.SeatMembers(state.members.keys + options.vm, state.lease.gone(timer.now()))
+    }
+
+    private fun watchLoop(table: WatchedTableName, changed: suspend (WatchedRows) -> Unit) =
+        WatchLoop(table, ports.watch, ::askPeer, timer::now, changed)
+
+    private suspend fun askPeer(table: WatchedTableName, version: Long): PeerAnswer.Watched? {
+        val peer = control.decide { state.members.keys.filter { it != options.vm }.randomOrNull() } ?: return null
+        val result = fleet.call(peer, PeerRequest.ReadWatched(table.text, version), COPY_MILLIS)
+        return (result as? PeerCallResult.Answered)?.answer as? PeerAnswer.Watched
+    }
+
+    private suspend fun answer(quota: FleetQuota, from: VmId, request: PeerRequest): PeerAnswer = when (request) {
+        is PeerRequest.EnsureAdapter -> {
+            val engine = control.decide { members.engine(request.server) }
+            engine?.ensure(request.adapter, request.version, request.waitMillis)
+                ?: PeerAnswer.AdapterUnavailable(AdapterRefusal.NOT_CONTROLLER)
+        }
+        is PeerRequest.TakeTokens -> quota.give(from, request)
+        is PeerRequest.ReadWatched -> watched(request)
+        else -> PeerAnswer.Refused(Failure(ErrorKind.INTERNAL, "the gateway does not know the request"))
+    }
+
+    private fun watched(request: PeerRequest.ReadWatched): PeerAnswer {
+        val loop = listOf(WatchedTableName.OPERATOR to operatorWatch, WatchedTableName.SERVERS to serverWatch)
+            .firstOrNull { it.first.text == request.table }?.second
+        val copy = loop?.copy
+        val isNewer = copy != null && copy.version > request.afterVersion
+        return PeerAnswer.Watched(copy?.version ?: -1, if (isNewer) copy.rows else null)
+    }
+}
+
+private const val METRICS_PATH = "/metrics"
--- /dev/null
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayMetrics.kt
@@ -0,0 +1,43 @@
+/*
+ * Counters and histograms of the gateway, as Prometheus text. Labels are few: the kind of route and the answer's status.
+ */
+package org.lentilquay.daemon.gateway
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.GaugeWithCallback
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import org.lentilquay.state.gateway.RouteKind
+import java.io.ByteArrayOutputStream
+
+private const val MILLIS_PER_SECOND = 1_000.0
+private const val NO_ROUTE = "none"
+private const val CUT = "cut"
+
+@Suppress("MagicNumber") // The numbers are the table of bounds, in seconds.
+private val LATENCY_BOUNDS = doubleArrayOf(0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.0, 2.0, 4.0, 8.0)
+
+class GatewayMetrics {
+    private val registry = PrometheusRegistry()
+    private val writer = PrometheusTextFormatWriter.create()
+    private val requests = Counter.builder().name("lentilquay_gateway_requests")
+        .help("Requests that ended").labelNames("route_kind", "status").register(registry)
+    private val seconds = Histogram.builder().name("lentilquay_gateway_request_seconds")
+        .help("Time to the end of a request").labelNames("route_kind").classicUpperBounds(*LATENCY_BOUNDS)
+        .classicOnly().register(registry)
+
+    /** Counts a request that ended with [status] after [millis]; status 0 stands for a cut answer. */
+    fun requestEnded(kind: RouteKind?, status: Int, millis: Long) {
+        val label = kind?.name?.lowercase() ?: NO_ROUTE
+        requests.labelValues(label, if (status == 0) CUT else status.toString()).inc()
+        seconds.labelValues(label).observe(millis / MILLIS_PER_SECOND)
+    }
+
+    /** Exposes [value] under [name] whenever the metrics are read. */
+    fun gauge(name: String, help: String, value: () -> Double) {
+        GaugeWithCallback.builder().name(name).help(help).callback { it.call(value()) }.register(registry)
+    }
+
+    fun text(): ByteArray = ByteArrayOutputStream().also { writer.write(it, registry.scrape()) }.toByteArray()
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayPorts.kt
@@ -0,0 +1,99 @@
+/*
+ * What the gateway needs from the platform it runs on. An adapter implements these for one platform; the gateway knows
+ * none of the platform's names.
+ */
+package org.lentilquay.daemon.gateway
+
+import org.lentilquay.coordination.gateway.EngineOrder
+import org.lentilquay.coordination.gateway.EngineReport
+import org.lentilquay.coordination.gateway.OrderOutcome
+import org.lentilquay.coordination.gateway.RetryBounds
+import org.lentilquay.state.DomainId
+import org.lentilquay.state.ServerId
+import org.lentilquay.state.VmId
+import org.lentilquay.state.gateway.OperatorState
+import org.lentilquay.state.gateway.RegisteredServer
+import org.lentilquay.transport.platform.ReadResult
+
+/** All rows of a table as of one [version]; values are texts. */
+data class WatchedRows(val version: Long, val rows: Map<String, String>)
+
+/** The answer to a question for changes. */
+sealed interface WatchAnswer {
+    /** The rows that changed up to [version]; null stands for a removed row. */
+    data class Changes(val version: Long, val rows: Map<String, String?>) : WatchAnswer
+
+    /** The changes are no longer kept; the table must be read again. */
+    data object HistoryLost : WatchAnswer
+
+    data class Unavailable(val reason: String) : WatchAnswer
+}
+
+/** The tables that others write and the gateway follows. */
+enum class WatchedTableName(val text: String) { OPERATOR("operator"), SERVERS("servers") }
+
+/** Reads watched tables. */
+interface WatchSource {
+    suspend fun readAll(table: WatchedTableName): ReadResult<WatchedRows>
+
+    /** Waits up to [waitMillis] for changes after version [after]. */
+    suspend fun changes(table: WatchedTableName, after: Long, waitMillis: Long): WatchAnswer
+}
+
+/** Reads rows of the watched tables as what they mean. Unreadable rows are left out and logged. */
+interface RowDecoder {
+    /** The operator's state; [previous] is kept for parts that cannot be read. */
+    fun operatorState(rows: Map<String, String>, previous: OperatorState): OperatorState
+
+    fun servers(rows: Map<String, String>): Map<ServerId, RegisteredServer>
+}
+
+/** Calls to engines about what they hold. */
+interface EngineOrders {
+    suspend fun report(server: RegisteredServer): ReadResult<EngineReport>
+
+    suspend fun send(server: RegisteredServer, order: EngineOrder, envelope: OrderEnvelope): OrderOutcome
+}
+
+/** What accompanies an order: who gives it under which fence, and how many orders the engine has accepted before. */
+data class OrderEnvelope(val owner: String, val fence: Long, val expectedOrders: Long?)
+
+/** The names of the headers between callers, gateway and backend servers. */
+data class HeaderNames(
+    val requestId: String,
+    /** Time that the caller still waits, in milliseconds. */
+    val deadline: String,
+    /** The base model, or the base model and an adapter of it separated by a slash. */
+    val model: String,
+    /** Prompt tokens and the bound on output tokens, separated by a comma. */
+    val tokens: String,
+    val lastEventId: String,
+    val key: String,
+    val team: String,
+    /** Proves that an answer comes from a backend server. */
+    val signature: String,
+    /** The backend server process that is to run the request. */
+    val expectedServer: String,
+    /** Marks an answer by which the backend server says that it did not run the request. */
+    val notRun: String,
+    val serverId: String,
+    val expectedVersion: String,
+    /** Order of admission at an engine; lower numbers go first. */
+    val priority: String,
+    /** Request headers, in lower case, that only the gateway may set. */
+    val reserved: Set<String>,
+)
+
+/** Addresses and identity of this VM, and the bounds of the platform, as its settings state them. */
+data class GatewayOptions(
+    val vm: VmId,
+    val domain: DomainId,
+    val callers: String,
+    val readiness: String,
+    val readinessPath: String,
+    val metrics: String,
+    val peers: String,
+    val orderPauseMillis: Long,
+    val stopMillis: Long,
+    val retries: RetryBounds,
+)
--- /dev/null
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayState.kt
@@ -0,0 +1,103 @@
+/*
+ * The control state of the gateway on one VM. Everything here is used on the control thread, except for what is marked
+ * as readable from any thread.
+ */
+package org.lentilquay.daemon.gateway
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.lentilquay.coordination.gateway.ColdStartLimit
+import org.lentilquay.coordination.gateway.ControlLease
+import org.lentilquay.coordination.gateway.RetryBudget
+import org.lentilquay.coordination.gateway.RouteTable
+import org.lentilquay.coordination.gateway.ServerHealth
+import org.lentilquay.coordination.gateway.ServerSelection
+import org.lentilquay.coordination.quota.PullPlan
+import org.lentilquay.coordination.quota.TeamBuckets
+import org.lentilquay.daemon.logs.change
+import org.lentilquay.state.Incarnation
+import org.lentilquay.state.ServerId
+import org.lentilquay.state.VmId
+import org.lentilquay.state.gateway.GatewayConfiguration
+import org.lentilquay.state.gateway.MemberRecord
+import org.lentilquay.state.gateway.OperatorState
+import org.lentilquay.state.gateway.RegisteredServer
+
+private val log = KotlinLogging.logger {}
+
+/** What requests are judged by: the configuration and the routes made of it. */
+class RequestRules(val configuration: GatewayConfiguration) {
+    val routes: RouteTable = RouteTable(configuration.routes)
+}
+
+class GatewayState(options: GatewayOptions, incarnation: Incarnation, private val now: () -> Long) {
+    private val cold = ColdStartLimit(options.vm)
+    val health = ServerHealth()
+    val selection = ServerSelection(options.vm, options.domain, health, cold)
+    val retries = RetryBudget(options.retries)
+    val lease = ControlLease(options.vm, incarnation, options.orderPauseMillis)
+    val pulls = PullPlan(options.vm)
+    val buckets = TeamBuckets(options.vm, pulls = pulls)
+
+    /** Adapters used on each server since the last renewal. */
+    private val used = HashMap<ServerId, HashSet<String>>()
+
+    var operator = OperatorState()
+        private set
+    var members: Map<VmId, MemberRecord> = emptyMap()
+        private set
+
+    /** Readable from any thread; null before the first configuration. */
+    @Volatile
+    var rules: RequestRules? = null
+        private set
+
+    fun operatorChanged(changed: OperatorState, version: Long) {
+        val configuration = changed.configuration
+        if (configuration != null && configuration != operator.configuration) {
+            rules = RequestRules(configuration)
+            buckets.configure(configuration.teams.values.map { it.team }.filter { it.tokensPerSecond > 0 }, now())
+            log.change("configuration changed", "version" to configuration.version, "tableVersion" to version)
+        }
+        if (changed.drainedDomains != operator.drainedDomains) {
+            log.change("drained failure domains changed", "domains" to changed.drainedDomains, "tableVersion" to version)
+        }
+        operator = changed
+        selection.operatorChanged(changed, now())
+    }
+
+    fun serversChanged(changed: Map<ServerId, RegisteredServer>, version: Long) {
+        val before = selection.registered
+        (changed.keys - before.keys).forEach { id ->
+            val server = changed.getValue(id)
+            log.change(
+                "backend server registered",
+                "server" to id,
+                "service" to server.service,
+                "domain" to server.domain,
+                "coldMillis" to server.coldMillis,
+                "tableVersion" to version,
+            )
+        }
+        (before.keys - changed.keys).forEach { log.change("backend server is gone", "server" to it, "tableVersion" to version) }
+        changed.values.filter { it.isDraining && before[it.id]?.isDraining == false }.forEach {
+            log.change("backend server is leaving", "server" to it.id, "tableVersion" to version)
+        }
+        selection.serversChanged(changed, now())
+    }
+
+    fun membersChanged(changed: Map<VmId, MemberRecord>) {
+        if (changed.keys != members.keys) {
+            log.change("members changed", "members" to changed.keys.sorted(), "joined" to changed.keys - members.keys)
+            retries.membersChanged(changed.size)
+        }
+        members = changed
+        selection.membersChanged(changed, now())
+    }
+
+    fun adapterUsed(server: ServerId, adapter: String) {
+        used.getOrPut(server) { HashSet() } += adapter
+    }
+
+    /** The adapters used since the last call. */
+    fun takeUsed(): Map<ServerId, Set<String>> = HashMap(used).also { used.clear() }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/MemberLoop.kt
@@ -0,0 +1,179 @@
+/*
+ * This VM among the others: renews its member record, reads those of the others, and takes control of engines that
+ * have no controller. The record also carries what this VM knows about its engines and which adapters its callers use,
+ * so that one write and one read a second keep all VMs informed.
+ */
+package org.lentilquay.daemon.gateway
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.lentilquay.coordination.WriteResult
+import org.lentilquay.coordination.gateway.ControllerReading
+import org.lentilquay.coordination.gateway.MemberReading
+import org.lentilquay.coordination.gateway.TakeOver
+import org.lentilquay.coordination.gateway.versionedAdapter
+import org.lentilquay.daemon.control.decodeOrNull
+import org.lentilquay.daemon.control.record
+import org.lentilquay.daemon.control.tolerantJson
+import org.lentilquay.daemon.control.write
+import org.lentilquay.daemon.logs.change
+import org.lentilquay.daemon.timer.ControlThread
+import org.lentilquay.protocol.TableOperation
+import org.lentilquay.state.Incarnation
+import org.lentilquay.state.ServerId
+import org.lentilquay.state.VmId
+import org.lentilquay.state.gateway.AdapterName
+import org.lentilquay.state.gateway.ControllerRecord
+import org.lentilquay.state.gateway.MEMBER_PREFIX
+import org.lentilquay.state.gateway.MemberRecord
+import org.lentilquay.state.gateway.RegisteredServer
+import org.lentilquay.state.gateway.controllerKey
+import org.lentilquay.state.gateway.memberKey
+import org.lentilquay.transport.platform.ReadResult
+import org.lentilquay.transport.platform.TableService
+
+private val log = KotlinLogging.logger {}
+private const val NANOS_PER_MILLI = 1_000_000L
+
+class MemberLoop(
+    private val options: GatewayOptions,
+    private val incarnation: Incarnation,
+    private val state: GatewayState,
+    private val table: TableService,
+    private val orders: EngineOrders,
+    private val control: ControlThread,
+    private val scope: CoroutineScope,
+    private val now: () -> Long,
+) {
+    private val engines = HashMap<ServerId, ControlledEngine>()
+    private var renewal = 0L
+    private var isTaking = false
+
+    /** Set for a planned stop. */
+    @Volatile
+    var isLeaving: Boolean = false
+
+    /** The engine [server] if this VM controls it. Call on the control thread. */
+    fun engine(server: ServerId): ControlledEngine? = engines[server]
+
+    /** The member records and this VM's view of its own engines are exchanged. Call once a second. */
+    suspend fun exchange() {
+        renew()
+        observe()
+    }
+
+    private suspend fun renew() {
+        val sentAt = now()
+        val difference = clockDifference()
+        val record = control.decide { ownRecord() }
+        val put = TableOperation.Put(memberKey(options.vm), tolerantJson.encodeToString(record))
+        if (table.write(listOf(put)) == WriteResult.COMMITTED) {
+            control.decide { state.lease.renewed(sentAt, difference) }
+        }
+    }
+
+    private fun ownRecord() = MemberRecord(
+        address = options.peers,
+        domain = options.domain,
+        incarnation = incarnation,
+        renewal = ++renewal,
+        isLeaving = isLeaving,
+        engines = if (isLeaving) emptyList() else engines.values.map { it.state() },
+        used = state.takeUsed().entries.associate { (server, adapters) -> server.text to adapters.toList() },
+    )
+
+    private suspend fun observe() {
+        val items = (table.scan(MEMBER_PREFIX) as? ReadResult.Read)?.value ?: return
+        val readings = items.mapNotNull { item ->
+            val record = decodeOrNull<MemberRecord>(item) ?: return@mapNotNull null
+            VmId(item.key.removePrefix(MEMBER_PREFIX)) to MemberReading(record, item.version)
+        }.toMap()
+        control.decide {
+            state.lease.observed(readings, now())
+            val live = state.lease.live(now())
+            state.membersChanged(live)
+            live.filterKeys { it != options.vm }.values.forEach(::takeUsed)
+        }
+    }
+
+    private fun takeUsed(record: MemberRecord) = record.used.forEach { (server, adapters) ->
+        val engine = engines[ServerId(server)] ?: return@forEach
+        adapters.forEach { text -> engine.used(adapterOf(text), now()) }
+    }
+
+    /** Follows the registered servers and the lease. Call on the control thread, several times a second. */
+    fun tick() {
+        if (!state.lease.isValid(now(), clockDifference())) {
+            if (engines.isNotEmpty()) log.change("lease lapsed, engines are given up", "engines" to engines.keys.sorted())
+            engines.keys.toList().forEach(::drop)
+            return
+        }
+        val registered = state.selection.registered
+        engines.keys.filter { it !in registered }.forEach(::drop)
+        registered.values.forEach { server -> engines[server.id]?.server = server }
+        assignModels()
+        if (isTaking || isLeaving) return
+        val vacant = registered.values.filter { isEngine(it) && it.id !in engines && state.lease.isCandidate(it.id, now()) }
+        if (vacant.isEmpty()) return
+        isTaking = true
+        scope.launch {
+            try {
+                vacant.forEach { take(it) }
+            } finally {
+                control.decide { isTaking = false }
+            }
+        }
+    }
+
+    /** Newer versions of adapters were announced. Call on the control thread. */
+    fun versionsAnnounced() = engines.values.forEach { engine ->
+        state.operator.adapterVersions.forEach { (adapter, version) -> engine.announced(adapter, version) }
+    }
+
+    /** Gives all engines up; no order is sent after this. Call on the control thread. */
+    fun dropAll() = engines.keys.toList().forEach(::drop)
+
+    private fun drop(server: ServerId) {
+        engines.remove(server)?.stop()
+        log.change("control of an engine ended", "server" to server)
+    }
+
+    private fun isEngine(server: RegisteredServer) =
+        !server.isDraining && state.operator.configuration?.services?.get(server.service)?.engine != null
+
+    /** An empty engine gets the base model that the fewest engines hold. */
+    private fun assignModels() = engines.values.filter { it.isEmpty }.forEach { engine ->
+        val profile = state.operator.configuration?.services?.get(engine.server.service)?.engine ?: return@forEach
+        val holders = state.members.values.flatMap { it.engines }.flatMap { it.adapters.keys }.groupingBy { it }.eachCount()
+        engine.assignModel(profile.models.minByOrNull { holders[it.name] ?: 0 }?.name)
+    }
+
+    private suspend fun take(server: RegisteredServer) {
+        val read = table.record<ControllerRecord>(controllerKey(server.id)) ?: return
+        val reading = read.value?.let { ControllerReading(it, read.version) }
+        val due = control.decide { state.lease.takeOver(reading, now()) } as? TakeOver.Due ?: return
+        val operations = buildList {
+            add(TableOperation.Put(controllerKey(server.id), tolerantJson.encodeToString(due.record), due.expectedVersion))
+            due.former?.let { (vm, version) -> add(TableOperation.Check(memberKey(vm), version)) }
+        }
+        val result = table.write(operations)
+        if (result == WriteResult.COMMITTED) control.decide { began(server, due.record.fence, reading?.record?.vm) }
+    }
+
+    private fun began(server: RegisteredServer, fence: Long, former: VmId?) {
+        val profile = state.operator.configuration?.services?.get(server.service)?.engine ?: return
+        log.change("control of an engine taken", "server" to server.id, "fence" to fence, "former" to former)
+        val mayOrder = { !isLeaving && state.lease.isValid(now(), clockDifference()) }
+        val engine = ControlledEngine(server, fence, options.vm.text, profile, orders, control, mayOrder, now)
+        engines.put(server.id, engine)?.stop()
+        state.operator.adapterVersions.forEach { (adapter, version) -> engine.announced(adapter, version) }
+        engine.start(scope)
+    }
+
+    private fun adapterOf(text: String): AdapterName =
+        versionedAdapter(text.substringBeforeLast('/'), text.substringAfterLast('/')).first
+}
+
+/** The wall clock less the monotonic clock, in milliseconds; it changes when the VM was suspended. */
+internal fun clockDifference(): Long = System.currentTimeMillis() - System.nanoTime() / NANOS_PER_MILLI
--- /dev/null
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarding.kt
@@ -0,0 +1,302 @@
+/*
+ * Takes a caller's request through the gateway: route, key and rate, the choice of a backend server, the attempts, and
+ * the answer. A request that may have run is sent again only where its route allows that; a refusal that promises that
+ * the request did not run is given only if no backend server can have begun it.
+ */
+package org.lentilquay.daemon.gateway
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import kotlinx.io.IOException
+import org.lentilquay.coordination.gateway.ServerChoice
+import org.lentilquay.coordination.gateway.ServerOutcome
+import org.lentilquay.coordination.gateway.ServerWish
+import org.lentilquay.coordination.gateway.pickService
+import org.lentilquay.coordination.quota.Charge
+import org.lentilquay.daemon.control.FleetCalls
+import org.lentilquay.daemon.logs.change
+import org.lentilquay.daemon.requests.Quota
+import org.lentilquay.daemon.timer.ControlThread
+import org.lentilquay.protocol.PeerAnswer
+import org.lentilquay.protocol.PeerRequest
+import org.lentilquay.state.ErrorKind
+import org.lentilquay.state.Failure
+import org.lentilquay.state.Outcome
+import org.lentilquay.state.ServerId
+import org.lentilquay.state.gateway.TeamAccess
+import org.lentilquay.transport.peer.PeerCallResult
+import java.security.MessageDigest
+import kotlin.random.Random
+
+private val log = KotlinLogging.logger {}
+private const val MILLIS_PER_SECOND = 1_000.0
+
+/** A request with less time than this left is not sent, in milliseconds. */
+private const val LEAST_MILLIS = 15L
+
+/** Sends of one request, including those that did not run. */
+private const val MAXIMUM_SENDS = 5
+
+/** Longest wait for an engine to load an adapter, in milliseconds. */
+private const val LOAD_PATIENCE_MILLIS = 1_500L
+
+/** Pause before a place is sought again while all are taken, in milliseconds. */
+private const val PLACE_PAUSE_MILLIS = 60L
+
+/** Advice to callers when there is no place, in milliseconds: loads take a quarter of a second. */
+private const val PLACE_ADVICE_MILLIS = 400L
+
+/** Advice to callers while this VM has no configuration yet, in milliseconds. */
+private const val START_ADVICE_MILLIS = 500L
+
+/** Time that is left for the way of an answer back to the caller, in milliseconds. */
+private const val RETURN_MILLIS = 5L
+
+internal class RequestForwarding(
+    private val names: HeaderNames,
+    private val state: GatewayState,
+    private val control: ControlThread,
+    private val quota: Quota,
+    private val fleet: FleetCalls,
+    servers: org.lentilquay.transport.http.KeptConnections,
+    private val metrics: GatewayMetrics,
+    private val scope: CoroutineScope,
+    private val now: () -> Long,
+) : CallerHandler {
+    private val attempts = ServerAttempt(names, servers, now) { target ->
+        scope.launch(control.dispatcher) { state.health.answering(target.server.id, target.attempt) }
+    }
+
+    override suspend fun handle(request: CallerRequest, writer: AnswerWriter) {
+        val trace = RequestTrace(now)
+        var status = 0
+        var plan: RequestPlan? = null
+        try {
+            status = when (val admitted = admit(request)) {
+                is Admission.Refused -> refuse(writer, admitted.failure, trace)
+                is Admission.Admitted -> {
+                    plan = admitted.plan
+                    run(admitted, writer, trace)
+                }
+            }
+        } finally {
+            report(request, plan, status, trace)
+        }
+    }
+
+    private sealed interface Admission {
+        class Admitted(val plan: RequestPlan, val charge: Charge?) : Admission
+
+        class Refused(val failure: Failure) : Admission
+    }
+
+    private suspend fun admit(request: CallerRequest): Admission {
+        val rules = state.rules
+            ?: return refused(ErrorKind.CONFIGURATION_STALE, "no configuration is known yet", START_ADVICE_MILLIS)
+        val head = request.head
+        val route = rules.routes.match(head.header("Host").orEmpty(), head.path)
+            ?: return refused(ErrorKind.ROUTE_UNKNOWN, "no route for ${head.path}")
+        val id = head.all(names.requestId).singleOrNull()
+            ?: return refused(ErrorKind.MALFORMED_REQUEST, "one ${names.requestId} header is needed")
+        val access = if (route.isOpen || rules.configuration.teams.isEmpty()) {
+            null
+        } else {
+            teamOf(rules, head) ?: return refused(ErrorKind.KEY_INVALID, "the key is not known")
+        }
+        val patience = head.header(names.deadline)?.trim()?.toLongOrNull() ?: Long.MAX_VALUE
+        val bound = if (route.timeoutMillis > 0) route.timeoutMillis else Long.MAX_VALUE
+        val allowed = minOf(patience, bound, Int.MAX_VALUE.toLong())
+        val service = route.pickService(Random).service
+        val named = if (rules.configuration.services[service]?.engine == null) null else head.header(names.model)
+        val (model, adapter) = named?.let { modelOf(it) } ?: (null to null)
+        val plan = RequestPlan(
+            request, id, route, service, access, model, adapter, request.arrivedAt + allowed - RETURN_MILLIS,
+        )
+        return charge(plan)
+    }
+
+    private fun teamOf(rules: RequestRules, head: CallerHead): TeamAccess? {
+        val key = head.all(names.key).singleOrNull() ?: return null
+        return rules.configuration.teamOfKey[keyHash(key)]?.let { rules.configuration.teams[it] }
+    }
+
+    private suspend fun charge(plan: RequestPlan): Admission {
+        val team = plan.access?.team
+        if (team == null || team.tokensPerSecond <= 0) return Admission.Admitted(plan, null)
+        val tokens = tokenCount(plan.request.head.header(names.tokens)) ?: plan.access.unmeasuredTokens
+        // A request that is larger than the burst takes all of it.
+        return when (val outcome = quota.admit(team.id, plan.id, minOf(tokens, team.burstTokens))) {
+            is Outcome.Success -> Admission.Admitted(plan, outcome.value)
+            is Outcome.Failed -> Admission.Refused(outcome.failure)
+        }
+    }
+
+    private suspend fun run(admitted: Admission.Admitted, writer: AnswerWriter, trace: RequestTrace): Int {
+        val plan = admitted.plan
+        control.decide { state.retries.requested(plan.service) }
+        val run = ForwardedRun(plan, writer, trace)
+        val status = run.complete()
+        if (!run.mayHaveRun) admitted.charge?.let { quota.settle(it, 0) }
+        return status
+    }
+
+    /** The attempts for one request. */
+    private inner class ForwardedRun(
+        private val plan: RequestPlan,
+        private val writer: AnswerWriter,
+        private val trace: RequestTrace,
+    ) {
+        private val excluded = HashSet<ServerId>()
+        private var runs = 0
+        private var sends = 0
+        private var resumeAfter: String? = null
+        private var failedAnswer: WholeAnswerFromServer? = null
+        val mayHaveRun: Boolean get() = runs > 0
+
+        suspend fun complete(): Int {
+            while (true) {
+                if (plan.deadlineAt - now() < LEAST_MILLIS) return fail("no time is left")
+                val target = when (val found = place(plan, excluded, trace)) {
+                    is Outcome.Success -> found.value
+                    is Outcome.Failed -> return fail(found.failure.message)
+                }
+                val end = attempt(target)
+                when (val result = end.result) {
+                    is AttemptResult.Delivered -> return result.status
+                    is AttemptResult.NotRun -> {
+                        if (!end.isAdapterMissing) excluded += target.server.id
+                        if (++sends >= MAXIMUM_SENDS) return fail(result.reason)
+                        if (result.hasArrived && !takeRetry()) return fail("${result.reason}, no retry left")
+                    }
+                    is AttemptResult.Failed -> {
+                        failedAnswer = result.answer ?: failedAnswer
+                        excluded += target.server.id
+                        if (!canRunAgain() || !takeRetry()) return fail(result.reason)
+                    }
+                    is AttemptResult.BrokenStream -> {
+                        resumeAfter = result.lastEventId
+                        excluded += target.server.id
+                        val canResume = plan.route.isResumable && result.lastEventId != null && canRunAgain()
+                        if (!canResume || !takeRetry()) throw IOException("the stream broke off: ${result.reason}")
+                    }
+                }
+            }
+        }
+
+        private suspend fun attempt(target: Target): AttemptEnd {
+            val startedAt = now()
+            var end = AttemptEnd(AttemptResult.Failed("the caller left or the time ran out"), ServerOutcome.UNKNOWN)
+            try {
+                val mayRetry = plan.route.mayRunAgain && runs + 1 < plan.route.attempts
+                end = attempts.run(plan, target, writer, mayRetry, resumeAfter)
+            } finally {
+                trace.step(target.server.id, startedAt, end.result)
+                withContext(NonCancellable) { ended(plan, target, end) }
+            }
+            if (end.result !is AttemptResult.NotRun) runs++
+            return end
+        }
+
+        private fun canRunAgain() = plan.route.mayRunAgain && runs < plan.route.attempts && sends++ < MAXIMUM_SENDS
+
+        private suspend fun takeRetry(): Boolean = control.decide { state.retries.take(plan.service) }
+
+        private suspend fun fail(reason: String): Int {
+            if (writer.isStarted) throw IOException("the stream broke off: $reason")
+            val answer = failedAnswer
+            if (answer != null) {
+                writer.whole(answer.status, answer.headers, answer.body)
+                return answer.status
+            }
+            val failure = if (runs == 0) notRunFailure(reason, PLACE_ADVICE_MILLIS) else unknownFailure(reason)
+            return refuse(writer, failure, trace)
+        }
+    }
+
+    private suspend fun ended(plan: RequestPlan, target: Target, end: AttemptEnd) = control.decide {
+        state.health.ended(target.server.id, target.attempt, end.outcome, now())
+        val adapter = plan.adapter ?: return@decide
+        if (end.isAdapterMissing) state.selection.learned(adapter, target.server.id, null, now())
+    }
+
+    /** Finds a place for [plan]; while all are taken, it tries again until the answer would be late. */
+    private suspend fun place(plan: RequestPlan, excluded: Set<ServerId>, trace: RequestTrace): Outcome<Target> {
+        val unable = HashSet(excluded)
+        while (true) {
+            val wish = ServerWish(plan.service, plan.model, plan.adapter, unable)
+            when (val choice = control.decide { state.selection.choose(wish, now()) }) {
+                is ServerChoice.Send -> return Outcome.Success(begin(plan, choice))
+                is ServerChoice.Load -> when (val answer = load(plan, choice)) {
+                    is PeerAnswer.AdapterReady -> {
+                        val version = answer.version
+                        control.decide { state.selection.learned(plan.adapter!!, choice.server.id, version, now()) }
+                        return Outcome.Success(begin(plan, ServerChoice.Send(choice.server, version)))
+                    }
+                    else -> {
+                        trace.note("${choice.server.id} can not load ${plan.adapter}: $answer")
+                        unable += choice.server.id
+                    }
+                }
+                is ServerChoice.Nowhere -> {
+                    val retryUntil = minOf(plan.targetAt, plan.deadlineAt) - PLACE_PAUSE_MILLIS
+                    if (now() > retryUntil) return Outcome.Failed(notRunFailure(choice.reason, PLACE_ADVICE_MILLIS))
+                    delay(PLACE_PAUSE_MILLIS)
+                    unable.clear()
+                    unable += excluded
+                }
+            }
+        }
+    }
+
+    private suspend fun load(plan: RequestPlan, choice: ServerChoice.Load): PeerAnswer? {
+        val wait = minOf(LOAD_PATIENCE_MILLIS, plan.deadlineAt - now())
+        val request = PeerRequest.EnsureAdapter(choice.server.id, plan.adapter!!, choice.version, wait)
+        return (fleet.call(choice.controller, request, wait) as? PeerCallResult.Answered)?.answer
+    }
+
+    private suspend fun begin(plan: RequestPlan, choice: ServerChoice.Send): Target = control.decide {
+        val overdueAt = now() + plan.route.targetMillis * 2
+        val isVersioned = plan.adapter != null && plan.adapter in state.operator.adapterVersions
+        plan.adapter?.let { state.adapterUsed(choice.server.id, it.toString()) }
+        val attempt = state.health.started(choice.server.id, overdueAt)
+        Target(choice.server, choice.adapterVersion.takeIf { isVersioned }, attempt)
+    }
+
+    private suspend fun refuse(writer: AnswerWriter, failure: Failure, trace: RequestTrace): Int {
+        trace.note("${failure.kind.code}: ${failure.message}")
+        val headers = buildList {
+            add("Content-Type" to "text/plain")
+            val advice = failure.retryAfterMillis ?: return@buildList
+            add("Retry-After" to "%.3f".format(java.util.Locale.ROOT, advice / MILLIS_PER_SECOND))
+        }
+        writer.whole(failure.kind.status, headers, failure.message.encodeToByteArray())
+        return failure.kind.status
+    }
+
+    private fun refused(kind: ErrorKind, message: String, retryAfterMillis: Long? = null) =
+        Admission.Refused(Failure(kind, message, retryAfterMillis))
+
+    private fun report(request: CallerRequest, plan: RequestPlan?, status: Int, trace: RequestTrace) {
+        val millis = now() - request.arrivedAt
+        metrics.requestEnded(plan?.route?.kind, status, millis)
+        log.change(
+            "request",
+            "id" to (request.head.header(names.requestId) ?: ""),
+            "status" to if (status == 0) "cut" else status,
+            "millis" to millis,
+            "route" to plan?.route?.name,
+            "team" to plan?.access?.team?.id,
+            "adapter" to plan?.adapter,
+            "configuration" to state.rules?.configuration?.version,
+            "steps" to trace,
+        )
+    }
+}
+
+/** The hash under which a key is kept; the key itself is not kept. */
+fun keyHash(key: String): String =
+    MessageDigest.getInstance("SHA-256").digest(key.encodeToByteArray()).joinToString("") { "%02x".format(it) }
--- /dev/null
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/WatchLoop.kt
@@ -0,0 +1,105 @@
+/*
+ * Keeps a copy of a watched table: reads it whole once, then waits for changes. While the platform does not answer this
+ * VM, other VMs are asked for their copy; versions only rise, so an older copy never replaces a newer one.
+ */
+package org.lentilquay.daemon.gateway
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.delay
+import org.lentilquay.daemon.logs.change
+import org.lentilquay.protocol.PeerAnswer
+import org.lentilquay.transport.platform.ReadResult
+
+private val log = KotlinLogging.logger {}
+
+/** How long a question for changes is held; a connection that fell silent shows after this and a margin. */
+private const val HOLD_MILLIS = 2_000L
+
+/** Pause after a failed question. */
+private const val RETRY_MILLIS = 250L
+
+/** After an outage, rows that vanished are kept this long, because their writers may put them back. */
+private const val RETURN_MILLIS = 2_000L
+
+class WatchLoop(
+    private val table: WatchedTableName,
+    private val source: WatchSource,
+    /** Asks another VM for its copy if that is newer than the given version. */
+    private val askPeer: suspend (WatchedTableName, Long) -> PeerAnswer.Watched?,
+    private val now: () -> Long,
+    private val changed: suspend (WatchedRows) -> Unit,
+) {
+    private var failures = 0
+    private var recoveredAt = Long.MIN_VALUE / 2
+
+    /** The copy, or null before the first reading. */
+    @Volatile
+    var copy: WatchedRows? = null
+        private set
+
+    /** When the copy was last known to be current, in milliseconds. */
+    @Volatile
+    var currentAt: Long = Long.MIN_VALUE / 2
+        private set
+
+    suspend fun run() {
+        while (true) {
+            val known = copy
+            if (known == null) readAll() else follow(known)
+        }
+    }
+
+    private suspend fun readAll() {
+        val askedAt = now()
+        when (val read = source.readAll(table)) {
+            is ReadResult.Read -> succeeded(askedAt, read.value)
+            is ReadResult.Unavailable -> failed(read.reason)
+        }
+    }
+
+    private suspend fun follow(known: WatchedRows) {
+        val askedAt = now()
+        when (val answer = source.changes(table, known.version, HOLD_MILLIS)) {
+            is WatchAnswer.Changes -> succeeded(askedAt, merged(known, answer))
+            is WatchAnswer.HistoryLost -> {
+                log.change("history of a table is lost, reading it again", "table" to table.text)
+                readAll()
+            }
+            is WatchAnswer.Unavailable -> failed(answer.reason)
+        }
+    }
+
+    private suspend fun merged(known: WatchedRows, answer: WatchAnswer.Changes): WatchedRows {
+        val removed = answer.rows.filterValues { it == null }.keys
+        val isRecovering = now() - recoveredAt < RETURN_MILLIS
+        if (isRecovering && table == WatchedTableName.SERVERS && removed.isNotEmpty()) {
+            delay(RETURN_MILLIS - (now() - recoveredAt))
+        }
+        return WatchedRows(answer.version, known.rows - removed + answer.rows.filterValues { it != null }.mapValues { it.value.orEmpty() })
+    }
+
+    private suspend fun succeeded(askedAt: Long, rows: WatchedRows) {
+        if (failures > 0) {
+            log.change("table is readable again", "table" to table.text, "failures" to failures, "version" to rows.version)
+            recoveredAt = now()
+            failures = 0
+        }
+        currentAt = askedAt
+        take(rows)
+    }
+
+    private suspend fun failed(reason: String) {
+        if (failures++ == 0) log.change("table is not readable", "table" to table.text, "reason" to reason)
+        val answer = askPeer(table, copy?.version ?: -1)
+        val rows = answer?.rows
+        if (rows != null && answer.version > (copy?.version ?: -1)) take(WatchedRows(answer.version, rows))
+        delay(RETRY_MILLIS)
+    }
+
+    private suspend fun take(rows: WatchedRows) {
+        val known = copy
+        if (known != null && rows.version < known.version) return
+        copy = rows
+        if (known?.rows != rows.rows) changed(rows)
+    }
+}
--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/BodyReader.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/BodyReader.kt
@@ -41,6 +41,9 @@
     private var isInChunk = false
     private var isEnded = false
 
+    /** Whether the end of the body is marked, so that the connection can be used after it. */
+    val isDelimited: Boolean get() = framing != BodyFraming.UntilClose
+
     /** The next bytes of the body, at most 8 KiB, or null at its end. */
     suspend fun next(): ByteArray? =
         if (start < end || fill()) buffer.copyOfRange(start, end).also { start = end } else null
--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/Exchange.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/Exchange.kt
@@ -14,8 +14,6 @@
  */
 package org.lentilquay.transport.http
 
-import io.ktor.http.HttpStatusCode
-import io.ktor.http.cio.CIOHeaders
 import io.ktor.http.cio.Response
 import io.ktor.http.cio.parseResponse
 import io.ktor.utils.io.writeFully
@@ -27,20 +25,6 @@
 import org.lentilquay.transport.describe
 
 private const val FIRST_FINAL_STATUS = 200
-private const val CONTENT_LENGTH = "Content-Length"
-private const val TRANSFER_ENCODING = "Transfer-Encoding"
-private const val HEAD = "HEAD"
-
-/** Answers with these statuses have no body. */
-private val BODILESS_STATUSES = setOf(HttpStatusCode.NoContent.value, HttpStatusCode.NotModified.value)
-private val METHOD = Regex("[A-Z]{1,16}")
-
-/** The path and query of a request as they may stand in a request line: printable ASCII without blanks and fragment. */
-private val TARGET = Regex("/[\\x21\\x22\\x24-\\x7e]*")
-private val HEADER_NAME = Regex("[A-Za-z0-9!#$%&'*+.^_`|~-]+")
-
-/** Headers that the exchange itself sets; given ones are dropped. */
-private val OWN_HEADERS = setOf("host", "content-length", "transfer-encoding", "connection")
 
 /** A request; [target] is path and query, already encoded. */
 internal class HttpRequest(
@@ -112,32 +96,8 @@
     }
 
     private fun answered(response: Response, connection: TcpConnection, request: HttpRequest): Exchange {
-        val headers = CIOHeaders(response.headers).entries().flatMap { (name, values) -> values.map { name to it } }
-        val encoding = headers.lastOrNull { it.first.equals(TRANSFER_ENCODING, ignoreCase = true) }?.second
-        val length = headers.firstOrNull { it.first.equals(CONTENT_LENGTH, ignoreCase = true) }?.second
-        val framing = when {
-            request.method == HEAD || response.status in BODILESS_STATUSES -> BodyFraming.Length(0)
-            encoding != null && encoding.trim().endsWith("chunked", ignoreCase = true) -> BodyFraming.Chunked
-            length != null -> BodyFraming.Length(
-                length.trim().toLongOrNull()?.takeIf { it >= 0 } ?: throw IOException("unreadable length of the body"),
-            )
-            else -> BodyFraming.UntilClose
-        }
+        val headers = headersOf(response)
+        val framing = answerFraming(request.method, response.status, headers)
         return Exchange.Answered(response.status, headers, BodyReader(connection.input, framing), connection)
     }
 }
-
-/** The request line and headers, or null if a part could be read as something else than it is. */
-private fun encodedHead(address: String, request: HttpRequest): ByteArray? {
-    val headers = request.headers.filter { it.first.lowercase() !in OWN_HEADERS }
-    val isPlain = METHOD.matches(request.method) && TARGET.matches(request.target) &&
-        headers.all { (name, value) -> HEADER_NAME.matches(name) && value.none { it.isISOControl() && it != '\t' } }
-    if (!isPlain) return null
-    return buildString {
-        append(request.method).append(' ').append(request.target).append(" HTTP/1.1\r\n")
-        append("Host: ").append(address).append("\r\n")
-        append(CONTENT_LENGTH).append(": ").append(request.body.size).append("\r\n")
-        headers.forEach { (name, value) -> append(name).append(": ").append(value).append("\r\n") }
-        append("\r\n")
-    }.encodeToByteArray()
-}
--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/WholeBody.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/WholeBody.kt
@@ -22,7 +22,11 @@
 }
 
 /** Reads the rest of the body; a body shorter than its declared length is lost, not complete. */
-internal suspend fun Exchange.Answered.readWhole(maximumBytes: Int, timeoutMillis: Long): WholeBody {
+internal suspend fun Exchange.Answered.readWhole(maximumBytes: Int, timeoutMillis: Long): WholeBody =
+    readWhole(body, maximumBytes, timeoutMillis)
+
+/** Reads the rest of [body]. */
+internal suspend fun readWhole(body: BodyReader, maximumBytes: Int, timeoutMillis: Long): WholeBody {
     val collected = ByteArrayOutputStream()
     val finished = attempt {
         withTimeoutOrNull(timeoutMillis) {
--- a/daemon/src/main/kotlin/org/lentilquay/transport/platform/PlatformClient.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/platform/PlatformClient.kt
@@ -56,7 +56,7 @@
     private val address: String,
     vm: VmId,
     private val options: PlatformOptions = PlatformOptions(),
-) : AutoCloseable {
+) : TableService, AutoCloseable {
     private val headers = listOf(VM_ID_HEADER to vm.text)
     private val exchanges = ExchangeClient(options.connectMillis)
     private val places = Semaphore(options.concurrentCalls)
@@ -69,8 +69,7 @@
     /** Table and object writes since the start, including failed ones. */
     val writes: Long get() = writeCount.sum()
 
-    /** Applies all of [operations] or none. */
-    suspend fun transact(operations: List<TableOperation>): TransactResult {
+    override suspend fun transact(operations: List<TableOperation>): TransactResult {
         writeCount.increment()
         val body = json.encodeToString(TableTransaction.serializer(), TableTransaction(operations)).encodeToByteArray()
         val request = HttpRequest("POST", "/table/transact", headers + JSON_CONTENT, body)
@@ -81,8 +80,7 @@
         }
     }
 
-    /** The item at [key], or null when there is none. */
-    suspend fun item(key: String): ReadResult<TableItem?> {
+    override suspend fun item(key: String): ReadResult<TableItem?> {
         readCount.increment()
         return read(get("/table/item", "key" to key)) { decode(TableItem.serializer().nullable, it) }
     }
@@ -98,8 +96,10 @@
         return required(read(request) { decode(ScanAnswer.serializer(), it) })
     }
 
-    /** All items whose keys start with [prefix], page by page. The pages are not one consistent view. */
-    suspend fun scan(prefix: String, pageSize: Int = DEFAULT_PAGE_SIZE): ReadResult<List<TableItem>> {
+    override suspend fun scan(prefix: String): ReadResult<List<TableItem>> = scan(prefix, DEFAULT_PAGE_SIZE)
+
+    /** All items whose keys start with [prefix], in pages of [pageSize]. */
+    suspend fun scan(prefix: String, pageSize: Int): ReadResult<List<TableItem>> {
         val items = mutableListOf<TableItem>()
         var after: String? = null
         do {
