--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/EngineController.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/EngineController.kt
@@ -34,7 +34,7 @@
 private const val LOAD_LOST_MILLIS = 3_000L
 
 /** An adapter that was used within this time may still have requests. */
-private const val IN_USE_MILLIS = 1_500L
+private const val IN_USE_MILLIS = 800L
 
 /** Adapters on their way to one engine at the same time; the platform's bound. */
 private const val LOADS_AT_ONCE = 4
@@ -45,6 +45,9 @@
 /** A wish that nobody renewed for this long is dropped. */
 private const val WISH_MILLIS = 2_000L
 
+/** More refused unloads in a row than this are not explained by adapters in use. */
+private const val MAXIMUM_REFUSED_UNLOADS = 4
+
 /** How old a report may be when it arrives. */
 private const val REPORT_LAG_MILLIS = 250L
 
@@ -74,6 +77,7 @@
     /** A load whose answer was lost and that the engine may still carry out. */
     private var doubtful: AdapterName? = null
     private var mayOrderFrom = 0L
+    private var refusedUnloads = 0
     private var modelToLoad: String? = null
 
     /** Requests running and waiting at the last report. */
@@ -213,7 +217,8 @@
         when (outcome) {
             OrderOutcome.ACCEPTED -> accepted(order, now)
             OrderOutcome.ALREADY_DONE -> alreadyDone(order, now)
-            OrderOutcome.CONFLICT, OrderOutcome.OTHER_PROCESS -> readAgain(now)
+            OrderOutcome.CONFLICT -> conflict(order, now)
+            OrderOutcome.OTHER_PROCESS -> readAgain(now)
             OrderOutcome.REFUSED -> {
                 if (order is EngineOrder.LoadAdapter) wishes.remove(order.adapter)
                 readAgain(now)
@@ -223,15 +228,23 @@
         }
     }
 
+    /** An engine refuses to unload an adapter with requests; otherwise the number of orders was wrong. */
+    private fun conflict(order: EngineOrder, now: Long) {
+        if (order is EngineOrder.UnloadAdapter) held[order.adapter]?.usedAt = now
+        if (order !is EngineOrder.UnloadAdapter || ++refusedUnloads > MAXIMUM_REFUSED_UNLOADS) readAgain(now)
+    }
+
     /** The number of accepted orders is not known; reports from before now may still show an old one. */
     private fun readAgain(now: Long) {
         acceptedOrders = null
+        refusedUnloads = 0
         mayOrderFrom = now + REPORT_LAG_MILLIS
     }
 
     private fun accepted(order: EngineOrder, now: Long) {
         acceptedOrders = acceptedOrders?.plus(1)
         doubtful = null
+        refusedUnloads = 0
         when (order) {
             is EngineOrder.LoadModel -> isBusy = true
             is EngineOrder.LoadAdapter -> {
@@ -246,6 +259,7 @@
     private fun alreadyDone(order: EngineOrder, now: Long) {
         acceptedOrders = acceptedOrders?.plus(1)
         doubtful = null
+        refusedUnloads = 0
         when (order) {
             is EngineOrder.LoadModel -> models = models + order.model
             is EngineOrder.LoadAdapter -> {
--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/ServerHealth.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/ServerHealth.kt
@@ -45,10 +45,12 @@
         var failuresInRow = 0
         var closedUntil = 0L
         var failedShare = 0.0
-        val waiting = LinkedHashMap<Long, Long>()
+        val waiting = LinkedHashMap<Long, Waiting>()
         var outstanding = 0
     }
 
+    private class Waiting(val overdueAt: Long, val work: Double)
+
     private val servers = HashMap<ServerId, Health>()
     private var lastAttempt = 0L
 
@@ -57,11 +59,14 @@
         servers.keys.retainAll { it in registered || (servers[it]?.outstanding ?: 0) > 0 }
     }
 
-    /** A request was sent to [server]; it should have its first answer by [overdueAt]. Returns its number. */
-    fun started(server: ServerId, overdueAt: Long): Long {
+    /**
+     * A request was sent to [server]; it should have its first answer by [overdueAt], before which it takes [work]
+     * places. Returns its number.
+     */
+    fun started(server: ServerId, overdueAt: Long, work: Double = 0.0): Long {
         val health = servers.getOrPut(server) { Health() }
         health.outstanding++
-        health.waiting[++lastAttempt] = overdueAt
+        health.waiting[++lastAttempt] = Waiting(overdueAt, work)
         return lastAttempt
     }
 
@@ -94,10 +99,13 @@
     /** Requests of this VM at [server]. */
     fun outstanding(server: ServerId): Int = servers[server]?.outstanding ?: 0
 
+    /** The work of this VM's requests at [server] that have no answer yet, in places. */
+    fun waitingWork(server: ServerId): Double = servers[server]?.waiting?.values?.sumOf { it.work } ?: 0.0
+
     /** What the faults of [server] cost, in places. */
     fun faultCost(server: ServerId, now: Long): Double {
         val health = servers[server] ?: return 0.0
-        val isOverdue = (health.waiting.values.firstOrNull() ?: Long.MAX_VALUE) < now
+        val isOverdue = (health.waiting.values.firstOrNull()?.overdueAt ?: Long.MAX_VALUE) < now
         val isClosed = health.closedUntil > now
         return health.failedShare * FAILURE_COST + if (isOverdue || isClosed) UNANSWERED_COST else 0.0
     }
--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/ServerSelection.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/ServerSelection.kt
@@ -192,7 +192,8 @@
         val reported = engines[server.id]?.second?.let { it.running + 2 * it.queued } ?: 0
         val own = health.outstanding(server.id)
         val distance = if (server.domain == domain) 0.0 else OTHER_DOMAIN_COST
-        return maxOf(reported.toDouble(), own.toDouble()) + own + distance + health.faultCost(server.id, now)
+        val load = maxOf(reported.toDouble(), own.toDouble()) + own + health.waitingWork(server.id)
+        return load + distance + health.faultCost(server.id, now)
     }
 
     private fun modelsOf(server: RegisteredServer): Set<String> =
--- /dev/null
+++ b/core/src/test/kotlin/org/lentilquay/coordination/gateway/EngineControllerTest.kt
@@ -0,0 +1,166 @@
+package org.lentilquay.coordination.gateway
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import org.lentilquay.state.gateway.AdapterName
+import kotlin.random.Random
+
+private fun report(
+    accepted: Long,
+    vararg adapters: Pair<AdapterName, Long>,
+    startedAt: Long = 1,
+    models: Set<String> = setOf("base"),
+    coming: Set<AdapterName> = emptySet(),
+) = EngineReport(startedAt, accepted, false, models, adapters.toMap(), coming, 0, 0)
+
+private fun controller(vararg adapters: Pair<AdapterName, Long>, slots: Int = 2) =
+    EngineController(profile(slots)).apply { reported(report(0, *adapters), 0, 0) }
+
+private fun EngineController.carryOut(outcome: OrderOutcome, now: Long): EngineOrder? =
+    nextOrder(now)?.also { ended(it, outcome, now) }
+
+/** Guards against engines that are ordered beyond their places, lose an adapter in use, or wait for ever. */
+class EngineControllerTest : FunSpec({
+    test("no order is given before the first report") {
+        val controller = EngineController(profile())
+        controller.want(adapter(1), 0, 0) shouldBe AdapterStanding.Waiting
+        controller.nextOrder(0) shouldBe null
+    }
+
+    test("an adapter is loaded when it is wanted, and ready after the load time") {
+        val controller = controller()
+        controller.want(adapter(1), 0, 10) shouldBe AdapterStanding.Waiting
+        controller.carryOut(OrderOutcome.ACCEPTED, 10) shouldBe EngineOrder.LoadAdapter(adapter(1))
+        val readyAt = controller.want(adapter(1), 0, 11).shouldBeInstanceOf<AdapterStanding.Loading>().readyAt
+        controller.want(adapter(1), 0, readyAt) shouldBe AdapterStanding.Ready(1)
+        controller.expectedOrders shouldBe 1
+    }
+
+    test("an empty engine gets its base model first") {
+        val controller = EngineController(profile()).apply { reported(report(0, models = emptySet()), 0, 0) }
+        controller.want(adapter(1), 0, 0)
+        controller.nextOrder(0) shouldBe null
+        controller.assignModel("base")
+        controller.nextOrder(0) shouldBe EngineOrder.LoadModel("base")
+    }
+
+    test("the adapter that was not used for longest makes room, and none that was used just now") {
+        val controller = controller(adapter(1) to 1, adapter(2) to 1)
+        controller.used(adapter(1), 5_000)
+        controller.used(adapter(2), 5_900)
+        controller.want(adapter(3), 0, 6_000)
+        controller.nextOrder(6_000) shouldBe EngineOrder.UnloadAdapter(adapter(1))
+        val busy = controller(adapter(1) to 1, adapter(2) to 1)
+        busy.used(adapter(1), 5_900)
+        busy.used(adapter(2), 5_900)
+        busy.want(adapter(3), 0, 6_000) shouldBe AdapterStanding.Full
+        busy.nextOrder(6_000) shouldBe null
+    }
+
+    test("a newer version replaces the one that is held, also without a request") {
+        val controller = controller(adapter(1) to 1)
+        controller.announced(adapter(1), 2)
+        controller.nextOrder(0) shouldBe EngineOrder.LoadAdapter(adapter(1))
+        controller.want(adapter(1), 2, 0) shouldBe AdapterStanding.Waiting
+    }
+
+    test("an order without an answer counts for the places until another order is accepted") {
+        val controller = controller(adapter(1) to 1, slots = 2)
+        controller.used(adapter(1), 10_000)
+        controller.want(adapter(2), 0, 10_000)
+        controller.carryOut(OrderOutcome.UNKNOWN, 10_000)
+        controller.unwant(adapter(2))
+        controller.want(adapter(3), 0, 10_400) shouldBe AdapterStanding.Full
+        controller.nextOrder(10_400) shouldBe null
+        controller.used(adapter(1), 8_000)
+        controller.want(adapter(3), 0, 11_000)
+        controller.carryOut(OrderOutcome.ALREADY_DONE, 11_000) shouldBe EngineOrder.UnloadAdapter(adapter(1))
+        controller.nextOrder(11_000) shouldBe EngineOrder.LoadAdapter(adapter(3))
+    }
+
+    test("an unload that the engine refuses spares the adapter and tries the next one") {
+        val controller = controller(adapter(1) to 1, adapter(2) to 1)
+        controller.want(adapter(3), 0, 5_000)
+        val first = controller.carryOut(OrderOutcome.CONFLICT, 5_000)
+        val second = controller.nextOrder(5_000)
+        first.shouldBeInstanceOf<EngineOrder.UnloadAdapter>()
+        second.shouldBeInstanceOf<EngineOrder.UnloadAdapter>()
+        (first == second) shouldBe false
+    }
+
+    test("after a conflict the engine is read before the next order") {
+        val controller = controller()
+        controller.want(adapter(1), 0, 1_000)
+        controller.carryOut(OrderOutcome.CONFLICT, 1_000)
+        controller.nextOrder(1_300) shouldBe null
+        controller.reported(report(7), 1_100, 1_110)
+        controller.expectedOrders shouldBe null
+        controller.reported(report(7), 1_300, 1_310)
+        controller.expectedOrders shouldBe 7
+    }
+
+    test("a restarted engine holds nothing of before") {
+        val controller = controller(adapter(1) to 1)
+        controller.reported(report(0, startedAt = 2, models = emptySet()), 100, 110)
+        controller.ready(200) shouldBe emptyMap()
+        controller.hasModel shouldBe false
+    }
+
+    test("with random wishes and outcomes, an engine never holds more adapters than its places") {
+        repeat(200) { seed ->
+            val random = Random(seed)
+            val engine = EngineModel(places = 3)
+            val controller = EngineController(profile(3)).apply { reported(engine.report(), 0, 0) }
+            for (now in 0L..20_000L step 50) {
+                if (random.nextInt(3) == 0) controller.want(adapter(random.nextInt(12)), 0, now)
+                controller.nextOrder(now)?.let { order ->
+                    controller.ended(order, engine.receive(order, controller.expectedOrders, now, random), now)
+                }
+                engine.advance(now)
+                if (now % 500 == 0L) controller.reported(engine.report(), now, now)
+                engine.held.size shouldBeLessThanOrEqual 3
+            }
+        }
+    }
+})
+
+/** An engine that loses some answers and carries some of those orders out late, if their condition still holds. */
+private class EngineModel(private val places: Int) {
+    val held = LinkedHashSet<AdapterName>()
+    private var accepted = 0L
+    private val late = mutableListOf<Triple<Long, EngineOrder, Long>>()
+
+    fun report() = EngineReport(1, accepted, false, setOf("base"), held.associateWith { 1L }, emptySet(), 0, 0)
+
+    fun receive(order: EngineOrder, expected: Long?, now: Long, random: Random): OrderOutcome = when {
+        random.nextInt(4) == 0 -> {
+            late += Triple(now + random.nextLong(12_000), order, expected ?: -1)
+            OrderOutcome.UNKNOWN
+        }
+        else -> apply(order, expected)
+    }
+
+    fun advance(now: Long) {
+        late.filter { it.first <= now }.forEach { (_, order, expected) -> apply(order, expected) }
+        late.removeAll { it.first <= now }
+    }
+
+    private fun apply(order: EngineOrder, expected: Long?): OrderOutcome {
+        if (expected != accepted) return OrderOutcome.CONFLICT
+        accepted++
+        return when (order) {
+            is EngineOrder.LoadModel -> OrderOutcome.ACCEPTED
+            is EngineOrder.LoadAdapter -> {
+                held += order.adapter
+                check(held.size <= places) { "the engine would crash" }
+                OrderOutcome.ACCEPTED
+            }
+            is EngineOrder.UnloadAdapter -> {
+                held -= order.adapter
+                OrderOutcome.ALREADY_DONE
+            }
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/lentilquay/coordination/gateway/ServerHealthTest.kt
@@ -0,0 +1,48 @@
+package org.lentilquay.coordination.gateway
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.doubles.shouldBeGreaterThan
+import io.kotest.matchers.doubles.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import org.lentilquay.state.ServerId
+
+private val SERVER = ServerId("e1")
+
+/** Guards against servers that fail or hang and still get their full share of requests. */
+class ServerHealthTest : FunSpec({
+    fun ServerHealth.run(outcome: ServerOutcome, now: Long) = ended(SERVER, started(SERVER, now + 100), outcome, now)
+
+    test("a server that cannot be reached is avoided for longer each time, up to 4 s, and no longer once it answers") {
+        val health = ServerHealth()
+        health.run(ServerOutcome.UNREACHABLE, 0)
+        health.faultCost(SERVER, 249) shouldBeGreaterThan 100.0
+        health.faultCost(SERVER, 250) shouldBeLessThan 100.0
+        repeat(10) { health.run(ServerOutcome.UNREACHABLE, 0) }
+        health.faultCost(SERVER, 3_999) shouldBeGreaterThan 100.0
+        health.faultCost(SERVER, 4_000) shouldBeLessThan 100.0
+        health.run(ServerOutcome.ANSWERED, 10)
+        health.faultCost(SERVER, 11) shouldBeLessThan 100.0
+    }
+
+    test("a server that fails part of its requests costs more than a sound one") {
+        val health = ServerHealth()
+        repeat(20) { health.run(if (it % 2 == 0) ServerOutcome.FAILED else ServerOutcome.ANSWERED, 0) }
+        health.faultCost(SERVER, 10_000) shouldBeGreaterThan 5.0
+    }
+
+    test("a request without an answer in time marks the server until it answers") {
+        val health = ServerHealth()
+        val attempt = health.started(SERVER, overdueAt = 100)
+        health.faultCost(SERVER, 100) shouldBe 0.0
+        health.faultCost(SERVER, 101) shouldBeGreaterThan 100.0
+        health.answering(SERVER, attempt)
+        health.faultCost(SERVER, 102) shouldBe 0.0
+    }
+
+    test("requests of callers that left say nothing about the server") {
+        val health = ServerHealth()
+        repeat(20) { health.run(ServerOutcome.UNKNOWN, 0) }
+        health.faultCost(SERVER, 0) shouldBe 0.0
+        health.outstanding(SERVER) shouldBe 0
+    }
+})
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
@@ -26,6 +26,9 @@
 private val LINE_END = "\r\n".encodeToByteArray()
 private val LAST_CHUNK = "0\r\n\r\n".encodeToByteArray()
 
+/** Time that a caller has to take the last answer of a connection, in milliseconds. */
+private const val LINGER_MILLIS = 1_000L
+
 /** Bounds before the first configuration was read. */
 private val FIRST_BOUNDS = CallerBounds(16_384, 4 shl 20, 3_000, 15_000)
 
@@ -35,11 +38,23 @@
 }
 
 /** Writes one answer. Without an end, the caller sees the connection close in the middle of the answer. */
-internal class AnswerWriter(private val output: ByteWriteChannel, private val mayStayOpen: () -> Boolean) {
+internal class AnswerWriter(
+    private val output: ByteWriteChannel,
+    private val now: () -> Long,
+    private val mayStayOpen: () -> Boolean,
+) {
+    /** When an answer of unknown length was begun. */
+    var begunAt: Long? = null
+        private set
+
     /** Whether any byte of the answer was written. */
     var isStarted: Boolean = false
         private set
 
+    /** Whether the answer was written to its end. */
+    var isEnded: Boolean = false
+        private set
+
     /** Whether the answer was written to its end and the connection may be used again. */
     var isReusable: Boolean = false
         private set
@@ -51,12 +66,14 @@
         isStarted = true
         output.writeFully(head + body)
         output.flush()
+        isEnded = true
         isReusable = isKept
     }
 
     /** Begins an answer whose length is not known. */
     suspend fun begin(status: Int, headers: List<Pair<String, String>>) {
         isStarted = true
+        begunAt = now()
         output.writeFully(head(status, headers + ("Transfer-Encoding" to "chunked"), isKept = true))
         output.flush()
     }
@@ -73,6 +90,7 @@
     suspend fun end() {
         output.writeFully(LAST_CHUNK)
         output.flush()
+        isEnded = true
         isReusable = mayStayOpen()
     }
 
@@ -98,8 +116,12 @@
     var isBusy: Boolean = false
         private set
 
+    /** Whether the last answer was written to its end. */
+    private var isAnswered = false
+
     suspend fun serve() = connection.use {
         while (serveNext()) Unit
+        if (isAnswered) connection.finish(LINGER_MILLIS)
     }
 
     /** Closes the connection if no request is on it. */
@@ -115,7 +137,7 @@
         }.getOrDefault(false)
         if (!hasRequest) return false
         isBusy = true
-        val writer = AnswerWriter(connection.output) { !isStopping() }
+        val writer = AnswerWriter(connection.output, now) { !isStopping() }
         return attempt {
             val result = withTimeoutOrNull(current.headerMillis) {
                 parseRequest(connection.input)?.use { callerHead(it, current.headerBytes) }
@@ -131,6 +153,7 @@
     }
 
     private suspend fun answer(head: HeadResult.Read, bounds: CallerBounds, writer: AnswerWriter): Boolean {
+        isAnswered = false
         val arrivedAt = now()
         if (head.head.all("Expect").any { it.equals("100-continue", ignoreCase = true) }) {
             connection.output.writeFully("HTTP/1.1 100 Continue\r\n\r\n".encodeToByteArray())
@@ -139,6 +162,7 @@
         val body = readBody(BodyReader(connection.input, head.framing), bounds.bodyBytes)
             ?: return refuse(writer, Failure(ErrorKind.BODY_TOO_LARGE, "body longer than ${bounds.bodyBytes} bytes"))
         whileCallerStays { handler.handle(CallerRequest(head.head, body, arrivedAt), writer) }
+        isAnswered = writer.isEnded
         return writer.isReusable && !head.head.isClosing
     }
 
@@ -168,6 +192,7 @@
     /** Answers a request that could not be read; what follows on the connection cannot be read either. */
     private suspend fun refuse(writer: AnswerWriter, failure: Failure): Boolean {
         writer.whole(failure.kind.status, listOf("Content-Type" to "text/plain"), failure.message.encodeToByteArray())
+        isAnswered = true
         return false
     }
 
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
@@ -122,12 +122,13 @@
         control.decide { members.dropAll() }
         val leaving = scope.launch { members.exchange() }
         delay(ROTATION_MILLIS)
+        // The platform still sends callers here when few VMs of the failure domain are left.
+        callers.stopAccepting()
         while (timer.now() - startedAt < options.stopMillis) {
             callers.closeIdle()
             if (callers.busy == 0 && leaving.isCompleted) break
             delay(STOP_POLL_MILLIS)
         }
-        callers.stopAccepting()
         log.change("stopped", "busy" to callers.busy, "millis" to timer.now() - startedAt)
     }
 
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayState.kt
@@ -38,8 +38,9 @@
     val pulls = PullPlan(options.vm)
     val buckets = TeamBuckets(options.vm, pulls = pulls)
 
-    /** Adapters used on each server since the last renewal. */
+    /** Adapters used on each server since the last renewal, and those of requests in progress with their number. */
     private val used = HashMap<ServerId, HashSet<String>>()
+    private val inUse = HashMap<Pair<ServerId, String>, Int>()
 
     var operator = OperatorState()
         private set
@@ -56,6 +57,10 @@
         if (configuration != null && configuration != operator.configuration) {
             rules = RequestRules(configuration)
             buckets.configure(configuration.teams.values.map { it.team }.filter { it.tokensPerSecond > 0 }, now())
+            configuration.teams.values.filter { it.team != operator.configuration?.teams?.get(it.team.id)?.team }.forEach {
+                val team = it.team
+                log.change("team rate changed", "team" to team.id, "rate" to team.tokensPerSecond, "burst" to team.burstTokens)
+            }
             log.change("configuration changed", "version" to configuration.version, "tableVersion" to version)
         }
         if (changed.drainedDomains != operator.drainedDomains) {
@@ -94,10 +99,21 @@
         selection.membersChanged(changed, now())
     }
 
+    /** A request that uses [adapter] on [server] begins. */
     fun adapterUsed(server: ServerId, adapter: String) {
+        inUse.merge(server to adapter, 1, Int::plus)
+    }
+
+    /** A request that used [adapter] on [server] has ended. */
+    fun adapterReleased(server: ServerId, adapter: String) {
+        inUse.computeIfPresent(server to adapter) { _, count -> (count - 1).takeIf { it > 0 } }
         used.getOrPut(server) { HashSet() } += adapter
     }
 
-    /** The adapters used since the last call. */
-    fun takeUsed(): Map<ServerId, Set<String>> = HashMap(used).also { used.clear() }
+    /** The adapters that requests use now, by server. */
+    fun inUse(): Map<String, List<String>> = inUse.keys.groupBy({ it.first.text }, { it.second })
+
+    /** The adapters that requests have used since the last call, by server. */
+    fun takeUsed(): Map<String, List<String>> =
+        used.entries.associate { (server, adapters) -> server.text to adapters.toList() }.also { used.clear() }
 }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/MemberLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/MemberLoop.kt
@@ -36,6 +36,9 @@
 private val log = KotlinLogging.logger {}
 private const val NANOS_PER_MILLI = 1_000_000L
 
+/** How long ago, on average, an adapter was used that is reported as used since the renewal before. */
+private const val USED_AGE_MILLIS = 1_000L
+
 class MemberLoop(
     private val options: GatewayOptions,
     private val incarnation: Incarnation,
@@ -80,7 +83,8 @@
         renewal = ++renewal,
         isLeaving = isLeaving,
         engines = if (isLeaving) emptyList() else engines.values.map { it.state() },
-        used = state.takeUsed().entries.associate { (server, adapters) -> server.text to adapters.toList() },
+        inUse = state.inUse(),
+        used = state.takeUsed(),
     )
 
     private suspend fun observe() {
@@ -93,13 +97,18 @@
             state.lease.observed(readings, now())
             val live = state.lease.live(now())
             state.membersChanged(live)
-            live.filterKeys { it != options.vm }.values.forEach(::takeUsed)
+            live.values.forEach(::takeUsed)
         }
     }
 
-    private fun takeUsed(record: MemberRecord) = record.used.forEach { (server, adapters) ->
-        val engine = engines[ServerId(server)] ?: return@forEach
-        adapters.forEach { text -> engine.used(adapterOf(text), now()) }
+    private fun takeUsed(record: MemberRecord) {
+        record.used.forEach { (server, adapters) -> used(server, adapters, now() - USED_AGE_MILLIS) }
+        record.inUse.forEach { (server, adapters) -> used(server, adapters, now()) }
+    }
+
+    private fun used(server: String, adapters: List<String>, at: Long) {
+        val engine = engines[ServerId(server)] ?: return
+        adapters.forEach { engine.used(adapterOf(it), at) }
     }
 
     /** Follows the registered servers and the lease. Call on the control thread, several times a second. */
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarding.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarding.kt
@@ -44,6 +44,9 @@
 /** Longest wait for an engine to load an adapter, in milliseconds. */
 private const val LOAD_PATIENCE_MILLIS = 1_500L
 
+/** Time that a call to another VM may take beyond the work that it asks for, in milliseconds. */
+private const val PEER_MARGIN_MILLIS = 200L
+
 /** Pause before a place is sought again while all are taken, in milliseconds. */
 private const val PLACE_PAUSE_MILLIS = 60L
 
@@ -53,6 +56,9 @@
 /** Advice to callers while this VM has no configuration yet, in milliseconds. */
 private const val START_ADVICE_MILLIS = 500L
 
+/** Prompt tokens whose reading slows an engine as much as one more running request; about 25 ms of its time. */
+private const val PROMPT_TOKENS_PER_PLACE = 500.0
+
 /** Time that is left for the way of an answer back to the caller, in milliseconds. */
 private const val RETURN_MILLIS = 5L
 
@@ -139,9 +145,11 @@
         val plan = admitted.plan
         control.decide { state.retries.requested(plan.service) }
         val run = ForwardedRun(plan, writer, trace)
-        val status = run.complete()
-        if (!run.mayHaveRun) admitted.charge?.let { quota.settle(it, 0) }
-        return status
+        try {
+            return run.complete()
+        } finally {
+            admitted.charge?.let { quota.settle(it, if (run.mayHaveRun) it.tokens else 0) }
+        }
     }
 
     /** The attempts for one request. */
@@ -220,6 +228,7 @@
     private suspend fun ended(plan: RequestPlan, target: Target, end: AttemptEnd) = control.decide {
         state.health.ended(target.server.id, target.attempt, end.outcome, now())
         val adapter = plan.adapter ?: return@decide
+        state.adapterReleased(target.server.id, adapter.toString())
         if (end.isAdapterMissing) state.selection.learned(adapter, target.server.id, null, now())
     }
 
@@ -230,16 +239,13 @@
             val wish = ServerWish(plan.service, plan.model, plan.adapter, unable)
             when (val choice = control.decide { state.selection.choose(wish, now()) }) {
                 is ServerChoice.Send -> return Outcome.Success(begin(plan, choice))
-                is ServerChoice.Load -> when (val answer = load(plan, choice)) {
+                is ServerChoice.Load -> when (val answer = load(plan, choice, trace)) {
                     is PeerAnswer.AdapterReady -> {
                         val version = answer.version
                         control.decide { state.selection.learned(plan.adapter!!, choice.server.id, version, now()) }
                         return Outcome.Success(begin(plan, ServerChoice.Send(choice.server, version)))
                     }
-                    else -> {
-                        trace.note("${choice.server.id} can not load ${plan.adapter}: $answer")
-                        unable += choice.server.id
-                    }
+                    else -> unable += choice.server.id
                 }
                 is ServerChoice.Nowhere -> {
                     val retryUntil = minOf(plan.targetAt, plan.deadlineAt) - PLACE_PAUSE_MILLIS
@@ -252,20 +258,31 @@
         }
     }
 
-    private suspend fun load(plan: RequestPlan, choice: ServerChoice.Load): PeerAnswer? {
+    private suspend fun load(plan: RequestPlan, choice: ServerChoice.Load, trace: RequestTrace): PeerAnswer? {
+        val startedAt = now()
         val wait = minOf(LOAD_PATIENCE_MILLIS, plan.deadlineAt - now())
         val request = PeerRequest.EnsureAdapter(choice.server.id, plan.adapter!!, choice.version, wait)
-        return (fleet.call(choice.controller, request, wait) as? PeerCallResult.Answered)?.answer
+        val result = fleet.call(choice.controller, request, wait + PEER_MARGIN_MILLIS)
+        val answer = (result as? PeerCallResult.Answered)?.answer
+        trace.note("load on ${choice.server.id} by ${choice.controller} ${now() - startedAt} ms: ${answer ?: result}")
+        return answer
     }
 
     private suspend fun begin(plan: RequestPlan, choice: ServerChoice.Send): Target = control.decide {
         val overdueAt = now() + plan.route.targetMillis * 2
         val isVersioned = plan.adapter != null && plan.adapter in state.operator.adapterVersions
         plan.adapter?.let { state.adapterUsed(choice.server.id, it.toString()) }
-        val attempt = state.health.started(choice.server.id, overdueAt)
+        val attempt = state.health.started(choice.server.id, overdueAt, promptWork(plan))
         Target(choice.server, choice.adapterVersion.takeIf { isVersioned }, attempt)
     }
 
+    /** An engine reads long prompts at the cost of all its other requests. */
+    private fun promptWork(plan: RequestPlan): Double {
+        if (plan.model == null) return 0.0
+        val prompt = plan.request.head.header(names.tokens)?.substringBefore(',')?.trim()?.toLongOrNull() ?: 0
+        return prompt / PROMPT_TOKENS_PER_PLACE
+    }
+
     private suspend fun refuse(writer: AnswerWriter, failure: Failure, trace: RequestTrace): Int {
         trace.note("${failure.kind.code}: ${failure.message}")
         val headers = buildList {
@@ -291,6 +308,7 @@
             "route" to plan?.route?.name,
             "team" to plan?.access?.team?.id,
             "adapter" to plan?.adapter,
+            "tokens" to request.head.header(names.tokens),
             "configuration" to state.rules?.configuration?.version,
             "steps" to trace,
         )
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestPlan.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestPlan.kt
@@ -35,7 +35,7 @@
 /** How one attempt at a backend server ended. */
 internal sealed interface AttemptResult {
     /** The answer went to the caller. */
-    data class Delivered(val status: Int) : AttemptResult
+    data class Delivered(val status: Int, val firstMillis: Long? = null) : AttemptResult
 
     /** The request did not run and never will. */
     data class NotRun(val reason: String, val hasArrived: Boolean) : AttemptResult
@@ -58,7 +58,10 @@
         if (steps.isNotEmpty()) steps.append("; ")
         steps.append(server).append(' ').append(now() - startedAt).append(" ms ")
         when (result) {
-            is AttemptResult.Delivered -> steps.append("answered ").append(result.status)
+            is AttemptResult.Delivered -> {
+                steps.append("answered ").append(result.status)
+                result.firstMillis?.let { steps.append(", first event after ").append(it).append(" ms") }
+            }
             is AttemptResult.NotRun -> steps.append("not run: ").append(result.reason)
             is AttemptResult.Failed -> steps.append("failed: ").append(result.reason)
             is AttemptResult.BrokenStream -> steps.append("broke off: ").append(result.reason)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ServerAttempt.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ServerAttempt.kt
@@ -160,7 +160,7 @@
         val read = attempt {
             while (true) {
                 val bytes = nextPart(plan, answer) ?: break
-                relay.next(bytes.bytes ?: return endOfStream(answer, writer, relay))?.let { pass(answer, writer, it) }
+                relay.next(bytes.bytes ?: return endOfStream(plan, answer, writer, relay))?.let { pass(answer, writer, it) }
                 if (relay.isTooLong) break
             }
         }
@@ -183,12 +183,18 @@
         writer.part(events)
     }
 
-    private suspend fun endOfStream(answer: KeptAnswer, writer: AnswerWriter, relay: EventRelay): AttemptEnd {
+    private suspend fun endOfStream(
+        plan: RequestPlan,
+        answer: KeptAnswer,
+        writer: AnswerWriter,
+        relay: EventRelay,
+    ): AttemptEnd {
         answer.finished()
         if (relay.isWithinEvent) pass(answer, writer, relay.remainder())
         if (!writer.isStarted) writer.begin(answer.status, returned(answer))
         writer.end()
-        return AttemptEnd(AttemptResult.Delivered(answer.status), ServerOutcome.ANSWERED)
+        val firstMillis = writer.begunAt?.let { it - plan.request.arrivedAt }
+        return AttemptEnd(AttemptResult.Delivered(answer.status, firstMillis), ServerOutcome.ANSWERED)
     }
 
     private fun returned(answer: KeptAnswer) = answer.headers.filter { it.first.lowercase() !in CONNECTION_HEADERS }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/WatchLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/WatchLoop.kt
@@ -15,6 +15,12 @@
 /** How long a question for changes is held; a connection that fell silent shows after this and a margin. */
 private const val HOLD_MILLIS = 2_000L
 
+/**
+ * Least interval between two questions. Backend servers register anew with each adapter that they load, and each
+ * question is paid for; a leaving server must be known within two seconds.
+ */
+private val PAUSE_MILLIS = mapOf(WatchedTableName.OPERATOR to 100L, WatchedTableName.SERVERS to 800L)
+
 /** Pause after a failed question. */
 private const val RETRY_MILLIS = 250L
 
@@ -60,7 +66,10 @@
     private suspend fun follow(known: WatchedRows) {
         val askedAt = now()
         when (val answer = source.changes(table, known.version, HOLD_MILLIS)) {
-            is WatchAnswer.Changes -> succeeded(askedAt, merged(known, answer))
+            is WatchAnswer.Changes -> {
+                succeeded(askedAt, merged(known, answer))
+                delay(PAUSE_MILLIS.getValue(table) - (now() - askedAt))
+            }
             is WatchAnswer.HistoryLost -> {
                 log.change("history of a table is lost, reading it again", "table" to table.text)
                 readAll()
--- a/daemon/src/main/kotlin/org/lentilquay/transport/TcpConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/TcpConnection.kt
@@ -11,6 +11,8 @@
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.cancel
+import io.ktor.utils.io.discard
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.IOException
 
 /** An open connection. Both channels have bounded buffers. */
@@ -22,6 +24,16 @@
         socket.socketContext.invokeOnCompletion { onClosed() }
     }
 
+    /**
+     * Sends what was written and ends this side, then waits up to [lingerMillis] for the other side to do the same. A
+     * connection that is closed without this loses what the other side has not read yet.
+     */
+    suspend fun finish(lingerMillis: Long) {
+        attempt { output.flushAndClose() }
+        attempt { withTimeoutOrNull(lingerMillis) { while (input.awaitContent()) input.discard() } }
+        close()
+    }
+
     override fun close() {
         val cause = IOException("connection closed on this side")
         input.cancel(cause)
--- /dev/null
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/CallerConnectionTest.kt
@@ -0,0 +1,96 @@
+package org.lentilquay.daemon.gateway
+
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldEndWith
+import io.kotest.matchers.string.shouldNotEndWith
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.cancel
+import org.lentilquay.transport.TcpNetwork
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration.Companion.seconds
+
+private fun freePort() = ServerSocket(0).use { it.localPort }
+
+private suspend fun serving(handler: CallerHandler, use: suspend (Int) -> Unit) {
+    val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    val port = freePort()
+    GatewayListener(TcpNetwork(), handler, { null }, { false }, scope) { System.nanoTime() / 1_000_000 }
+        .start("127.0.0.1:$port")
+    try {
+        use(port)
+    } finally {
+        scope.cancel()
+    }
+}
+
+private fun exchange(port: Int, text: String): String = Socket("127.0.0.1", port).use { socket ->
+    socket.soTimeout = 5_000
+    socket.getOutputStream().write(text.replace("\n", "\r\n").encodeToByteArray())
+    socket.getInputStream().readAllBytes().decodeToString()
+}
+
+/** Guards against answers that are lost when a connection closes, and work that goes on for callers that left. */
+class CallerConnectionTest : FunSpec({
+    test("a caller that asks to close the connection gets the whole answer first") {
+        val body = ByteArray(200_000) { 'x'.code.toByte() }
+        serving({ _, writer -> writer.whole(404, emptyList(), body) }) { port ->
+            repeat(20) {
+                val answer = exchange(port, "GET / HTTP/1.1\nHost: h\nConnection: close\n\n")
+                answer shouldContain "404 Not Found"
+                answer.length - answer.indexOf("\r\n\r\n") - 4 shouldBe body.size
+            }
+        }
+    }
+
+    test("an unreadable request is answered") {
+        serving({ _, writer -> writer.whole(200, emptyList(), ByteArray(0)) }) { port ->
+            exchange(port, "GET / HTTP/1.1\nHost: h\nHost: i\n\n") shouldContain "400 Bad Request"
+        }
+    }
+
+    test("requests on a kept connection are answered in order") {
+        serving({ request, writer -> writer.whole(200, emptyList(), request.head.path.encodeToByteArray()) }) { port ->
+            val answer = exchange(port, "GET /a HTTP/1.1\nHost: h\n\nGET /b HTTP/1.1\nHost: h\nConnection: close\n\n")
+            answer shouldContain "/a"
+            answer shouldEndWith "/b"
+        }
+    }
+
+    test("an answer that fails midway does not look complete") {
+        serving({ _, writer ->
+            writer.begin(200, emptyList())
+            writer.part("half".encodeToByteArray())
+            throw java.io.IOException("the backend server is lost")
+        }) { port ->
+            val answer = runCatching { exchange(port, "GET / HTTP/1.1\nHost: h\n\n") }.getOrDefault("")
+            answer shouldNotEndWith "0\r\n\r\n"
+        }
+    }
+
+    test("work ends when the caller leaves") {
+        val started = AtomicInteger()
+        val cancelled = AtomicInteger()
+        serving({ _, _ ->
+            started.incrementAndGet()
+            try {
+                awaitCancellation()
+            } finally {
+                cancelled.incrementAndGet()
+            }
+        }) { port ->
+            val socket = Socket("127.0.0.1", port)
+            socket.getOutputStream().write("GET / HTTP/1.1\r\nHost: h\r\n\r\n".encodeToByteArray())
+            eventually(5.seconds) { started.get() shouldBe 1 }
+            socket.close()
+            eventually(5.seconds) { cancelled.get() shouldBe 1 }
+        }
+    }
+})
--- /dev/null
+++ b/daemon/src/test/kotlin/org/lentilquay/transport/http/KeptConnectionsTest.kt
@@ -0,0 +1,97 @@
+package org.lentilquay.transport.http
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import org.lentilquay.transport.TcpNetwork
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
+
+/** A server that keeps its connections and answers the request with number n on each with [answer]. */
+private class KeepingServer(private val answer: (Int, Socket) -> Unit) : AutoCloseable {
+    private val listener = ServerSocket(0, 100, InetAddress.getLoopbackAddress())
+    val address = "127.0.0.1:${listener.localPort}"
+    val connections = AtomicInteger()
+
+    init {
+        thread(isDaemon = true) {
+            while (!listener.isClosed) {
+                val socket = runCatching { listener.accept() }.getOrNull() ?: break
+                connections.incrementAndGet()
+                thread(isDaemon = true) { socket.use { runCatching { serve(it) } } }
+            }
+        }
+    }
+
+    override fun close() = listener.close()
+
+    private fun serve(socket: Socket) {
+        val input = socket.getInputStream().buffered()
+        var number = 0
+        while (true) {
+            val head = StringBuilder()
+            while (!head.endsWith("\r\n\r\n")) head.append(input.read().takeIf { it >= 0 }?.toChar() ?: return)
+            answer(number++, socket)
+        }
+    }
+}
+
+private val bounds = ExchangeBounds(1_000, 2_000)
+
+private suspend fun KeptConnections.body(server: KeepingServer, exchange: ExchangeBounds = bounds): String {
+    val answer = send(server.address, "h", HttpRequest("GET", "/"), exchange)
+        .shouldBeInstanceOf<KeptExchange.Answered>().answer
+    val whole = readWhole(answer.body, 1_000, 1_000).shouldBeInstanceOf<WholeBody.Complete>().text
+    answer.finished()
+    return whole
+}
+
+/** Guards against answers that reach the wrong request, and against requests on connections that have ended. */
+class KeptConnectionsTest : FunSpec({
+    test("a connection is used again after a whole answer, and not after one that says close") {
+        KeepingServer { number, socket -> socket.answer(200, "n$number", if (number == 1) "Connection: close\n" else "") }
+            .use { server ->
+                val connections = KeptConnections(TcpNetwork())
+                connections.body(server) shouldBe "n0"
+                connections.body(server) shouldBe "n1"
+                connections.body(server) shouldBe "n0"
+                server.connections.get() shouldBe 2
+            }
+    }
+
+    test("an answer to another request is dropped, and the one that follows counts") {
+        KeepingServer { number, socket ->
+            if (number == 1) socket.answer(200, "stray", "Id: r0\n")
+            socket.answer(200, "own$number", "Id: r$number\n")
+        }.use { server ->
+            val connections = KeptConnections(TcpNetwork())
+            connections.body(server, bounds.copy(id = "r0", idHeader = "Id")) shouldBe "own0"
+            connections.body(server, bounds.copy(id = "r1", idHeader = "Id")) shouldBe "own1"
+        }
+    }
+
+    test("a connection with bytes behind an answer is not used again") {
+        KeepingServer { number, socket ->
+            socket.answer(200, "n$number")
+            if (number == 0) socket.answer(200, "extra")
+        }.use { server ->
+            val connections = KeptConnections(TcpNetwork())
+            connections.body(server) shouldBe "n0"
+            Thread.sleep(100)
+            connections.body(server) shouldBe "n0"
+            server.connections.get() shouldBe 2
+        }
+    }
+
+    test("a cut answer is lost, and nothing was written where nothing listens") {
+        KeepingServer { _, socket -> socket.close() }.use { server ->
+            KeptConnections(TcpNetwork()).send(server.address, "h", HttpRequest("GET", "/"), bounds)
+                .shouldBeInstanceOf<KeptExchange.Lost>()
+        }
+        KeptConnections(TcpNetwork()).send(closedAddress(), "h", HttpRequest("GET", "/"), bounds)
+            .shouldBeInstanceOf<KeptExchange.NotWritten>()
+    }
+})
