Tell the controller of an engine about each use of an adapter

Requests waited 1.5 s for each of three engines and were cut at 3.2 s.

Change: the VM that sends a request tells the controller when an adapter's use begins and ends; only idle adapters are unloaded. An engine with six loads waiting refuses further ones at once, and a request waits 0.7 s for a load, not 1.5 s. A failed renewal is repeated within the same second.

--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/EngineController.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/EngineController.kt
@@ -33,8 +33,8 @@
 /** An adapter that is not in a report for this long after its load was accepted has not been loaded. */
 private const val LOAD_LOST_MILLIS = 3_000L
 
-/** An adapter that was used within this time may still have requests. */
-private const val IN_USE_MILLIS = 800L
+/** An adapter that was made ready within this time may have requests that are not known yet. */
+private const val IN_USE_MILLIS = 300L
 
 /** Adapters on their way to one engine at the same time; the platform's bound. */
 private const val LOADS_AT_ONCE = 4
@@ -42,6 +42,9 @@
 /** Adapters that an engine keeps at hand after their unload, so that they load faster. */
 private const val REMEMBERED_ADAPTERS = 64
 
+/** Loads that wait for their order on one engine; more would wait for over half a second. */
+private const val MAXIMUM_WISHES = 6
+
 /** A wish that nobody renewed for this long is dropped. */
 private const val WISH_MILLIS = 2_000L
 
@@ -57,11 +60,13 @@
 class EngineController(private val profile: EngineProfile) {
     private class Held(var version: Long, var readyAt: Long, val acceptedAt: Long) {
         var usedAt = acceptedAt
+        /** The requests that use the adapter, with the time after which they certainly do not. */
+        val uses = HashMap<String, Long>()
         var isConfirmed = false
         var isUnloading = false
     }
 
-    private class Wish(val since: Long, var renewedAt: Long)
+    private class Wish(var renewedAt: Long)
 
     private val held = HashMap<AdapterName, Held>()
     private val wishes = LinkedHashMap<AdapterName, Wish>()
@@ -108,9 +113,11 @@
             return AdapterStanding.Loading(present.readyAt)
         }
         required.merge(adapter, version, ::maxOf)
-        wishes.getOrPut(adapter) { Wish(now, now) }.renewedAt = now
+        val isCrowded = adapter !in wishes && wishes.size >= MAXIMUM_WISHES
         val isFull = acceptedOrders != null && present == null && !hasRoom(adapter.model) && victim(now) == null
-        return if (isFull) AdapterStanding.Full else AdapterStanding.Waiting
+        if (isCrowded || isFull) return AdapterStanding.Full
+        wishes.getOrPut(adapter) { Wish(now) }.renewedAt = now
+        return AdapterStanding.Waiting
     }
 
     /** The wish for [adapter] has ended. */
@@ -118,9 +125,16 @@
         wishes.remove(adapter)
     }
 
-    /** Requests used [adapter] at [at]. */
-    fun used(adapter: AdapterName, at: Long) {
-        held[adapter]?.let { it.usedAt = maxOf(it.usedAt, at) }
+    /** The request [requestId] uses [adapter] until its end is told, at most until [until]. */
+    fun useBegan(requestId: String, adapter: AdapterName, until: Long) {
+        held[adapter]?.uses?.put(requestId, until)
+    }
+
+    /** The request [requestId] does not use [adapter] any more. */
+    fun useEnded(requestId: String, adapter: AdapterName, now: Long) {
+        val present = held[adapter] ?: return
+        present.uses.remove(requestId)
+        present.usedAt = maxOf(present.usedAt, now)
     }
 
     /** A newer version of [adapter] exists; an older one is replaced. */
@@ -290,6 +304,10 @@
     }
 
     private fun victim(now: Long): AdapterName? = held.entries
-        .filter { !it.value.isUnloading && it.value.readyAt <= now && now - it.value.usedAt > IN_USE_MILLIS }
+        .filter { (_, present) ->
+            present.uses.values.removeIf { it < now }
+            val isIdle = present.uses.isEmpty() && now - present.usedAt > IN_USE_MILLIS
+            isIdle && !present.isUnloading && present.readyAt <= now
+        }
         .minByOrNull { it.value.usedAt }?.key
 }
--- a/core/src/main/kotlin/org/lentilquay/protocol/PeerMessages.kt
+++ b/core/src/main/kotlin/org/lentilquay/protocol/PeerMessages.kt
@@ -193,6 +193,19 @@
         val waitMillis: Long,
     ) : PeerRequest
 
+    /**
+     * Tells the VM in control of the engine [server] that the request [requestId] uses [adapter] for at most [forMillis]
+     * from now, or that it has ended if that is 0.
+     */
+    @Serializable
+    @SerialName("adapter-use")
+    data class AdapterUse(
+        val server: ServerId,
+        val adapter: AdapterName,
+        val requestId: String,
+        val forMillis: Long,
+    ) : PeerRequest
+
     /** Asks for what the receiver knows of the watched [table], if that is newer than [afterVersion]. */
     @Serializable
     @SerialName("read-watched")
--- a/core/src/main/kotlin/org/lentilquay/state/gateway/MemberRecord.kt
+++ b/core/src/main/kotlin/org/lentilquay/state/gateway/MemberRecord.kt
@@ -47,10 +47,6 @@
     /** Set when the VM stops; it gives no orders any more. */
     @SerialName("l") val isLeaving: Boolean = false,
     @SerialName("e") val engines: List<EngineState> = emptyList(),
-    /** The adapters that requests of this VM use on each engine now. */
-    @SerialName("b") val inUse: Map<String, List<String>> = emptyMap(),
-    /** The adapters that requests of this VM have used on each engine since the renewal before. */
-    @SerialName("u") val used: Map<String, List<String>> = emptyMap(),
 )
 
 /** Which VM controls an engine. [fence] rises with each change of control. */
--- a/core/src/test/kotlin/org/lentilquay/coordination/gateway/EngineControllerTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/gateway/EngineControllerTest.kt
@@ -48,15 +48,35 @@
 
     test("the adapter that was not used for longest makes room, and none that was used just now") {
         val controller = controller(adapter(1) to 1, adapter(2) to 1)
-        controller.used(adapter(1), 5_000)
-        controller.used(adapter(2), 5_900)
+        controller.useEnded("r1", adapter(1), 5_000)
+        controller.useEnded("r2", adapter(2), 5_100)
         controller.want(adapter(3), 0, 6_000)
         controller.nextOrder(6_000) shouldBe EngineOrder.UnloadAdapter(adapter(1))
+    }
+
+    test("hot engine: with requests on every adapter, another one is refused at once, until a request has ended") {
         val busy = controller(adapter(1) to 1, adapter(2) to 1)
-        busy.used(adapter(1), 5_900)
-        busy.used(adapter(2), 5_900)
+        busy.useBegan("r1", adapter(1), until = 20_000)
+        busy.useBegan("r2", adapter(2), until = 20_000)
         busy.want(adapter(3), 0, 6_000) shouldBe AdapterStanding.Full
         busy.nextOrder(6_000) shouldBe null
+        busy.useEnded("r2", adapter(2), 6_000)
+        busy.want(adapter(3), 0, 7_000) shouldBe AdapterStanding.Waiting
+        busy.nextOrder(7_000) shouldBe EngineOrder.UnloadAdapter(adapter(2))
+    }
+
+    test("a use whose end was not told ends with its time") {
+        val controller = controller(adapter(1) to 1, slots = 1)
+        controller.useBegan("r1", adapter(1), until = 9_000)
+        controller.want(adapter(2), 0, 9_000) shouldBe AdapterStanding.Full
+        controller.want(adapter(2), 0, 9_001) shouldBe AdapterStanding.Waiting
+    }
+
+    test("rare adapters all at once: loads beyond what fits in half a second are refused at once") {
+        val controller = controller(slots = 16)
+        val standings = (1..12).map { controller.want(adapter(it), 0, 0) }
+        standings.count { it == AdapterStanding.Waiting } shouldBe 6
+        standings.count { it == AdapterStanding.Full } shouldBe 6
     }
 
     test("a newer version replaces the one that is held, also without a request") {
@@ -68,13 +88,12 @@
 
     test("an order without an answer counts for the places until another order is accepted") {
         val controller = controller(adapter(1) to 1, slots = 2)
-        controller.used(adapter(1), 10_000)
+        controller.useBegan("r1", adapter(1), until = 10_900)
         controller.want(adapter(2), 0, 10_000)
         controller.carryOut(OrderOutcome.UNKNOWN, 10_000)
         controller.unwant(adapter(2))
         controller.want(adapter(3), 0, 10_400) shouldBe AdapterStanding.Full
         controller.nextOrder(10_400) shouldBe null
-        controller.used(adapter(1), 8_000)
         controller.want(adapter(3), 0, 11_000)
         controller.carryOut(OrderOutcome.ALREADY_DONE, 11_000) shouldBe EngineOrder.UnloadAdapter(adapter(1))
         controller.nextOrder(11_000) shouldBe EngineOrder.LoadAdapter(adapter(3))
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ControlledEngine.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ControlledEngine.kt
@@ -21,6 +21,7 @@
 import org.lentilquay.daemon.timer.ControlThread
 import org.lentilquay.protocol.AdapterRefusal
 import org.lentilquay.protocol.PeerAnswer
+import org.lentilquay.protocol.PeerRequest
 import org.lentilquay.state.gateway.AdapterName
 import org.lentilquay.state.gateway.EngineProfile
 import org.lentilquay.state.gateway.EngineState
@@ -78,8 +79,14 @@
     /** The base model that an empty engine is to load. Call on the control thread. */
     fun assignModel(model: String?) = controller.assignModel(model).also { wake.trySend(Unit) }
 
-    /** Callers used [adapter]. Call on the control thread. */
-    fun used(adapter: AdapterName, at: Long) = controller.used(adapter, at)
+    /** Notes the begin or the end of a use. Call on the control thread. */
+    fun used(use: PeerRequest.AdapterUse) {
+        if (use.forMillis > 0) {
+            controller.useBegan(use.requestId, use.adapter, now() + use.forMillis)
+        } else {
+            controller.useEnded(use.requestId, use.adapter, now())
+        }
+    }
 
     /** A newer version of [adapter] exists. Call on the control thread. */
     fun announced(adapter: AdapterName, version: Long) {
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
@@ -185,6 +185,10 @@
             engine?.ensure(request.adapter, request.version, request.waitMillis)
                 ?: PeerAnswer.AdapterUnavailable(AdapterRefusal.NOT_CONTROLLER)
         }
+        is PeerRequest.AdapterUse -> {
+            control.decide { members.engine(request.server)?.used(request) }
+            PeerAnswer.Done
+        }
         is PeerRequest.TakeTokens -> quota.give(from, request)
         is PeerRequest.ReadWatched -> watched(request)
         else -> PeerAnswer.Refused(Failure(ErrorKind.INTERNAL, "the gateway does not know the request"))
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayState.kt
@@ -38,10 +38,6 @@
     val pulls = PullPlan(options.vm)
     val buckets = TeamBuckets(options.vm, pulls = pulls)
 
-    /** Adapters used on each server since the last renewal, and those of requests in progress with their number. */
-    private val used = HashMap<ServerId, HashSet<String>>()
-    private val inUse = HashMap<Pair<ServerId, String>, Int>()
-
     var operator = OperatorState()
         private set
     var members: Map<VmId, MemberRecord> = emptyMap()
@@ -98,22 +94,4 @@
         members = changed
         selection.membersChanged(changed, now())
     }
-
-    /** A request that uses [adapter] on [server] begins. */
-    fun adapterUsed(server: ServerId, adapter: String) {
-        inUse.merge(server to adapter, 1, Int::plus)
-    }
-
-    /** A request that used [adapter] on [server] has ended. */
-    fun adapterReleased(server: ServerId, adapter: String) {
-        inUse.computeIfPresent(server to adapter) { _, count -> (count - 1).takeIf { it > 0 } }
-        used.getOrPut(server) { HashSet() } += adapter
-    }
-
-    /** The adapters that requests use now, by server. */
-    fun inUse(): Map<String, List<String>> = inUse.keys.groupBy({ it.first.text }, { it.second })
-
-    /** The adapters that requests have used since the last call, by server. */
-    fun takeUsed(): Map<String, List<String>> =
-        used.entries.associate { (server, adapters) -> server.text to adapters.toList() }.also { used.clear() }
 }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/MemberLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/MemberLoop.kt
@@ -7,12 +7,12 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.lentilquay.coordination.WriteResult
 import org.lentilquay.coordination.gateway.ControllerReading
 import org.lentilquay.coordination.gateway.MemberReading
 import org.lentilquay.coordination.gateway.TakeOver
-import org.lentilquay.coordination.gateway.versionedAdapter
 import org.lentilquay.daemon.control.decodeOrNull
 import org.lentilquay.daemon.control.record
 import org.lentilquay.daemon.control.tolerantJson
@@ -23,7 +23,6 @@
 import org.lentilquay.state.Incarnation
 import org.lentilquay.state.ServerId
 import org.lentilquay.state.VmId
-import org.lentilquay.state.gateway.AdapterName
 import org.lentilquay.state.gateway.ControllerRecord
 import org.lentilquay.state.gateway.MEMBER_PREFIX
 import org.lentilquay.state.gateway.MemberRecord
@@ -36,8 +35,9 @@
 private val log = KotlinLogging.logger {}
 private const val NANOS_PER_MILLI = 1_000_000L
 
-/** How long ago, on average, an adapter was used that is reported as used since the renewal before. */
-private const val USED_AGE_MILLIS = 1_000L
+/** Tries of one renewal, and the pause between them, in milliseconds. */
+private const val MAXIMUM_RENEWALS = 3
+private const val RENEWAL_PAUSE_MILLIS = 250L
 
 class MemberLoop(
     private val options: GatewayOptions,
@@ -52,6 +52,7 @@
     private val engines = HashMap<ServerId, ControlledEngine>()
     private var renewal = 0L
     private var isTaking = false
+    private var wasRenewed = false
 
     /** Set for a planned stop. */
     @Volatile
@@ -62,18 +63,22 @@
 
     /** The member records and this VM's view of its own engines are exchanged. Call once a second. */
     suspend fun exchange() {
-        renew()
+        // A renewal that failed is tried again at once, because the lease may run out before the next exchange.
+        var attempts = 0
+        while (!renew() && ++attempts < MAXIMUM_RENEWALS) delay(RENEWAL_PAUSE_MILLIS)
         observe()
     }
 
-    private suspend fun renew() {
+    private suspend fun renew(): Boolean {
         val sentAt = now()
         val difference = clockDifference()
         val record = control.decide { ownRecord() }
         val put = TableOperation.Put(memberKey(options.vm), tolerantJson.encodeToString(record))
-        if (table.write(listOf(put)) == WriteResult.COMMITTED) {
-            control.decide { state.lease.renewed(sentAt, difference) }
-        }
+        val isRenewed = table.write(listOf(put)) == WriteResult.COMMITTED
+        if (isRenewed) control.decide { state.lease.renewed(sentAt, difference) }
+        if (isRenewed != wasRenewed) log.change("member record", "renewed" to isRenewed, "renewal" to record.renewal)
+        wasRenewed = isRenewed
+        return isRenewed
     }
 
     private fun ownRecord() = MemberRecord(
@@ -83,8 +88,6 @@
         renewal = ++renewal,
         isLeaving = isLeaving,
         engines = if (isLeaving) emptyList() else engines.values.map { it.state() },
-        inUse = state.inUse(),
-        used = state.takeUsed(),
     )
 
     private suspend fun observe() {
@@ -97,20 +100,9 @@
             state.lease.observed(readings, now())
             val live = state.lease.live(now())
             state.membersChanged(live)
-            live.values.forEach(::takeUsed)
         }
     }
 
-    private fun takeUsed(record: MemberRecord) {
-        record.used.forEach { (server, adapters) -> used(server, adapters, now() - USED_AGE_MILLIS) }
-        record.inUse.forEach { (server, adapters) -> used(server, adapters, now()) }
-    }
-
-    private fun used(server: String, adapters: List<String>, at: Long) {
-        val engine = engines[ServerId(server)] ?: return
-        adapters.forEach { engine.used(adapterOf(it), at) }
-    }
-
     /** Follows the registered servers and the lease. Call on the control thread, several times a second. */
     fun tick() {
         if (!state.lease.isValid(now(), clockDifference())) {
@@ -179,9 +171,6 @@
         state.operator.adapterVersions.forEach { (adapter, version) -> engine.announced(adapter, version) }
         engine.start(scope)
     }
-
-    private fun adapterOf(text: String): AdapterName =
-        versionedAdapter(text.substringBeforeLast('/'), text.substringAfterLast('/')).first
 }
 
 /** The wall clock less the monotonic clock, in milliseconds; it changes when the VM was suspended. */
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarding.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarding.kt
@@ -27,6 +27,7 @@
 import org.lentilquay.state.Failure
 import org.lentilquay.state.Outcome
 import org.lentilquay.state.ServerId
+import org.lentilquay.state.gateway.AdapterName
 import org.lentilquay.state.gateway.TeamAccess
 import org.lentilquay.transport.peer.PeerCallResult
 import java.security.MessageDigest
@@ -41,8 +42,11 @@
 /** Sends of one request, including those that did not run. */
 private const val MAXIMUM_SENDS = 5
 
-/** Longest wait for an engine to load an adapter, in milliseconds. */
-private const val LOAD_PATIENCE_MILLIS = 1_500L
+/** Longest wait for an engine to load an adapter, in milliseconds; a load takes about 270. */
+private const val LOAD_PATIENCE_MILLIS = 700L
+
+/** Bound on telling another VM about the use of an adapter, in milliseconds. */
+private const val USE_MILLIS = 300L
 
 /** Time that a call to another VM may take beyond the work that it asks for, in milliseconds. */
 private const val PEER_MARGIN_MILLIS = 200L
@@ -228,7 +232,7 @@
     private suspend fun ended(plan: RequestPlan, target: Target, end: AttemptEnd) = control.decide {
         state.health.ended(target.server.id, target.attempt, end.outcome, now())
         val adapter = plan.adapter ?: return@decide
-        state.adapterReleased(target.server.id, adapter.toString())
+        tellUse(plan, target.server.id, adapter, forMillis = 0)
         if (end.isAdapterMissing) state.selection.learned(adapter, target.server.id, null, now())
     }
 
@@ -248,7 +252,7 @@
                     else -> unable += choice.server.id
                 }
                 is ServerChoice.Nowhere -> {
-                    val retryUntil = minOf(plan.targetAt, plan.deadlineAt) - PLACE_PAUSE_MILLIS
+                    val retryUntil = minOf(plan.targetAt - plan.route.targetMillis / 2, plan.deadlineAt)
                     if (now() > retryUntil) return Outcome.Failed(notRunFailure(choice.reason, PLACE_ADVICE_MILLIS))
                     delay(PLACE_PAUSE_MILLIS)
                     unable.clear()
@@ -271,11 +275,18 @@
     private suspend fun begin(plan: RequestPlan, choice: ServerChoice.Send): Target = control.decide {
         val overdueAt = now() + plan.route.targetMillis * 2
         val isVersioned = plan.adapter != null && plan.adapter in state.operator.adapterVersions
-        plan.adapter?.let { state.adapterUsed(choice.server.id, it.toString()) }
+        plan.adapter?.let { tellUse(plan, choice.server.id, it, (plan.deadlineAt - now()).coerceAtLeast(1)) }
         val attempt = state.health.started(choice.server.id, overdueAt, promptWork(plan))
         Target(choice.server, choice.adapterVersion.takeIf { isVersioned }, attempt)
     }
 
+    /** Tells the controller of [server] about a use, so that it does not unload the adapter meanwhile. */
+    private fun tellUse(plan: RequestPlan, server: ServerId, adapter: AdapterName, forMillis: Long) {
+        val controller = state.selection.controllerOf(server) ?: return
+        val use = PeerRequest.AdapterUse(server, adapter, plan.id, forMillis)
+        scope.launch { fleet.call(controller, use, USE_MILLIS) }
+    }
+
     /** An engine reads long prompts at the cost of all its other requests. */
     private fun promptWork(plan: RequestPlan): Double {
         if (plan.model == null) return 0.0
