Keep control of engines and quota seats through a planned stop

Change: the engines are given up when the last request has ended; a leaving member counts as gone for seats only after 15 s; a busy engine lets three loads wait for the end of a use before it refuses.

--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/ControlLease.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/ControlLease.kt
@@ -24,7 +24,7 @@
 /** A clock that ran ahead of the other by more than this shows a suspension, in milliseconds. */
 private const val SUSPENSION_MILLIS = 400L
 
-/** A member that has not renewed for this long does not return under its name, or has lost what it held. */
+/** A member that has not renewed for this long is replaced; a VM that restarts is back within a few seconds. */
 private const val GONE_MILLIS = 15_000L
 
 /** Members that try to take a vacant engine, best rank first; the next one tries this much later. */
@@ -66,7 +66,7 @@
 
     /** The members that have not renewed for so long that they are taken to be gone for good. */
     fun gone(now: Long): Set<VmId> =
-        seen.filterValues { it.reading.record.isLeaving || now - it.changedAt > GONE_MILLIS }.keys.toSet()
+        seen.filterValues { now - it.changedAt > GONE_MILLIS }.keys.toSet()
 
     /** Takes in all member records, read at [now]. */
     fun observed(readings: Map<VmId, MemberReading>, now: Long) {
--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/EngineController.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/EngineController.kt
@@ -45,8 +45,11 @@
 /** Loads that wait for their order on one engine; more would wait for over half a second. */
 private const val MAXIMUM_WISHES = 6
 
+/** The same while requests use every adapter; on a busy engine one of them ends about every 100 ms. */
+private const val MAXIMUM_WISHES_WITHOUT_PLACE = 3
+
 /** A wish that nobody renewed for this long is dropped. */
-private const val WISH_MILLIS = 2_000L
+private const val WISH_MILLIS = 300L
 
 /** More refused unloads in a row than this are not explained by adapters in use. */
 private const val MAXIMUM_REFUSED_UNLOADS = 4
@@ -113,9 +116,10 @@
             return AdapterStanding.Loading(present.readyAt)
         }
         required.merge(adapter, version, ::maxOf)
-        val isCrowded = adapter !in wishes && wishes.size >= MAXIMUM_WISHES
-        val isFull = acceptedOrders != null && present == null && !hasRoom(adapter.model) && victim(now) == null
-        if (isCrowded || isFull) return AdapterStanding.Full
+        expireWishes(now)
+        val isInUse = acceptedOrders != null && present == null && !hasRoom(adapter.model) && victim(now) == null
+        val bound = if (isInUse) MAXIMUM_WISHES_WITHOUT_PLACE else MAXIMUM_WISHES
+        if (adapter !in wishes && wishes.size >= bound) return AdapterStanding.Full
         wishes.getOrPut(adapter) { Wish(now) }.renewedAt = now
         return AdapterStanding.Waiting
     }
@@ -208,7 +212,7 @@
     }
 
     private fun adapterOrder(now: Long): EngineOrder? {
-        wishes.entries.removeIf { now - it.value.renewedAt > WISH_MILLIS }
+        expireWishes(now)
         val outdated = held.entries.firstOrNull { (adapter, present) ->
             !present.isUnloading && present.readyAt <= now && present.version < (required[adapter] ?: 0)
         }
@@ -222,6 +226,8 @@
         }
     }
 
+    private fun expireWishes(now: Long) = wishes.values.removeIf { now - it.renewedAt > WISH_MILLIS }
+
     private fun isOutdated(adapter: AdapterName): Boolean =
         held[adapter]?.let { !it.isUnloading && it.version < (required[adapter] ?: 0) } ?: true
 
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
@@ -51,6 +51,9 @@
 /** Time in which the platform takes a VM that is not ready out of rotation: two questions, one a second. */
 private const val ROTATION_MILLIS = 2_500L
 private const val STOP_POLL_MILLIS = 50L
+
+/** Bound on telling the other VMs that this one has stopped. */
+private const val LEAVE_MILLIS = 400L
 private const val READY_STATUS = 200
 private const val NOT_READY_STATUS = 503
 private const val NOT_FOUND_STATUS = 404
@@ -118,17 +121,18 @@
         isStopping = true
         val callers = callers ?: return
         log.change("stop begins", "busy" to callers.busy)
-        members.isLeaving = true
-        control.decide { members.dropAll() }
-        val leaving = scope.launch { members.exchange() }
         delay(ROTATION_MILLIS)
         // The platform still sends callers here when few VMs of the failure domain are left.
         callers.stopAccepting()
         while (timer.now() - startedAt < options.stopMillis) {
             callers.closeIdle()
-            if (callers.busy == 0 && leaving.isCompleted) break
+            if (callers.busy == 0) break
             delay(STOP_POLL_MILLIS)
         }
+        // The other VMs need loads until the last moment; the process that starts here next goes on with the engines.
+        members.isLeaving = true
+        control.decide { members.dropAll() }
+        withTimeoutOrNull(LEAVE_MILLIS) { members.exchange() }
         log.change("stopped", "busy" to callers.busy, "millis" to timer.now() - startedAt)
     }
 
