Format the gateway for the linter

Cause: lines over 120 characters and one missing blank line. Change: formatting, and two small functions split off.

--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/EngineController.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/EngineController.kt
@@ -63,6 +63,7 @@
 class EngineController(private val profile: EngineProfile) {
     private class Held(var version: Long, var readyAt: Long, val acceptedAt: Long) {
         var usedAt = acceptedAt
+
         /** The requests that use the adapter, with the time after which they certainly do not. */
         val uses = HashMap<String, Long>()
         var isConfirmed = false
--- a/core/src/main/kotlin/org/lentilquay/protocol/PeerMessages.kt
+++ b/core/src/main/kotlin/org/lentilquay/protocol/PeerMessages.kt
@@ -194,8 +194,8 @@
     ) : PeerRequest
 
     /**
-     * Tells the VM in control of the engine [server] that the request [requestId] uses [adapter] for at most [forMillis]
-     * from now, or that it has ended if that is 0.
+     * Tells the VM in control of the engine [server] that the request [requestId] uses [adapter] from now, for at most
+     * [forMillis], or that it has ended if that is 0.
      */
     @Serializable
     @SerialName("adapter-use")
--- a/core/src/test/kotlin/org/lentilquay/coordination/gateway/GatewayFixture.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/gateway/GatewayFixture.kt
@@ -62,7 +62,15 @@
     isDraining: Boolean = false,
     coldMillis: Long = 0,
 ) = RegisteredServer(
-    ServerId(id), service, "127.0.0.1:1", domain, 8, isDraining, coldMillis, 1, if (service == MODELS) setOf("base") else emptySet(),
+    id = ServerId(id),
+    service = service,
+    address = "127.0.0.1:1",
+    domain = domain,
+    slots = 8,
+    isDraining = isDraining,
+    coldMillis = coldMillis,
+    startedAtEpochMillis = 1,
+    models = if (service == MODELS) setOf("base") else emptySet(),
 )
 
 internal fun member(
@@ -77,8 +85,17 @@
 
 internal fun route(host: String, prefix: String, name: String = prefix, services: List<WeightedService> = emptyList()) =
     GatewayRoute(
-        name, host, prefix, RouteKind.IDEMPOTENT, services.ifEmpty { listOf(WeightedService(DESK, 1)) }, 1_000, 100, 2, 0,
-        isOpen = false, isResumable = false,
+        name = name,
+        host = host,
+        pathPrefix = prefix,
+        kind = RouteKind.IDEMPOTENT,
+        services = services.ifEmpty { listOf(WeightedService(DESK, 1)) },
+        timeoutMillis = 1_000,
+        targetMillis = 100,
+        attempts = 2,
+        priority = 0,
+        isOpen = false,
+        isResumable = false,
     )
 
 internal fun vm(number: Int) = VmId("vm$number")
--- a/core/src/test/kotlin/org/lentilquay/coordination/gateway/ServerSelectionTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/gateway/ServerSelectionTest.kt
@@ -20,11 +20,15 @@
         selection.membersChanged(mapOf(vm(1) to member(*engines)), 0)
     }
 
-    fun choose(adapter: AdapterName? = null, excluded: Set<String> = emptySet(), now: Long = 0, service: String = MODELS) =
-        selection.choose(
-            ServerWish(service, if (service == MODELS) "base" else null, adapter, excluded.mapTo(HashSet()) { ServerId(it) }),
-            now,
-        )
+    fun choose(
+        adapter: AdapterName? = null,
+        excluded: Set<String> = emptySet(),
+        now: Long = 0,
+        service: String = MODELS,
+    ): ServerChoice {
+        val model = if (service == MODELS) "base" else null
+        return selection.choose(ServerWish(service, model, adapter, excluded.mapTo(HashSet()) { ServerId(it) }), now)
+    }
 }
 
 private fun ServerChoice.sentTo(): String = shouldBeInstanceOf<ServerChoice.Send>().server.id.text
@@ -47,7 +51,10 @@
     test("a request goes to the engine that holds its adapter, in the announced version") {
         val versions = mapOf(adapter(2) to 2L)
         val world = World(
-            operator(versions = versions), listOf(server("e1"), server("e2")), engine("e1", "a1@1", "a2@1"), engine("e2"),
+            operator(versions = versions),
+            listOf(server("e1"), server("e2")),
+            engine("e1", "a1@1", "a2@1"),
+            engine("e2"),
         )
         world.choose(adapter(1)).sentTo() shouldBe "e1"
         world.choose(adapter(2)).shouldBeInstanceOf<ServerChoice.Load>().version shouldBe 2
@@ -57,7 +64,8 @@
         val servers = List(6) { server("e$it") }
         val engines = List(6) { engine("e$it") }.toTypedArray()
         val homes = List(100) { number ->
-            val home = World(operator(), servers, *engines).choose(adapter(number)).shouldBeInstanceOf<ServerChoice.Load>()
+            val world = World(operator(), servers, *engines)
+            val home = world.choose(adapter(number)).shouldBeInstanceOf<ServerChoice.Load>()
             World(operator(), servers.reversed(), *engines).choose(adapter(number)) shouldBe home
             home.server.id
         }
@@ -69,7 +77,9 @@
         val busy = World(operator(), servers, engine("e0", "a1@1", running = 7), engine("e1"), engine("e2"))
         val load = busy.choose(adapter(1)).shouldBeInstanceOf<ServerChoice.Load>()
         (load.server.id.text == "e0") shouldBe false
-        val both = World(operator(), servers, engine("e0", "a1@1", running = 3), engine("e1", "a1@1", running = 1), engine("e2"))
+        val first = engine("e0", "a1@1", running = 3)
+        val second = engine("e1", "a1@1", running = 1)
+        val both = World(operator(), servers, first, second, engine("e2"))
         both.choose(adapter(1)).sentTo() shouldBe "e1"
     }
 
@@ -98,7 +108,8 @@
     }
 
     test("cold servers get no more than their part, and warm ones take the rest") {
-        val world = World(operator(), listOf(server("cold", coldMillis = 3_000), server("warm")), engine("cold"), engine("warm"))
+        val servers = listOf(server("cold", coldMillis = 3_000), server("warm"))
+        val world = World(operator(), servers, engine("cold"), engine("warm"))
         val used = List(100) { world.choose(now = it * 10L).sentTo() }.groupingBy { it }.eachCount()
         (used["cold"] ?: 0) shouldBeLessThanOrEqual 30
     }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ControlledEngine.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ControlledEngine.kt
@@ -158,7 +158,13 @@
             control.decide { controller.ended(order, outcome, now()) }
         }
         if (outcome != OrderOutcome.ACCEPTED && outcome != OrderOutcome.ALREADY_DONE) {
-            log.change("order failed", "server" to server.id, "order" to order, "expected" to expected, "outcome" to outcome)
+            log.change(
+                "order failed",
+                "server" to server.id,
+                "order" to order,
+                "expected" to expected,
+                "outcome" to outcome,
+            )
         } else if (order is EngineOrder.LoadModel) {
             log.change("base model ordered", "server" to server.id, "model" to order.model, "fence" to fence)
         }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayMetrics.kt
@@ -1,5 +1,5 @@
 /*
- * Counters and histograms of the gateway, as Prometheus text. Labels are few: the kind of route and the answer's status.
+ * Counters and histograms of the gateway, as Prometheus text. Labels are few: the kind of route and the status.
  */
 package org.lentilquay.daemon.gateway
 
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayState.kt
@@ -53,14 +53,12 @@
         if (configuration != null && configuration != operator.configuration) {
             rules = RequestRules(configuration)
             buckets.configure(configuration.teams.values.map { it.team }.filter { it.tokensPerSecond > 0 }, now())
-            configuration.teams.values.filter { it.team != operator.configuration?.teams?.get(it.team.id)?.team }.forEach {
-                val team = it.team
-                log.change("team rate changed", "team" to team.id, "rate" to team.tokensPerSecond, "burst" to team.burstTokens)
-            }
+            reportRates(configuration, operator.configuration)
             log.change("configuration changed", "version" to configuration.version, "tableVersion" to version)
         }
         if (changed.drainedDomains != operator.drainedDomains) {
-            log.change("drained failure domains changed", "domains" to changed.drainedDomains, "tableVersion" to version)
+            val domains = changed.drainedDomains
+            log.change("drained failure domains changed", "domains" to domains, "tableVersion" to version)
         }
         operator = changed
         selection.operatorChanged(changed, now())
@@ -79,13 +77,27 @@
                 "tableVersion" to version,
             )
         }
-        (before.keys - changed.keys).forEach { log.change("backend server is gone", "server" to it, "tableVersion" to version) }
+        (before.keys - changed.keys).forEach { id ->
+            log.change("backend server is gone", "server" to id, "tableVersion" to version)
+        }
         changed.values.filter { it.isDraining && before[it.id]?.isDraining == false }.forEach {
             log.change("backend server is leaving", "server" to it.id, "tableVersion" to version)
         }
         selection.serversChanged(changed, now())
     }
 
+    private fun reportRates(changed: GatewayConfiguration, before: GatewayConfiguration?) {
+        val teams = changed.teams.values.map { it.team }.filter { it != before?.teams?.get(it.id)?.team }
+        teams.forEach { team ->
+            log.change(
+                "team rate changed",
+                "team" to team.id,
+                "rate" to team.tokensPerSecond,
+                "burst" to team.burstTokens,
+            )
+        }
+    }
+
     fun membersChanged(changed: Map<VmId, MemberRecord>) {
         if (changed.keys != members.keys) {
             log.change("members changed", "members" to changed.keys.sorted(), "joined" to changed.keys - members.keys)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/MemberLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/MemberLoop.kt
@@ -106,7 +106,7 @@
     /** Follows the registered servers and the lease. Call on the control thread, several times a second. */
     fun tick() {
         if (!state.lease.isValid(now(), clockDifference())) {
-            if (engines.isNotEmpty()) log.change("lease lapsed, engines are given up", "engines" to engines.keys.sorted())
+            if (engines.isNotEmpty()) log.change("lease lapsed", "engines" to engines.keys.sorted())
             engines.keys.toList().forEach(::drop)
             return
         }
@@ -115,7 +115,8 @@
         registered.values.forEach { server -> engines[server.id]?.server = server }
         assignModels()
         if (isTaking || isLeaving) return
-        val vacant = registered.values.filter { isEngine(it) && it.id !in engines && state.lease.isCandidate(it.id, now()) }
+        val vacant = registered.values.filter { isEngine(it) && it.id !in engines }
+            .filter { state.lease.isCandidate(it.id, now()) }
         if (vacant.isEmpty()) return
         isTaking = true
         scope.launch {
@@ -146,7 +147,8 @@
     /** An empty engine gets the base model that the fewest engines hold. */
     private fun assignModels() = engines.values.filter { it.isEmpty }.forEach { engine ->
         val profile = state.operator.configuration?.services?.get(engine.server.service)?.engine ?: return@forEach
-        val holders = state.members.values.flatMap { it.engines }.flatMap { it.adapters.keys }.groupingBy { it }.eachCount()
+        val held = state.members.values.flatMap { it.engines }.flatMap { it.adapters.keys }
+        val holders = held.groupingBy { it }.eachCount()
         engine.assignModel(profile.models.minByOrNull { holders[it.name] ?: 0 }?.name)
     }
 
@@ -155,7 +157,8 @@
         val reading = read.value?.let { ControllerReading(it, read.version) }
         val due = control.decide { state.lease.takeOver(reading, now()) } as? TakeOver.Due ?: return
         val operations = buildList {
-            add(TableOperation.Put(controllerKey(server.id), tolerantJson.encodeToString(due.record), due.expectedVersion))
+            val record = tolerantJson.encodeToString(due.record)
+            add(TableOperation.Put(controllerKey(server.id), record, due.expectedVersion))
             due.former?.let { (vm, version) -> add(TableOperation.Check(memberKey(vm), version)) }
         }
         val result = table.write(operations)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ServerAttempt.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ServerAttempt.kt
@@ -36,7 +36,11 @@
 )
 
 /** What one attempt led to, and what it says about the server. */
-internal data class AttemptEnd(val result: AttemptResult, val outcome: ServerOutcome, val isAdapterMissing: Boolean = false)
+internal data class AttemptEnd(
+    val result: AttemptResult,
+    val outcome: ServerOutcome,
+    val isAdapterMissing: Boolean = false,
+)
 
 internal class ServerAttempt(
     private val names: HeaderNames,
@@ -69,7 +73,7 @@
         return when (val exchange = servers.send(target.server.address, host, message, bounds)) {
             is KeptExchange.NotWritten ->
                 AttemptEnd(AttemptResult.NotRun(exchange.reason, hasArrived = false), ServerOutcome.UNREACHABLE)
-            is KeptExchange.Lost -> AttemptEnd(AttemptResult.Failed(exchange.reason), ServerOutcome.LOST)
+            is KeptExchange.Lost -> lost(exchange.reason)
             is KeptExchange.Answered -> exchange.answer.use { judge(plan, target, it, writer, mayRetry, resumed) }
         }
     }
@@ -104,7 +108,7 @@
         return when {
             hasRefused && !isSuccess -> refused(target, answer)
             answer.header(names.signature) == null || answer.header(names.requestId) != plan.id ->
-                AttemptEnd(AttemptResult.Failed("answer ${answer.status} without proof of its origin"), ServerOutcome.LOST)
+                lost("answer ${answer.status} without proof of its origin")
             isSuccess && plan.route.kind == RouteKind.STREAM -> stream(plan, answer, writer, resumed)
             resumed != null ->
                 AttemptEnd(AttemptResult.BrokenStream("status ${answer.status}", resumed), ServerOutcome.FAILED)
@@ -112,6 +116,8 @@
         }
     }
 
+    private fun lost(reason: String) = AttemptEnd(AttemptResult.Failed(reason), ServerOutcome.LOST)
+
     private suspend fun refused(target: Target, answer: KeptAnswer): AttemptEnd {
         val other = answer.header(names.serverId)
         val isOther = answer.status == MISDIRECTED && other != null && other != target.server.id.text
@@ -136,7 +142,7 @@
         val body = read.getOrNull()
         if (body == null) {
             val reason = read.exceptionOrNull()?.let { describe(it) } ?: "body is late or too long"
-            return AttemptEnd(AttemptResult.Failed(reason), ServerOutcome.LOST)
+            return lost(reason)
         }
         answer.finished()
         val isFailure = answer.status >= FIRST_SERVER_ERROR
@@ -159,13 +165,14 @@
         val relay = EventRelay()
         val read = attempt {
             while (true) {
-                val bytes = nextPart(plan, answer) ?: break
-                relay.next(bytes.bytes ?: return endOfStream(plan, answer, writer, relay))?.let { pass(answer, writer, it) }
+                val part = nextPart(plan, answer) ?: break
+                val bytes = part.bytes ?: return endOfStream(plan, answer, writer, relay)
+                relay.next(bytes)?.let { pass(answer, writer, it) }
                 if (relay.isTooLong) break
             }
         }
         val reason = read.exceptionOrNull()?.let { describe(it) } ?: "no event in time"
-        if (!writer.isStarted) return AttemptEnd(AttemptResult.Failed(reason), ServerOutcome.LOST)
+        if (!writer.isStarted) return lost(reason)
         return AttemptEnd(AttemptResult.BrokenStream(reason, relay.lastEventId ?: resumed), ServerOutcome.LOST)
     }
 
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/WatchLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/WatchLoop.kt
@@ -84,12 +84,14 @@
         if (isRecovering && table == WatchedTableName.SERVERS && removed.isNotEmpty()) {
             delay(RETURN_MILLIS - (now() - recoveredAt))
         }
-        return WatchedRows(answer.version, known.rows - removed + answer.rows.filterValues { it != null }.mapValues { it.value.orEmpty() })
+        val written = answer.rows.filterValues { it != null }.mapValues { it.value.orEmpty() }
+        return WatchedRows(answer.version, known.rows - removed + written)
     }
 
     private suspend fun succeeded(askedAt: Long, rows: WatchedRows) {
         if (failures > 0) {
-            log.change("table is readable again", "table" to table.text, "failures" to failures, "version" to rows.version)
+            val version = rows.version
+            log.change("table is readable again", "table" to table.text, "failures" to failures, "version" to version)
             recoveredAt = now()
             failures = 0
         }
--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/HttpCalls.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/HttpCalls.kt
@@ -1,6 +1,6 @@
 /*
- * Calls of services by HTTP with whole answers, over kept connections. Every call has one time bound in milliseconds and
- * is sent once.
+ * Calls of services by HTTP with whole answers, over kept connections. Every call has one time bound in milliseconds
+ * and is sent once.
  */
 package org.lentilquay.transport.http
 
--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/KeptConnections.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/KeptConnections.kt
@@ -167,7 +167,8 @@
                 if (it.status >= FIRST_FINAL_STATUS) {
                     val headers = headersOf(it)
                     val reader = BodyReader(kept.connection.input, answerFraming(request.method, it.status, headers))
-                    if (isOwn(headers, bounds)) return KeptExchange.Answered(answer(address, kept, it.status, headers, reader))
+                    val answer = answer(address, kept, it.status, headers, reader)
+                    if (isOwn(headers, bounds)) return KeptExchange.Answered(answer)
                     skip(reader)
                 }
             }
@@ -217,7 +218,11 @@
             ?.let { KEEP_ALIVE_TIMEOUT.find(it) }?.groupValues?.get(1)?.toLong()?.times(MILLIS_PER_SECOND)
         if (stated != null) kept.idleMillis = (stated - IDLE_MARGIN_MILLIS).coerceAtLeast(stated / 2)
         kept.idleSince = System.nanoTime()
-        if (kept.isUsable) idle.computeIfAbsent(address) { ConcurrentLinkedDeque() }.addLast(kept) else kept.connection.close()
+        if (kept.isUsable) {
+            idle.computeIfAbsent(address) { ConcurrentLinkedDeque() }.addLast(kept)
+        } else {
+            kept.connection.close()
+        }
     }
 
     private fun millisSince(nanos: Long) = (System.nanoTime() - nanos) / NANOS_PER_MILLI
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/CallerRequestTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/CallerRequestTest.kt
@@ -30,8 +30,8 @@
     }
 
     test("headers of one connection and those of the gateway are not forwarded") {
-        val read = head("POST /a?b=c HTTP/1.1\nHost: h\nConnection: close, X-Once\nX-Once: 1\nTenant: t\nContent-Length: 5\nA: b")
-            .shouldBeInstanceOf<HeadResult.Read>()
+        val headers = "Host: h\nConnection: close, X-Once\nX-Once: 1\nTenant: t\nContent-Length: 5\nA: b"
+        val read = head("POST /a?b=c HTTP/1.1\n$headers").shouldBeInstanceOf<HeadResult.Read>()
         read.framing shouldBe BodyFraming.Length(5)
         read.head.path shouldBe "/a"
         read.head.isClosing shouldBe true
--- a/daemon/src/test/kotlin/org/lentilquay/transport/http/KeptConnectionsTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/transport/http/KeptConnectionsTest.kt
@@ -52,14 +52,15 @@
 /** Guards against answers that reach the wrong request, and against requests on connections that have ended. */
 class KeptConnectionsTest : FunSpec({
     test("a connection is used again after a whole answer, and not after one that says close") {
-        KeepingServer { number, socket -> socket.answer(200, "n$number", if (number == 1) "Connection: close\n" else "") }
-            .use { server ->
-                val connections = KeptConnections(TcpNetwork())
-                connections.body(server) shouldBe "n0"
-                connections.body(server) shouldBe "n1"
-                connections.body(server) shouldBe "n0"
-                server.connections.get() shouldBe 2
-            }
+        KeepingServer { number, socket ->
+            socket.answer(200, "n$number", if (number == 1) "Connection: close\n" else "")
+        }.use { server ->
+            val connections = KeptConnections(TcpNetwork())
+            connections.body(server) shouldBe "n0"
+            connections.body(server) shouldBe "n1"
+            connections.body(server) shouldBe "n0"
+            server.connections.get() shouldBe 2
+        }
     }
 
     test("an answer to another request is dropped, and the one that follows counts") {
