--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
@@ -30,7 +30,9 @@
 private const val LINGER_MILLIS = 1_000L
 
 /** Bounds before the first configuration was read. */
-private val FIRST_BOUNDS = CallerBounds(16_384, 4 shl 20, 3_000, 15_000)
+@Suppress("MagicNumber") // The numbers are named by the parameters.
+private val FIRST_BOUNDS =
+    CallerBounds(headerBytes = 16_384, bodyBytes = 4 shl 20, headerMillis = 3_000, idleMillis = 15_000)
 
 /** Takes one request and gives its answer through [AnswerWriter]. */
 internal fun interface CallerHandler {
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerRequest.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerRequest.kt
@@ -20,12 +20,21 @@
 /** Bytes that a header takes besides its name and value. */
 private const val HEADER_OVERHEAD = 4
 
-/** Headers that concern one connection only, in lower case. */
-private val CONNECTION_HEADERS = setOf(
-    "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "content-length",
-    "expect", "host",
+/** Headers of requests and answers that concern one connection only, in lower case. */
+internal val CONNECTION_HEADERS = setOf(
+    "connection",
+    "content-length",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
 )
 
+/** Request headers that the gateway answers or writes itself, in lower case. */
+private val OWN_HEADERS = CONNECTION_HEADERS + setOf("expect", "host")
+
 /** The head of a request. */
 class CallerHead(val method: String, val target: String, val headers: List<Pair<String, String>>) {
     val path: String = target.substringBefore('?')
@@ -42,7 +51,7 @@
         val named = all("Connection").flatMap { it.split(',') }.mapTo(HashSet()) { it.trim().lowercase() }
         return headers.filter { (name, _) ->
             val lower = name.lowercase()
-            lower !in CONNECTION_HEADERS && lower !in reserved && lower !in named
+            lower !in OWN_HEADERS && lower !in reserved && lower !in named
         }
     }
 }
@@ -61,14 +70,21 @@
 internal fun callerHead(request: Request, maximumHeaderBytes: Int): HeadResult {
     val head = CallerHead(request.method.value, request.uri.toString(), headersOf(request))
     val size = head.headers.sumOf { (name, value) -> name.length + value.length + HEADER_OVERHEAD } + head.target.length
-    val lengths = head.all(CONTENT_LENGTH)
-    val encodings = head.all(TRANSFER_ENCODING)
     return when {
         size > maximumHeaderBytes -> faulty("headers longer than $maximumHeaderBytes bytes")
         request.version.toString() != "HTTP/1.1" -> faulty("only HTTP/1.1 is supported")
         !METHOD.matches(head.method) || !TARGET.matches(head.target) -> faulty("unreadable request line")
         !head.headers.all(::isPlain) -> faulty("unreadable header")
         head.all("Host").size != 1 -> faulty("a request needs one Host header")
+        else -> framed(head)
+    }
+}
+
+/** Finds the framing of the body; a request with two framings could hide another request. */
+private fun framed(head: CallerHead): HeadResult {
+    val lengths = head.all(CONTENT_LENGTH)
+    val encodings = head.all(TRANSFER_ENCODING)
+    return when {
         encodings.isNotEmpty() && lengths.isNotEmpty() -> faulty("both length and transfer encoding")
         encodings.size > 1 || encodings.any { !it.trim().equals("chunked", ignoreCase = true) } ->
             faulty("unsupported transfer encoding")
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayMetrics.kt
@@ -23,6 +23,8 @@
     private val writer = PrometheusTextFormatWriter.create()
     private val requests = Counter.builder().name("lentilquay_gateway_requests")
         .help("Requests that ended").labelNames("route_kind", "status").register(registry)
+
+    @Suppress("SpreadOperator") // Copied once, at the start.
     private val seconds = Histogram.builder().name("lentilquay_gateway_request_seconds")
         .help("Time to the end of a request").labelNames("route_kind").classicUpperBounds(*LATENCY_BOUNDS)
         .classicOnly().register(registry)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarding.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarding.kt
@@ -123,10 +123,8 @@
         val service = route.pickService(Random).service
         val named = if (rules.configuration.services[service]?.engine == null) null else head.header(names.model)
         val (model, adapter) = named?.let { modelOf(it) } ?: (null to null)
-        val plan = RequestPlan(
-            request, id, route, service, access, model, adapter, request.arrivedAt + allowed - RETURN_MILLIS,
-        )
-        return charge(plan)
+        val deadlineAt = request.arrivedAt + allowed - RETURN_MILLIS
+        return charge(RequestPlan(request, id, route, service, access, model, adapter, deadlineAt))
     }
 
     private fun teamOf(rules: RequestRules, head: CallerHead): TeamAccess? {
@@ -169,34 +167,54 @@
         private var failedAnswer: WholeAnswerFromServer? = null
         val mayHaveRun: Boolean get() = runs > 0
 
+        /** Tries until the request is answered, and returns the status of the answer. */
         suspend fun complete(): Int {
-            while (true) {
-                if (plan.deadlineAt - now() < LEAST_MILLIS) return fail("no time is left")
-                val target = when (val found = place(plan, excluded, trace)) {
-                    is Outcome.Success -> found.value
-                    is Outcome.Failed -> return fail(found.failure.message)
-                }
-                val end = attempt(target)
-                when (val result = end.result) {
-                    is AttemptResult.Delivered -> return result.status
-                    is AttemptResult.NotRun -> {
-                        if (!end.isAdapterMissing) excluded += target.server.id
-                        if (++sends >= MAXIMUM_SENDS) return fail(result.reason)
-                        if (result.hasArrived && !takeRetry()) return fail("${result.reason}, no retry left")
-                    }
-                    is AttemptResult.Failed -> {
-                        failedAnswer = result.answer ?: failedAnswer
-                        excluded += target.server.id
-                        if (!canRunAgain() || !takeRetry()) return fail(result.reason)
-                    }
-                    is AttemptResult.BrokenStream -> {
-                        resumeAfter = result.lastEventId
-                        excluded += target.server.id
-                        val canResume = plan.route.isResumable && result.lastEventId != null && canRunAgain()
-                        if (!canResume || !takeRetry()) throw IOException("the stream broke off: ${result.reason}")
-                    }
-                }
+            var status: Int? = null
+            while (status == null) status = tryOnce()
+            return status
+        }
+
+        /** One attempt; null if another one is to follow. */
+        private suspend fun tryOnce(): Int? {
+            if (plan.deadlineAt - now() < LEAST_MILLIS) return fail("no time is left")
+            val target = when (val found = place(plan, excluded, trace)) {
+                is Outcome.Success -> found.value
+                is Outcome.Failed -> return fail(found.failure.message)
             }
+            val end = attempt(target)
+            return when (val result = end.result) {
+                is AttemptResult.Delivered -> result.status
+                is AttemptResult.NotRun -> afterRefusal(target, result, end.isAdapterMissing)
+                is AttemptResult.Failed -> afterFailure(target, result)
+                is AttemptResult.BrokenStream -> afterBreak(target, result)
+            }
+        }
+
+        private suspend fun afterRefusal(
+            target: Target,
+            result: AttemptResult.NotRun,
+            isAdapterMissing: Boolean,
+        ): Int? {
+            if (!isAdapterMissing) excluded += target.server.id
+            return when {
+                ++sends >= MAXIMUM_SENDS -> fail(result.reason)
+                result.hasArrived && !takeRetry() -> fail("${result.reason}, no retry left")
+                else -> null
+            }
+        }
+
+        private suspend fun afterFailure(target: Target, result: AttemptResult.Failed): Int? {
+            failedAnswer = result.answer ?: failedAnswer
+            excluded += target.server.id
+            return if (canRunAgain() && takeRetry()) null else fail(result.reason)
+        }
+
+        private suspend fun afterBreak(target: Target, result: AttemptResult.BrokenStream): Int? {
+            resumeAfter = result.lastEventId
+            excluded += target.server.id
+            val canResume = plan.route.isResumable && result.lastEventId != null && canRunAgain()
+            if (!canResume || !takeRetry()) throw IOException("the stream broke off: ${result.reason}")
+            return null
         }
 
         private suspend fun attempt(target: Target): AttemptEnd {
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ServerAttempt.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ServerAttempt.kt
@@ -30,11 +30,6 @@
 /** Longest answer that is held until it is whole, in bytes. */
 private const val MAXIMUM_HELD_BYTES = 8 shl 20
 
-/** Answer headers that concern one connection only, in lower case. */
-private val CONNECTION_HEADERS = setOf(
-    "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "content-length",
-)
-
 /** What one attempt led to, and what it says about the server. */
 internal data class AttemptEnd(
     val result: AttemptResult,
@@ -164,11 +159,11 @@
     ): AttemptEnd {
         val relay = EventRelay()
         val read = attempt {
-            while (true) {
-                val part = nextPart(plan, answer) ?: break
+            var part = nextPart(plan, answer)
+            while (part != null && !relay.isTooLong) {
                 val bytes = part.bytes ?: return endOfStream(plan, answer, writer, relay)
                 relay.next(bytes)?.let { pass(answer, writer, it) }
-                if (relay.isTooLong) break
+                part = nextPart(plan, answer)
             }
         }
         val reason = read.exceptionOrNull()?.let { describe(it) } ?: "no event in time"
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/WatchLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/WatchLoop.kt
@@ -16,10 +16,11 @@
 private const val HOLD_MILLIS = 2_000L
 
 /**
- * Least interval between two questions. Backend servers register anew with each adapter that they load, and each
+ * Least intervals between two questions. Backend servers register anew with each adapter that they load, and each
  * question is paid for; a leaving server must be known within two seconds.
  */
-private val PAUSE_MILLIS = mapOf(WatchedTableName.OPERATOR to 100L, WatchedTableName.SERVERS to 800L)
+private const val OPERATOR_PAUSE_MILLIS = 100L
+private const val SERVERS_PAUSE_MILLIS = 800L
 
 /** Pause after a failed question. */
 private const val RETRY_MILLIS = 250L
@@ -68,7 +69,7 @@
         when (val answer = source.changes(table, known.version, HOLD_MILLIS)) {
             is WatchAnswer.Changes -> {
                 succeeded(askedAt, merged(known, answer))
-                delay(PAUSE_MILLIS.getValue(table) - (now() - askedAt))
+                delay(pauseMillis() - (now() - askedAt))
             }
             is WatchAnswer.HistoryLost -> {
                 log.change("history of a table is lost, reading it again", "table" to table.text)
@@ -78,6 +79,11 @@
         }
     }
 
+    private fun pauseMillis() = when (table) {
+        WatchedTableName.OPERATOR -> OPERATOR_PAUSE_MILLIS
+        WatchedTableName.SERVERS -> SERVERS_PAUSE_MILLIS
+    }
+
     private suspend fun merged(known: WatchedRows, answer: WatchAnswer.Changes): WatchedRows {
         val removed = answer.rows.filterValues { it == null }.keys
         val isRecovering = now() - recoveredAt < RETURN_MILLIS
