--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/ServerSelection.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/ServerSelection.kt
@@ -184,7 +184,8 @@
     private fun heldVersion(adapter: AdapterName, server: ServerId, now: Long): Long? {
         val own = learned[adapter to server]
         if (own != null && now - own.at <= LEARNED_MILLIS) return own.version
-        return holders[adapter]?.get(server)
+        // While no VM controls the engine, what it registered itself is all that is known.
+        return if (server in engines) holders[adapter]?.get(server) else servers[server]?.adapters?.get(adapter)
     }
 
     /** The load of [server] in places, with what its faults and its distance cost. */
--- a/core/src/main/kotlin/org/lentilquay/state/gateway/RegisteredServer.kt
+++ b/core/src/main/kotlin/org/lentilquay/state/gateway/RegisteredServer.kt
@@ -27,4 +27,6 @@
     val startedAtEpochMillis: Long?,
     /** The base models that the server holds. */
     val models: Set<String>,
+    /** The adapters that the server holds, with their versions. */
+    val adapters: Map<AdapterName, Long> = emptyMap(),
 )
--- a/core/src/test/kotlin/org/lentilquay/coordination/gateway/ServerSelectionTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/gateway/ServerSelectionTest.kt
@@ -60,6 +60,16 @@
         world.choose(adapter(2)).shouldBeInstanceOf<ServerChoice.Load>().version shouldBe 2
     }
 
+    test("lost controllers: an engine without one serves the adapters that it registered, and others elsewhere") {
+        val registered = server("e1").copy(adapters = mapOf(adapter(1) to 1L))
+        val world = World(operator(), listOf(registered, server("e2")), engine("e2"))
+        world.choose(adapter(1)).sentTo() shouldBe "e1"
+        world.choose(adapter(2)).shouldBeInstanceOf<ServerChoice.Load>().server.id.text shouldBe "e2"
+        val alone = World(operator(), listOf(registered))
+        alone.choose(adapter(1)).sentTo() shouldBe "e1"
+        alone.choose(adapter(2)).shouldBeInstanceOf<ServerChoice.Nowhere>()
+    }
+
     test("an adapter that is nowhere is loaded on the same engine each time") {
         val servers = List(6) { server("e$it") }
         val engines = List(6) { engine("e$it") }.toTypedArray()
