Review seats and members at once after a start

Engines were taken back only after the first exchange, 1 s after the start.

Ruled out: broken pulls from other VMs (all VMs had started anew).

Change: records are exchanged and seats reviewed at once, then at their intervals.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
@@ -157,7 +157,6 @@
         scope.launch { serverWatch.run() }
         scope.launch(control.dispatcher) { timer.ticks(TICK_MILLIS).collect { members.tick() } }
         scope.launch { timer.ticks(SWEEP_MILLIS).collect { servers.sweep() } }
-        scope.launch { timer.ticks(EXCHANGE_MILLIS).collect { members.exchange() } }
         val seats = SeatLoop(
             keeper = SeatKeeper(SeatPlan(options.vm, incarnation) { UUID.randomUUID().toString() }),
             buckets = state.buckets,
@@ -167,7 +166,18 @@
             members = ::seatMembers,
             now = timer::now,
         )
+        scope.launch { joinFleet(seats) }
+    }
+
+    /**
+     * Exchanges records and reviews the seats at once and then at their intervals: without seats, a process that starts
+     * again in the middle of traffic refuses its teams. The seats come second: their division needs the members.
+     */
+    private suspend fun joinFleet(seats: SeatLoop) {
+        members.exchange()
+        seats.review()
         scope.launch { timer.ticks(SEAT_MILLIS).collect { seats.review() } }
+        timer.ticks(EXCHANGE_MILLIS).collect { members.exchange() }
     }
 
     private suspend fun seatMembers(): SeatLoop.SeatMembers = control.decide {
