--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/ControlLease.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/ControlLease.kt
@@ -38,7 +38,7 @@
 
 /** What can be done about an engine without a known controller. */
 sealed interface TakeOver {
-    /** Write the record if the version is [expectedVersion] and the member of [formerKey] has [formerVersion]. */
+    /** Write [record] if the present one has [expectedVersion] and the member record of [former] its version. */
     data class Due(val record: ControllerRecord, val expectedVersion: Long, val former: Pair<VmId, Long>?) : TakeOver
 
     data object NotDue : TakeOver
