Use the project's hash of keys, and remove what the gateway wrote twice

The hash of a key stood a second time beside sha256Of, and formatted each byte with a format string on every request; the announcement of adapter versions and the release of all engines were written twice; a search for an event's id kept a value that was always the same; a wish was withdrawn where there can be none.

Ruled out: merging the lists of constants and constructors that only look alike.

Change: the existing functions are called. No behaviour changes.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ControlledEngine.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ControlledEngine.kt
@@ -111,10 +111,7 @@
                     wake.trySend(Unit)
                     withTimeoutOrNull(ORDER_MILLIS) { changes.first { it != seen } }
                 }
-                is AdapterStanding.Full -> {
-                    control.decide { controller.unwant(adapter) }
-                    return PeerAnswer.AdapterUnavailable(AdapterRefusal.NO_FREE_PLACE)
-                }
+                is AdapterStanding.Full -> return PeerAnswer.AdapterUnavailable(AdapterRefusal.NO_FREE_PLACE)
             }
         }
     }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EventRelay.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EventRelay.kt
@@ -56,8 +56,7 @@
 
     private fun noteId(events: ByteArray) {
         val text = events.toString(Charsets.ISO_8859_1)
-        val field = if (text.startsWith(ID_FIELD)) 0 else text.lastIndexOf("\n$ID_FIELD") + 1
-        val last = maxOf(field, text.lastIndexOf("\n$ID_FIELD") + 1)
+        val last = text.lastIndexOf("\n$ID_FIELD") + 1
         if (!text.startsWith(ID_FIELD, last)) return
         lastEventId = text.substring(last + ID_FIELD.length).lineSequence().first().trim()
     }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
@@ -31,6 +31,7 @@
 import org.lentilquay.transport.http.KeptConnections
 import org.lentilquay.transport.peer.PeerCallResult
 import org.lentilquay.transport.peer.PeerClient
+import org.lentilquay.transport.peer.PeerHandler
 import org.lentilquay.transport.peer.PeerIdentity
 import org.lentilquay.transport.peer.startPeerServer
 import org.lentilquay.transport.platform.TableService
@@ -104,7 +105,7 @@
         val identity = PeerIdentity(options.vm, incarnation)
         fleet = SocketFleetCalls(options.vm, PeerClient(identity, secret)) { state.members[it]?.address }
         val quota = FleetQuota(state.buckets, fleet, control, scope, TOKENS_MILLIS, timer::now)
-        fleet.local = org.lentilquay.transport.peer.PeerHandler { from, request -> answer(quota, from, request) }
+        fleet.local = PeerHandler { from, request -> answer(quota, from, request) }
         startPeerServer(options.peers, identity, secret, fleet.local)
         val forwarding = RequestForwarding(
             ports.headers, state, control, quota, fleet, servers, metrics, scope, timer::now,
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/MemberLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/MemberLoop.kt
@@ -1,7 +1,7 @@
 /*
  * This VM among the others: renews its member record, reads those of the others, and takes control of engines that
- * have no controller. The record also carries what this VM knows about its engines and which adapters its callers use,
- * so that one write and one read a second keep all VMs informed.
+ * have no controller. The record also carries what this VM knows about its engines, so that one write and one read a
+ * second keep all VMs informed.
  */
 package org.lentilquay.daemon.gateway
 
@@ -107,7 +107,7 @@
     fun tick() {
         if (!state.lease.isValid(now(), clockDifference())) {
             if (engines.isNotEmpty()) log.change("lease lapsed", "engines" to engines.keys.sorted())
-            engines.keys.toList().forEach(::drop)
+            dropAll()
             return
         }
         val registered = state.selection.registered
@@ -129,9 +129,10 @@
     }
 
     /** Newer versions of adapters were announced. Call on the control thread. */
-    fun versionsAnnounced() = engines.values.forEach { engine ->
+    fun versionsAnnounced() = engines.values.forEach(::announceVersions)
+
+    private fun announceVersions(engine: ControlledEngine) =
         state.operator.adapterVersions.forEach { (adapter, version) -> engine.announced(adapter, version) }
-    }
 
     /** Gives all engines up; no order is sent after this. Call on the control thread. */
     fun dropAll() = engines.keys.toList().forEach(::drop)
@@ -171,7 +172,7 @@
         val mayOrder = { !isLeaving && state.lease.isValid(now(), clockDifference()) }
         val engine = ControlledEngine(server, fence, options.vm.text, profile, orders, control, mayOrder, now)
         engines.put(server.id, engine)?.stop()
-        state.operator.adapterVersions.forEach { (adapter, version) -> engine.announced(adapter, version) }
+        announceVersions(engine)
         engine.start(scope)
     }
 }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarding.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarding.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import kotlinx.io.IOException
+import org.lentilquay.coordination.configuration.sha256Of
 import org.lentilquay.coordination.gateway.ServerChoice
 import org.lentilquay.coordination.gateway.ServerOutcome
 import org.lentilquay.coordination.gateway.ServerWish
@@ -29,8 +30,8 @@
 import org.lentilquay.state.ServerId
 import org.lentilquay.state.gateway.AdapterName
 import org.lentilquay.state.gateway.TeamAccess
+import org.lentilquay.transport.http.KeptConnections
 import org.lentilquay.transport.peer.PeerCallResult
-import java.security.MessageDigest
 import kotlin.random.Random
 
 private val log = KotlinLogging.logger {}
@@ -72,7 +73,7 @@
     private val control: ControlThread,
     private val quota: Quota,
     private val fleet: FleetCalls,
-    servers: org.lentilquay.transport.http.KeptConnections,
+    servers: KeptConnections,
     private val metrics: GatewayMetrics,
     private val scope: CoroutineScope,
     private val now: () -> Long,
@@ -129,7 +130,7 @@
 
     private fun teamOf(rules: RequestRules, head: CallerHead): TeamAccess? {
         val key = head.all(names.key).singleOrNull() ?: return null
-        return rules.configuration.teamOfKey[keyHash(key)]?.let { rules.configuration.teams[it] }
+        return rules.configuration.teamOfKey[sha256Of(key)]?.let { rules.configuration.teams[it] }
     }
 
     private suspend fun charge(plan: RequestPlan): Admission {
@@ -343,7 +344,3 @@
         )
     }
 }
-
-/** The hash under which a key is kept; the key itself is not kept. */
-fun keyHash(key: String): String =
-    MessageDigest.getInstance("SHA-256").digest(key.encodeToByteArray()).joinToString("") { "%02x".format(it) }
