Count leases on the table service's clock, and ask only VMs that answer for loads

Meanwhile requests asked the lost VM for loads (1,839 of 9,900 asks, 450 ms each when connecting). Ruled out: places taken by too many adapters (52 to 75 of 112 were in use); a lack of load speed (median 280 ms). Change: member records name a time of the table service; readers compare it with the time in their own reading, so an outage of the table lets no lease lapse. The lease is 6 s in place of 8 s, candidates follow each other after 300 ms. Members that missed three renewals or did not answer are not asked for loads.

--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/ControlLease.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/ControlLease.kt
@@ -1,10 +1,16 @@
 /*
  * Which engines this VM controls. Control is named by a record in the table; it passes to another VM only after the
- * member record of the former one has not changed for a time that covers the lease, the orders on their way, and the
- * pause that engines need between orders of two VMs. A VM gives orders only within its own lease, which counts from the
- * sending of the last renewal that took effect. A VM whose lease lapsed reads the records again before it orders.
+ * lease of the former one is over, and after a time that covers the orders on their way and the pause that engines need
+ * between orders of two VMs. A VM gives orders only within its own lease. A VM whose lease lapsed reads the records
+ * again before it orders.
  *
- * Single-threaded use; times are monotonic milliseconds of this VM.
+ * Leases are compared on the clock of the table service, so that a VM that has just started knows at once how old the
+ * others' records are, and no lease seems to lapse while the table service is out of reach. A holder counts its lease
+ * on its own monotonic clock, from the sending of the call whose answer gave the time in its record: that moment is not
+ * later than the time in the record.
+ *
+ * Single-threaded use; `now` is the monotonic clock of this VM in milliseconds, `table` times are those of the table
+ * service.
  */
 package org.lentilquay.coordination.gateway
 
@@ -15,8 +21,8 @@
 import org.lentilquay.state.gateway.ControllerRecord
 import org.lentilquay.state.gateway.MemberRecord
 
-/** Orders are given for this long after the last renewal was sent. */
-const val ORDER_LEASE_MILLIS: Long = 8_000
+/** Orders are given for this long after the moment from which the lease counts; docs/platform.md, section 5. */
+const val ORDER_LEASE_MILLIS: Long = 6_000
 
 /** Time for an order that was sent at the end of a lease to arrive. */
 private const val ORDER_TRANSIT_MILLIS = 500L
@@ -27,8 +33,14 @@
 /** A member that has not renewed for this long is replaced; a VM that restarts is back within a few seconds. */
 private const val GONE_MILLIS = 15_000L
 
-/** Members that try to take a vacant engine, best rank first; the next one tries this much later. */
-private const val NEXT_CANDIDATE_MILLIS = 1_500L
+/** A member that has not renewed for this long, three intervals, is not asked for anything. */
+private const val SILENT_MILLIS = 3_000L
+
+/** Members that try to take a vacant engine, best rank first; the next one tries this much later: one transaction. */
+private const val NEXT_CANDIDATE_MILLIS = 300L
+
+/** A time of the table service, with the monotonic time of this VM at which the call that it answered was sent. */
+data class TableTime(val millis: Long, val askedAt: Long)
 
 /** A member record with its version in the table. */
 data class MemberReading(val record: MemberRecord, val version: Long)
@@ -50,70 +62,77 @@
     /** Time that engines need between orders of two VMs, in milliseconds. */
     private val pauseMillis: Long,
 ) {
-    private class Seen(var reading: MemberReading, var changedAt: Long)
+    /** [sinceMillis] is the table's time of the first reading of this version. */
+    private class Seen(val reading: MemberReading, val sinceMillis: Long)
 
-    private val seen = HashMap<VmId, Seen>()
+    private var seen: Map<VmId, Seen> = emptyMap()
+    private var observedMillis = 0L
     private val vacantSince = HashMap<ServerId, Long>()
-    private var renewedAt: Long? = null
+    private var countsFrom: Long? = null
     private var clockDifference = 0L
 
-    /** The members that were seen to renew within the lapse time, with their records. */
-    fun live(now: Long): Map<VmId, MemberRecord> = seen
-        .filterValues { !it.reading.record.isLeaving && now - it.changedAt < lapseMillis }
+    /** The members whose leases had not lapsed at the last reading, with their records. */
+    fun live(): Map<VmId, MemberRecord> = seen
+        .filterValues { !it.reading.record.isLeaving && ageMillis(it) < lapseMillis }
         .mapValues { it.value.reading.record }
 
     private val lapseMillis get() = ORDER_LEASE_MILLIS + ORDER_TRANSIT_MILLIS + pauseMillis
 
-    /** The members that have not renewed for so long that they are taken to be gone for good. */
-    fun gone(now: Long): Set<VmId> =
-        seen.filterValues { now - it.changedAt > GONE_MILLIS }.keys.toSet()
-
-    /** Takes in all member records, read at [now]. */
-    fun observed(readings: Map<VmId, MemberReading>, now: Long) {
-        seen.keys.retainAll(readings.keys)
-        readings.forEach { (vm, reading) ->
-            val known = seen.getOrPut(vm) { Seen(reading, now) }
-            if (reading.version > known.reading.version) {
-                known.reading = reading
-                known.changedAt = now
-            }
+    /** The members that had not renewed for so long at the last reading that they are taken to be gone for good. */
+    fun gone(): Set<VmId> = seen.filterValues { ageMillis(it) > GONE_MILLIS }.keys
+
+    /** The members that missed several renewals before the last reading. */
+    fun silent(): Set<VmId> = seen.filterValues { ageMillis(it) > SILENT_MILLIS }.keys - own
+
+    private fun ageMillis(member: Seen) = observedMillis - member.reading.record.tableMillis
+
+    /** Takes in all member records, read when the table's clock showed [tableMillis]. */
+    fun observed(readings: Map<VmId, MemberReading>, tableMillis: Long) {
+        observedMillis = maxOf(observedMillis, tableMillis)
+        seen = readings.mapValues { (vm, reading) ->
+            seen[vm]?.takeIf { it.reading.version >= reading.version } ?: Seen(reading, tableMillis)
         }
     }
 
-    /** A renewal sent at [sentAt] took effect; [difference] is the wall clock less the monotonic clock at that time. */
-    fun renewed(sentAt: Long, difference: Long) {
-        renewedAt = maxOf(renewedAt ?: sentAt, sentAt)
+    /**
+     * A renewal took effect whose record names the time [basis]; [difference] is the wall clock less the monotonic
+     * clock when the call of [basis] was sent.
+     */
+    fun renewed(basis: TableTime, difference: Long) {
+        countsFrom = maxOf(countsFrom ?: basis.askedAt, basis.askedAt)
         clockDifference = difference
     }
 
     /** Whether orders may be given at [now]. A suspension shows only as a change of the [difference] of the clocks. */
     fun isValid(now: Long, difference: Long): Boolean {
-        val since = renewedAt ?: return false
+        val since = countsFrom ?: return false
         return now - since < ORDER_LEASE_MILLIS && kotlin.math.abs(difference - clockDifference) < SUSPENSION_MILLIS
     }
 
     /** Whether [server] has no controller among the live members and this VM is next to take it. */
     fun isCandidate(server: ServerId, now: Long): Boolean {
-        val live = live(now)
+        val live = live()
         val isControlled = live.any { (vm, record) -> vm != own && record.engines.any { it.server == server } }
         if (isControlled || own !in live) {
             vacantSince.remove(server)
             return false
         }
         val since = vacantSince.getOrPut(server) { now }
-        val rank = rendezvousRanking(server.text, live.keys) { it.text }.indexOf(own)
+        val rank = rendezvousRanking(server.text, live.keys - silent()) { it.text }.indexOf(own)
         return now - since >= rank * NEXT_CANDIDATE_MILLIS
     }
 
     /** What to do about [server], whose controller record was read just now; null stands for no record. */
-    fun takeOver(reading: ControllerReading?, now: Long): TakeOver {
+    fun takeOver(reading: ControllerReading?): TakeOver {
         val fence = (reading?.record?.fence ?: 0) + 1
         val record = ControllerRecord(own, incarnation, fence)
         val former = reading?.record?.vm
         if (former == null || former == own) return TakeOver.Due(record, reading?.version ?: 0, null)
         val known = seen[former] ?: return TakeOver.NotDue
-        val hasLeft = known.reading.record.isLeaving && now - known.changedAt >= pauseMillis + ORDER_TRANSIT_MILLIS
-        val hasLapsed = now - known.changedAt >= lapseMillis
+        // The time in the record may be from before the last order, so a VM that left is waited for from its reading.
+        val leftMillis = observedMillis - known.sinceMillis
+        val hasLeft = known.reading.record.isLeaving && leftMillis >= pauseMillis + ORDER_TRANSIT_MILLIS
+        val hasLapsed = ageMillis(known) >= lapseMillis
         if (!hasLeft && !hasLapsed) return TakeOver.NotDue
         return TakeOver.Due(record, reading.version, former to known.reading.version)
     }
--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/ServerSelection.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/ServerSelection.kt
@@ -46,6 +46,9 @@
 /** What this VM learned itself about an adapter counts for this long against older reports, in milliseconds. */
 private const val LEARNED_MILLIS = 2_500L
 
+/** A member that did not answer is not asked for this long, about two renewals of its record, in milliseconds. */
+private const val UNREACHABLE_MILLIS = 2_000L
+
 /** The cost of a server in another failure domain, in places. */
 private const val OTHER_DOMAIN_COST = 0.4
 
@@ -66,6 +69,10 @@
     private var byService: Map<String, List<RegisteredServer>> = emptyMap()
     private var engines: Map<ServerId, Pair<VmId, EngineState>> = emptyMap()
     private var holders: Map<AdapterName, Map<ServerId, Long>> = emptyMap()
+    private var silent: Set<VmId> = emptySet()
+
+    /** Members that did not answer this VM, with the time until which they are not asked. */
+    private val unreachable = HashMap<VmId, Long>()
     private val learned = HashMap<Pair<AdapterName, ServerId>, Learned>()
 
     /** Registered servers by id, also those that take no new work. */
@@ -95,10 +102,12 @@
         refresh()
     }
 
-    /** Takes over what the VMs of the fleet report about the engines they control. */
-    fun membersChanged(changed: Map<VmId, MemberRecord>, now: Long) {
+    /** Takes over what the VMs of the fleet report about the engines they control; [silentMembers] missed renewals. */
+    fun membersChanged(changed: Map<VmId, MemberRecord>, silentMembers: Set<VmId>, now: Long) {
         if (changed.keys != members.keys) cold.membersChanged()
         members = changed
+        silent = silentMembers
+        unreachable.values.removeIf { it <= now }
         val reported = HashMap<ServerId, Pair<VmId, EngineState>>()
         changed.forEach { (vm, record) ->
             record.engines.forEach { engine ->
@@ -116,6 +125,15 @@
     /** The VM that controls [server], as last reported. */
     fun controllerOf(server: ServerId): VmId? = engines[server]?.first
 
+    /** The member [vm] did not answer this VM. */
+    fun memberUnreachable(vm: VmId, now: Long) {
+        unreachable[vm] = now + UNREACHABLE_MILLIS
+    }
+
+    /** The VM that can be asked to load adapters on [server], or null if there is none. */
+    private fun loaderOf(server: ServerId, now: Long): VmId? =
+        controllerOf(server)?.takeIf { it !in silent && (unreachable[it] ?: 0) <= now }
+
     /** Open servers of [service]. */
     fun open(service: String): List<RegisteredServer> = byService[service].orEmpty()
 
@@ -161,17 +179,17 @@
         val best = held.minByOrNull { cost(it.first, now) }
         if (best != null && !isBusy(best.first, now)) return ServerChoice.Send(best.first, best.second)
         val home = homeFor(adapter, able.filter { server -> held.none { it.first.id == server.id } }, now)
-        val controller = home?.let { controllerOf(it.id) }
+        val controller = home?.let { loaderOf(it.id, now) }
         return when {
             home != null && controller != null && (best == null || !isBusy(home, now)) ->
                 ServerChoice.Load(home, controller, version)
             best != null -> ServerChoice.Send(best.first, best.second)
-            else -> ServerChoice.Nowhere("no engine with a controller can load the adapter")
+            else -> ServerChoice.Nowhere("no engine with a reachable controller can load the adapter")
         }
     }
 
     private fun homeFor(adapter: AdapterName, able: List<RegisteredServer>, now: Long): RegisteredServer? =
-        rendezvousRanking(adapter.toString(), able.filter { controllerOf(it.id) != null }) { it.id.text }
+        rendezvousRanking(adapter.toString(), able.filter { loaderOf(it.id, now) != null }) { it.id.text }
             .withIndex()
             .minByOrNull { (rank, server) -> rank * RANK_COST + cost(server, now) + coldCost(server, now) }
             ?.value
--- a/core/src/main/kotlin/org/lentilquay/state/gateway/MemberRecord.kt
+++ b/core/src/main/kotlin/org/lentilquay/state/gateway/MemberRecord.kt
@@ -37,7 +37,7 @@
     @SerialName("a") val adapters: Map<String, List<String>> = emptyMap(),
 )
 
-/** One VM of the gateway. [renewal] rises with each write, so that a lapsed lease shows as an unchanged record. */
+/** One VM of the gateway. [renewal] rises with each write. */
 @Serializable
 data class MemberRecord(
     @SerialName("p") val address: String,
@@ -47,6 +47,8 @@
     /** Set when the VM stops; it gives no orders any more. */
     @SerialName("l") val isLeaving: Boolean = false,
     @SerialName("e") val engines: List<EngineState> = emptyList(),
+    /** Time of the table service, in milliseconds, from which the lease of this record counts at the latest. */
+    @SerialName("t") val tableMillis: Long = 0,
 )
 
 /** Which VM controls an engine. [fence] rises with each change of control. */
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
@@ -62,6 +62,7 @@
 /** What the adapter of a platform provides. */
 class GatewayPorts(
     val table: TableService,
+    val clock: TableClock,
     val watch: WatchSource,
     val decoder: RowDecoder,
     val orders: EngineOrders,
@@ -79,7 +80,9 @@
     private val servers = KeptConnections(network)
     private val state = GatewayState(options, incarnation, timer::now)
     private val metrics = GatewayMetrics()
-    private val members = MemberLoop(options, incarnation, state, ports.table, ports.orders, control, scope, timer::now)
+    private val members = MemberLoop(
+        options, incarnation, state, ports.table, ports.clock, ports.orders, control, scope, timer::now,
+    )
     private val operatorWatch = watchLoop(WatchedTableName.OPERATOR) { rows ->
         control.decide {
             state.operatorChanged(ports.decoder.operatorState(rows.rows, state.operator), rows.version)
@@ -182,7 +185,7 @@
     }
 
     private suspend fun seatMembers(): SeatLoop.SeatMembers = control.decide {
-        SeatLoop.SeatMembers(state.members.keys + options.vm, state.lease.gone(timer.now()))
+        SeatLoop.SeatMembers(state.members.keys + options.vm, state.lease.gone())
     }
 
     private fun watchLoop(table: WatchedTableName, changed: suspend (WatchedRows) -> Unit) =
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayPorts.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayPorts.kt
@@ -40,6 +40,12 @@
     suspend fun changes(table: WatchedTableName, after: Long, waitMillis: Long): WatchAnswer
 }
 
+/** The clock of the table service, which all VMs see alike and which never stops. */
+interface TableClock {
+    /** The latest time in an answer of the table service, in milliseconds; null before the first one. */
+    val latestMillis: Long?
+}
+
 /** Reads rows of the watched tables as what they mean. Unreadable rows are left out and logged. */
 interface RowDecoder {
     /** The operator's state; [previous] is kept for parts that cannot be read. */
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayState.kt
@@ -98,12 +98,13 @@
         }
     }
 
-    fun membersChanged(changed: Map<VmId, MemberRecord>) {
+    /** Takes over the live members; those in [silent] have missed renewals. */
+    fun membersChanged(changed: Map<VmId, MemberRecord>, silent: Set<VmId>) {
         if (changed.keys != members.keys) {
             log.change("members changed", "members" to changed.keys.sorted(), "joined" to changed.keys - members.keys)
             retries.membersChanged(changed.size)
         }
         members = changed
-        selection.membersChanged(changed, now())
+        selection.membersChanged(changed, silent, now())
     }
 }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/MemberLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/MemberLoop.kt
@@ -12,6 +12,7 @@
 import org.lentilquay.coordination.WriteResult
 import org.lentilquay.coordination.gateway.ControllerReading
 import org.lentilquay.coordination.gateway.MemberReading
+import org.lentilquay.coordination.gateway.TableTime
 import org.lentilquay.coordination.gateway.TakeOver
 import org.lentilquay.daemon.control.decodeOrNull
 import org.lentilquay.daemon.control.record
@@ -44,6 +45,7 @@
     private val incarnation: Incarnation,
     private val state: GatewayState,
     private val table: TableService,
+    private val clock: TableClock,
     private val orders: EngineOrders,
     private val control: ControlThread,
     private val scope: CoroutineScope,
@@ -54,6 +56,9 @@
     private var isTaking = false
     private var wasRenewed = false
 
+    /** What the next renewal counts from, and the wall clock less the monotonic clock at that time. */
+    private var basis: Pair<TableTime, Long>? = null
+
     /** Set for a planned stop. */
     @Volatile
     var isLeaving: Boolean = false
@@ -63,6 +68,7 @@
 
     /** The member records and this VM's view of its own engines are exchanged. Call once a second. */
     suspend fun exchange() {
+        if (basis == null) observe()
         // A renewal that failed is tried again at once, because the lease may run out before the next exchange.
         var attempts = 0
         while (!renew() && ++attempts < MAXIMUM_RENEWALS) delay(RENEWAL_PAUSE_MILLIS)
@@ -70,36 +76,39 @@
     }
 
     private suspend fun renew(): Boolean {
-        val sentAt = now()
-        val difference = clockDifference()
-        val record = control.decide { ownRecord() }
+        val (from, difference) = basis ?: return false
+        val record = control.decide { ownRecord(from.millis) }
         val put = TableOperation.Put(memberKey(options.vm), tolerantJson.encodeToString(record))
         val isRenewed = table.write(listOf(put)) == WriteResult.COMMITTED
-        if (isRenewed) control.decide { state.lease.renewed(sentAt, difference) }
+        if (isRenewed) control.decide { state.lease.renewed(from, difference) }
         if (isRenewed != wasRenewed) log.change("member record", "renewed" to isRenewed, "renewal" to record.renewal)
         wasRenewed = isRenewed
         return isRenewed
     }
 
-    private fun ownRecord() = MemberRecord(
+    private fun ownRecord(tableMillis: Long) = MemberRecord(
         address = options.peers,
         domain = options.domain,
         incarnation = incarnation,
         renewal = ++renewal,
         isLeaving = isLeaving,
         engines = if (isLeaving) emptyList() else engines.values.map { it.state() },
+        tableMillis = tableMillis,
     )
 
     private suspend fun observe() {
+        val askedAt = now()
+        val difference = clockDifference()
         val items = (table.scan(MEMBER_PREFIX) as? ReadResult.Read)?.value ?: return
+        val tableMillis = clock.latestMillis ?: return
+        basis = TableTime(tableMillis, askedAt) to difference
         val readings = items.mapNotNull { item ->
             val record = decodeOrNull<MemberRecord>(item) ?: return@mapNotNull null
             VmId(item.key.removePrefix(MEMBER_PREFIX)) to MemberReading(record, item.version)
         }.toMap()
         control.decide {
-            state.lease.observed(readings, now())
-            val live = state.lease.live(now())
-            state.membersChanged(live)
+            state.lease.observed(readings, tableMillis)
+            state.membersChanged(state.lease.live(), state.lease.silent())
         }
     }
 
@@ -156,7 +165,7 @@
     private suspend fun take(server: RegisteredServer) {
         val read = table.record<ControllerRecord>(controllerKey(server.id)) ?: return
         val reading = read.value?.let { ControllerReading(it, read.version) }
-        val due = control.decide { state.lease.takeOver(reading, now()) } as? TakeOver.Due ?: return
+        val due = control.decide { state.lease.takeOver(reading) } as? TakeOver.Due ?: return
         val operations = buildList {
             val record = tolerantJson.encodeToString(due.record)
             add(TableOperation.Put(controllerKey(server.id), record, due.expectedVersion))
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarding.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarding.kt
@@ -287,6 +287,7 @@
         val request = PeerRequest.EnsureAdapter(choice.server.id, plan.adapter!!, choice.version, wait)
         val result = fleet.call(choice.controller, request, wait + PEER_MARGIN_MILLIS)
         val answer = (result as? PeerCallResult.Answered)?.answer
+        if (answer == null) control.decide { state.selection.memberUnreachable(choice.controller, now()) }
         trace.note("load on ${choice.server.id} by ${choice.controller} ${now() - startedAt} ms: ${answer ?: result}")
         return answer
     }
