Free the place of an adapter at the end of its last use, and bound waits for a place

Requests that waited for a place stayed at one engine for 700 ms of an aim of 800 ms, while others had room. Ruled out: uses whose end was not told (the places in use by the log lines agree with the reports). Change: 300 ms are kept only after an adapter became ready for a request; a wish on an engine with requests on every adapter is given up after 400 ms, so that the request asks elsewhere.

--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/EngineController.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/EngineController.kt
@@ -33,8 +33,11 @@
 /** An adapter that is not in a report for this long after its load was accepted has not been loaded. */
 private const val LOAD_LOST_MILLIS = 3_000L
 
-/** An adapter that was made ready within this time may have requests that are not known yet. */
-private const val IN_USE_MILLIS = 300L
+/** After its adapter became ready, a request has this long to tell its use: one message between VMs. */
+private const val RESERVED_MILLIS = 300L
+
+/** A wish for a place on an engine with requests on every adapter is given up after this: three ends of a request. */
+private const val PLACE_PATIENCE_MILLIS = 400L
 
 /** Adapters on their way to one engine at the same time; the platform's bound. */
 private const val LOADS_AT_ONCE = 4
@@ -64,13 +67,16 @@
     private class Held(var version: Long, var readyAt: Long, val acceptedAt: Long) {
         var usedAt = acceptedAt
 
+        /** The adapter was promised to requests that have until then to tell their use. */
+        var reservedUntil = maxOf(acceptedAt, readyAt) + RESERVED_MILLIS
+
         /** The requests that use the adapter, with the time after which they certainly do not. */
         val uses = HashMap<String, Long>()
         var isConfirmed = false
         var isUnloading = false
     }
 
-    private class Wish(var renewedAt: Long)
+    private class Wish(val since: Long, var renewedAt: Long)
 
     private val held = HashMap<AdapterName, Held>()
     private val wishes = LinkedHashMap<AdapterName, Wish>()
@@ -113,6 +119,7 @@
         val present = held[adapter]
         if (present != null && !present.isUnloading && present.version >= version) {
             present.usedAt = now
+            present.reservedUntil = maxOf(now, present.readyAt) + RESERVED_MILLIS
             if (present.readyAt <= now) return AdapterStanding.Ready(present.version)
             return AdapterStanding.Loading(present.readyAt)
         }
@@ -120,8 +127,13 @@
         expireWishes(now)
         val isInUse = acceptedOrders != null && present == null && !hasRoom(adapter.model) && victim(now) == null
         val bound = if (isInUse) MAXIMUM_WISHES_WITHOUT_PLACE else MAXIMUM_WISHES
-        if (adapter !in wishes && wishes.size >= bound) return AdapterStanding.Full
-        wishes.getOrPut(adapter) { Wish(now) }.renewedAt = now
+        val since = wishes[adapter]?.since
+        val isRefused = if (since == null) wishes.size >= bound else isInUse && now - since > PLACE_PATIENCE_MILLIS
+        if (isRefused) {
+            wishes.remove(adapter)
+            return AdapterStanding.Full
+        }
+        wishes.getOrPut(adapter) { Wish(now, now) }.renewedAt = now
         return AdapterStanding.Waiting
     }
 
@@ -251,7 +263,7 @@
 
     /** An engine refuses to unload an adapter with requests; otherwise the number of orders was wrong. */
     private fun conflict(order: EngineOrder, now: Long) {
-        if (order is EngineOrder.UnloadAdapter) held[order.adapter]?.usedAt = now
+        if (order is EngineOrder.UnloadAdapter) held[order.adapter]?.reservedUntil = now + RESERVED_MILLIS
         if (order !is EngineOrder.UnloadAdapter || ++refusedUnloads > MAXIMUM_REFUSED_UNLOADS) readAgain(now)
     }
 
@@ -313,7 +325,7 @@
     private fun victim(now: Long): AdapterName? = held.entries
         .filter { (_, present) ->
             present.uses.values.removeIf { it < now }
-            val isIdle = present.uses.isEmpty() && now - present.usedAt > IN_USE_MILLIS
+            val isIdle = present.uses.isEmpty() && present.reservedUntil <= now
             isIdle && !present.isUnloading && present.readyAt <= now
         }
         .minByOrNull { it.value.usedAt }?.key
--- a/core/src/test/kotlin/org/lentilquay/coordination/gateway/EngineControllerTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/gateway/EngineControllerTest.kt
@@ -66,6 +66,35 @@
         busy.nextOrder(7_000) shouldBe EngineOrder.UnloadAdapter(adapter(2))
     }
 
+    test("hot engine: the place of an adapter is free as soon as its last request has ended") {
+        val busy = controller(adapter(1) to 1, adapter(2) to 1)
+        busy.useBegan("r1", adapter(1), until = 20_000)
+        busy.useBegan("r2", adapter(2), until = 20_000)
+        busy.want(adapter(3), 0, 6_000)
+        busy.nextOrder(6_000) shouldBe null
+        busy.useEnded("r1", adapter(1), 6_010)
+        busy.nextOrder(6_010) shouldBe EngineOrder.UnloadAdapter(adapter(1))
+    }
+
+    test("hot engine: a request that waited for a place as long as three others take is sent elsewhere") {
+        val busy = controller(adapter(1) to 1, slots = 1)
+        busy.useBegan("r1", adapter(1), until = 20_000)
+        (6_000L..6_400 step 100).map { busy.want(adapter(2), 0, it) } shouldBe List(5) { AdapterStanding.Waiting }
+        busy.want(adapter(2), 0, 6_401) shouldBe AdapterStanding.Full
+        busy.want(adapter(2), 0, 6_402) shouldBe AdapterStanding.Waiting
+    }
+
+    test("an adapter that became ready for a request is kept until the request can have told its use") {
+        val controller = controller(slots = 1)
+        controller.want(adapter(1), 0, 10)
+        controller.carryOut(OrderOutcome.ACCEPTED, 10)
+        val readyAt = controller.want(adapter(1), 0, 11).shouldBeInstanceOf<AdapterStanding.Loading>().readyAt
+        controller.want(adapter(2), 0, readyAt + 299)
+        controller.nextOrder(readyAt + 299) shouldBe null
+        controller.want(adapter(2), 0, readyAt + 300)
+        controller.nextOrder(readyAt + 300) shouldBe EngineOrder.UnloadAdapter(adapter(1))
+    }
+
     test("a use whose end was not told ends with its time") {
         val controller = controller(adapter(1) to 1, slots = 1)
         controller.useBegan("r1", adapter(1), until = 9_000)
