Lend teams some tokens while a process starts

Change: at its start a process lends each team its part of the tolerance of the rates (0.3 of it over the fleet, at most half of the burst), usable for 2 s; without the records of the other VMs it lends nothing.

--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/ControlLease.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/ControlLease.kt
@@ -76,6 +76,9 @@
         .filterValues { !it.reading.record.isLeaving && ageMillis(it) < lapseMillis }
         .mapValues { it.value.reading.record }
 
+    /** The number of members that have a record and did not leave in order, also those that lapsed. */
+    val known: Int get() = seen.values.count { !it.reading.record.isLeaving }
+
     private val lapseMillis get() = ORDER_LEASE_MILLIS + ORDER_TRANSIT_MILLIS + pauseMillis
 
     /** The members that had not renewed for so long at the last reading that they are taken to be gone for good. */
--- a/core/src/main/kotlin/org/lentilquay/coordination/quota/TeamBuckets.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/quota/TeamBuckets.kt
@@ -23,6 +23,12 @@
 /** How long the unmet part of a peer's demand is considered when tokens are divided between peers. */
 const val DEMAND_MEMORY_MILLIS: Long = 100
 
+/** How long the tokens of a new process can be used; its seats generate and its pulls are answered after half of it. */
+const val START_TOKENS_MILLIS: Long = 2_000
+
+/** The tokens of a new process are at most this part of its share of the burst, which its former process lost. */
+private const val START_BURST_PART = 0.5
+
 private const val MILLIS_PER_SECOND = 1_000L
 private const val MAXIMUM_RETRY_ADVICE_MILLIS = 60_000L
 
@@ -44,6 +50,9 @@
     private val entries = HashMap<TeamId, Entry>()
     private var held: Set<Int> = emptySet()
     private var lastCharge = 0L
+    private var startTokens = StartTokens(0, 1, until = Long.MIN_VALUE)
+
+    private class StartTokens(val most: Long, val members: Int, val until: Long)
 
     /** Takes over the set of seats that this VM holds. A new seat starts empty and idle, a lost one takes its part. */
     fun seatsChanged(seats: Set<Int>, now: Long) {
@@ -57,6 +66,25 @@
         held = seats.toSet()
     }
 
+    /**
+     * Lends each team its part of [most] tokens for the first seconds of this process, one of [members]. The tokens
+     * that the buckets of a former process held are lost with it, and a new seat has none for half a second: without a
+     * loan, a fleet that starts again at once refuses all of its teams meanwhile. Of the bound on a team over all VMs,
+     * [most] is what may come on top of rate and burst.
+     */
+    fun started(most: Long, members: Int, now: Long) {
+        startTokens = StartTokens(most, members.coerceAtLeast(1), now + START_TOKENS_MILLIS)
+        entries.values.forEach { entry ->
+            entry.bucket.advance(now)
+            lend(entry.bucket)
+        }
+    }
+
+    private fun lend(bucket: TokenBucket) {
+        val most = minOf(startTokens.most, (bucket.team.burstTokens * START_BURST_PART).toLong())
+        bucket.lend(most / startTokens.members, startTokens.until)
+    }
+
     /** Takes over the configured [teams]. The bucket of a new team starts like one whose seats were taken now. */
     fun configure(teams: Collection<Team>, now: Long) {
         entries.keys.retainAll(teams.mapTo(HashSet()) { it.id })
@@ -142,8 +170,10 @@
         return bucket.availableTokens
     }
 
-    private fun newBucket(team: Team, now: Long): TokenBucket =
-        TokenBucket(team, seatCount, now).also { bucket -> held.forEach { bucket.addSeat(it, now) } }
+    private fun newBucket(team: Team, now: Long): TokenBucket = TokenBucket(team, seatCount, now).also { bucket ->
+        held.forEach { bucket.addSeat(it, now) }
+        if (now < startTokens.until) lend(bucket)
+    }
 
     private fun isBefore(asker: VmId, waitedMillis: Long, ownWaitedMillis: Long): Boolean =
         waitedMillis > ownWaitedMillis || (waitedMillis == ownWaitedMillis && asker < own)
--- a/core/src/main/kotlin/org/lentilquay/coordination/quota/TokenBucket.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/quota/TokenBucket.kt
@@ -130,6 +130,11 @@
         if (amount > 0) parcels.add(Timed(requestedAt + TOKEN_VALIDITY_MILLIS + 1, amount))
     }
 
+    /** Puts [tokens] at the disposal of the own requests until [until]; an open debt is not paid with them. */
+    fun lend(tokens: Long, until: Long) {
+        if (tokens > 0) parcels.add(Timed(until, tokens * unitsPerToken))
+    }
+
     private fun nextEventMillis(): Long = minOf(
         holds.firstOrNull()?.atMillis ?: Long.MAX_VALUE,
         parcels.minOfOrNull { it.atMillis } ?: Long.MAX_VALUE,
--- a/core/src/test/kotlin/org/lentilquay/coordination/gateway/ControlLeaseTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/gateway/ControlLeaseTest.kt
@@ -58,6 +58,7 @@
         val lease = lease()
         lease.observed(mapOf(vm(2) to renewed(5, tableMillis = 1_000)), 1_000 + LAPSE)
         lease.live() shouldBe emptyMap()
+        lease.known shouldBe 1
         lease.takeOver(heldBy(vm(2))).shouldBeInstanceOf<TakeOver.Due>()
     }
 
--- a/core/src/test/kotlin/org/lentilquay/coordination/quota/TeamBucketsTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/quota/TeamBucketsTest.kt
@@ -20,6 +20,26 @@
 }
 
 class TeamBucketsTest : FunSpec({
+    // Guards against a fleet that refuses its teams after all of its processes were killed, and against a loan that
+    // lets a team exceed its bound.
+    test("all processes killed: a new one serves its teams at once, from a loan that ends") {
+        val buckets = TeamBuckets(own)
+        buckets.started(most = 8_000, members = 4, now = 100)
+        buckets.configure(listOf(testTeam), 150)
+        buckets.seatsChanged(setOf(0, 1, 2, 3), 200)
+        // Half of the burst of 2,000 is less than 8,000; each of four VMs has its part of that.
+        buckets.available(team, 200) shouldBe 250
+        buckets.admit(team, "a", 200, 210).shouldBeInstanceOf<AdmitDecision.Admitted>()
+        buckets.available(team, 700) shouldBe 50
+        buckets.give(team, peer, 50, 0, 700) shouldBe 0
+        buckets.started(most = 400, members = 4, now = 300_000)
+        buckets.available(team, 300_000) shouldBe 600
+        buckets.available(team, 302_000) shouldBe 500
+        buckets.configure(emptyList(), 303_000)
+        buckets.configure(listOf(testTeam), 303_000)
+        buckets.available(team, 303_000) shouldBe 0
+    }
+
     // Guards against tokens that appear from nothing when the seats or the configuration change.
     data class Change(val name: String, val expected: Long, val at: Long = 10_000, val act: TeamBuckets.() -> Unit)
     listOf(
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
@@ -43,6 +43,12 @@
 private const val SEAT_MILLIS = 2_000L
 private const val SWEEP_MILLIS = 1_000L
 
+/**
+ * The part of the tolerance of the teams' rates that the VMs may lend their teams at a start: the whole fleet can start
+ * twice in the platform's window, and some is left for clocks and late answers.
+ */
+private const val START_TOLERANCE_PART = 0.3
+
 /** Bound on asking another VM for its copy of a table. */
 private const val COPY_MILLIS = 400L
 
@@ -179,6 +185,11 @@
      */
     private suspend fun joinFleet(seats: SeatLoop) {
         members.exchange()
+        control.decide {
+            val most = (options.quotaTolerance * START_TOLERANCE_PART).toLong()
+            // Without the others' records the part of this VM is not known.
+            if (state.lease.known > 0) state.buckets.started(most, state.lease.known, timer.now())
+        }
         seats.review()
         scope.launch { timer.ticks(SEAT_MILLIS).collect { seats.review() } }
         timer.ticks(EXCHANGE_MILLIS).collect { members.exchange() }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayPorts.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayPorts.kt
@@ -102,4 +102,6 @@
     val orderPauseMillis: Long,
     val stopMillis: Long,
     val retries: RetryBounds,
+    /** Tokens that a team may use over all VMs beyond its rate and burst in the platform's window. */
+    val quotaTolerance: Long,
 )
