Ask all engines for a place before waiting at one, and wait for loads that take longer

Change: the first round over the engines takes free places only; the second one queues, until the aim is over. An engine that refuses an adapter that was promised extends its load, and the next loads are expected to take longer for a while.

--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/EngineController.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/EngineController.kt
@@ -30,6 +30,14 @@
 private const val FRESH_LOAD_MILLIS = 270L
 private const val REPEATED_LOAD_MILLIS = 35L
 
+/** More time for a load that is not done when expected, and how much longer the next ones are expected to take. */
+private const val LOAD_EXTENSION_MILLIS = 100L
+private const val LOAD_GROWTH = 1.2
+private const val LONGEST_LOAD_MILLIS = 1_000L
+
+/** How fast the expected time of a load returns to that of an idle store, for each load. */
+private const val LOAD_RECOVERY = 0.9
+
 /** An adapter that is not in a report for this long after its load was accepted has not been loaded. */
 private const val LOAD_LOST_MILLIS = 3_000L
 
@@ -94,6 +102,7 @@
     private var mayOrderFrom = 0L
     private var refusedUnloads = 0
     private var modelToLoad: String? = null
+    private var freshLoadMillis = FRESH_LOAD_MILLIS
 
     /** Requests running and waiting at the last report. */
     var running: Int = 0
@@ -114,8 +123,11 @@
     fun ready(now: Long): Map<AdapterName, Long> =
         held.filterValues { it.readyAt <= now && !it.isUnloading }.mapValues { it.value.version }
 
-    /** Asks for [adapter] in [version] or later and tells how that stands. */
-    fun want(adapter: AdapterName, version: Long, now: Long): AdapterStanding {
+    /**
+     * Asks for [adapter] in [version] or later and tells how that stands. Without [mayQueue], it is not waited for while
+     * requests use every adapter of the engine.
+     */
+    fun want(adapter: AdapterName, version: Long, now: Long, mayQueue: Boolean = true): AdapterStanding {
         val present = held[adapter]
         if (present != null && !present.isUnloading && present.version >= version) {
             present.usedAt = now
@@ -128,7 +140,10 @@
         val isInUse = acceptedOrders != null && present == null && !hasRoom(adapter.model) && victim(now) == null
         val bound = if (isInUse) MAXIMUM_WISHES_WITHOUT_PLACE else MAXIMUM_WISHES
         val since = wishes[adapter]?.since
-        val isRefused = if (since == null) wishes.size >= bound else isInUse && now - since > PLACE_PATIENCE_MILLIS
+        val isRefused = when {
+            since != null -> isInUse && now - since > PLACE_PATIENCE_MILLIS
+            else -> wishes.size >= bound || (isInUse && !mayQueue)
+        }
         if (isRefused) {
             wishes.remove(adapter)
             return AdapterStanding.Full
@@ -137,6 +152,20 @@
         return AdapterStanding.Waiting
     }
 
+    /** The engine refused a request because it does not hold [adapter]. */
+    fun missing(adapter: AdapterName, now: Long) {
+        val present = held[adapter] ?: return
+        when {
+            present.isUnloading || present.readyAt > now -> Unit
+            // The load takes longer than expected, as loads do while many engines load.
+            !present.isConfirmed && now - present.acceptedAt < LOAD_LOST_MILLIS -> {
+                present.readyAt = now + LOAD_EXTENSION_MILLIS
+                freshLoadMillis = minOf((freshLoadMillis * LOAD_GROWTH).toLong(), LONGEST_LOAD_MILLIS)
+            }
+            else -> held.remove(adapter)
+        }
+    }
+
     /** The wish for [adapter] has ended. */
     fun unwant(adapter: AdapterName) {
         wishes.remove(adapter)
@@ -282,13 +311,17 @@
             is EngineOrder.LoadModel -> isBusy = true
             is EngineOrder.LoadAdapter -> {
                 wishes.remove(order.adapter)
-                val millis = if (remembered.remove(order.adapter)) REPEATED_LOAD_MILLIS else FRESH_LOAD_MILLIS
+                val millis = if (remembered.remove(order.adapter)) REPEATED_LOAD_MILLIS else nextFreshLoadMillis()
                 held[order.adapter] = Held(maxOf(1, required[order.adapter] ?: 1), now + millis, now)
             }
             is EngineOrder.UnloadAdapter -> held[order.adapter]?.isUnloading = true
         }
     }
 
+    private fun nextFreshLoadMillis(): Long = freshLoadMillis.also {
+        freshLoadMillis = FRESH_LOAD_MILLIS + ((it - FRESH_LOAD_MILLIS) * LOAD_RECOVERY).toLong()
+    }
+
     private fun alreadyDone(order: EngineOrder, now: Long) {
         acceptedOrders = acceptedOrders?.plus(1)
         doubtful = null
--- a/core/src/main/kotlin/org/lentilquay/protocol/PeerMessages.kt
+++ b/core/src/main/kotlin/org/lentilquay/protocol/PeerMessages.kt
@@ -191,6 +191,10 @@
         val adapter: AdapterName,
         val version: Long,
         val waitMillis: Long,
+        /** Whether the request may wait for a place while requests use every adapter of the engine. */
+        val mayQueue: Boolean = true,
+        /** The engine has just refused a request because it does not hold the adapter. */
+        val wasMissing: Boolean = false,
     ) : PeerRequest
 
     /**
--- a/core/src/test/kotlin/org/lentilquay/coordination/gateway/EngineControllerTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/gateway/EngineControllerTest.kt
@@ -95,6 +95,34 @@
         controller.nextOrder(readyAt + 300) shouldBe EngineOrder.UnloadAdapter(adapter(1))
     }
 
+    test("hot engine: a request that does not queue is refused at once, so that it finds a free place elsewhere") {
+        val busy = controller(adapter(1) to 1, slots = 1)
+        busy.useBegan("r1", adapter(1), until = 20_000)
+        busy.want(adapter(2), 0, 6_000, mayQueue = false) shouldBe AdapterStanding.Full
+        busy.want(adapter(2), 0, 6_000) shouldBe AdapterStanding.Waiting
+        controller(slots = 1).want(adapter(2), 0, 6_000, mayQueue = false) shouldBe AdapterStanding.Waiting
+    }
+
+    test("rare adapters all at once: loads that take longer than expected are waited for, not answered as ready") {
+        val controller = controller(slots = 8)
+        controller.want(adapter(1), 0, 0)
+        controller.carryOut(OrderOutcome.ACCEPTED, 0)
+        controller.want(adapter(1), 0, 270) shouldBe AdapterStanding.Ready(1)
+        controller.missing(adapter(1), 275)
+        controller.missing(adapter(1), 276)
+        controller.want(adapter(1), 0, 277) shouldBe AdapterStanding.Loading(375)
+        controller.want(adapter(2), 0, 400)
+        controller.carryOut(OrderOutcome.ACCEPTED, 400)
+        controller.want(adapter(2), 0, 401) shouldBe AdapterStanding.Loading(400 + 324)
+    }
+
+    test("an adapter that an engine lost without an order is loaded again") {
+        val controller = controller(adapter(1) to 1)
+        controller.want(adapter(1), 0, 500) shouldBe AdapterStanding.Ready(1)
+        controller.missing(adapter(1), 510)
+        controller.want(adapter(1), 0, 511) shouldBe AdapterStanding.Waiting
+    }
+
     test("a use whose end was not told ends with its time") {
         val controller = controller(adapter(1) to 1, slots = 1)
         controller.useBegan("r1", adapter(1), until = 9_000)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ControlledEngine.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ControlledEngine.kt
@@ -94,17 +94,21 @@
         wake.trySend(Unit)
     }
 
-    /** Makes [adapter] ready in [version] or later, within [waitMillis]. */
-    suspend fun ensure(adapter: AdapterName, version: Long, waitMillis: Long): PeerAnswer {
-        val ready = withTimeoutOrNull(waitMillis) { awaitReady(adapter, version) }
+    /** Makes the adapter ready that [request] asks for. */
+    suspend fun ensure(request: PeerRequest.EnsureAdapter): PeerAnswer {
+        if (request.wasMissing) control.decide { controller.missing(request.adapter, now()) }
+        val ready = withTimeoutOrNull(request.waitMillis) { awaitReady(request) }
         if (ready != null) return ready
         return PeerAnswer.AdapterUnavailable(AdapterRefusal.NOT_IN_TIME)
     }
 
-    private suspend fun awaitReady(adapter: AdapterName, version: Long): PeerAnswer {
+    private suspend fun awaitReady(request: PeerRequest.EnsureAdapter): PeerAnswer {
         while (true) {
             val seen = changes.value
-            when (val standing = control.decide { controller.want(adapter, version, now()) }) {
+            val standing = control.decide {
+                controller.want(request.adapter, request.version, now(), request.mayQueue)
+            }
+            when (standing) {
                 is AdapterStanding.Ready -> return PeerAnswer.AdapterReady(standing.version)
                 is AdapterStanding.Loading -> delay((standing.readyAt - now()).coerceAtLeast(1))
                 is AdapterStanding.Waiting -> {
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
@@ -211,7 +211,7 @@
     private suspend fun answer(quota: FleetQuota, from: VmId, request: PeerRequest): PeerAnswer = when (request) {
         is PeerRequest.EnsureAdapter -> {
             val engine = control.decide { members.engine(request.server) }
-            engine?.ensure(request.adapter, request.version, request.waitMillis)
+            engine?.ensure(request)
                 ?: PeerAnswer.AdapterUnavailable(AdapterRefusal.NOT_CONTROLLER)
         }
         is PeerRequest.AdapterUse -> {
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarding.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarding.kt
@@ -162,6 +162,9 @@
         private val trace: RequestTrace,
     ) {
         private val excluded = HashSet<ServerId>()
+
+        /** The engines that refused the request because they do not hold its adapter. */
+        private val missing = HashSet<ServerId>()
         private var runs = 0
         private var sends = 0
         private var resumeAfter: String? = null
@@ -178,7 +181,7 @@
         /** One attempt; null if another one is to follow. */
         private suspend fun tryOnce(): Int? {
             if (plan.deadlineAt - now() < LEAST_MILLIS) return fail("no time is left")
-            val target = when (val found = place(plan, excluded, trace)) {
+            val target = when (val found = place(plan, excluded, missing, trace)) {
                 is Outcome.Success -> found.value
                 is Outcome.Failed -> return fail(found.failure.message)
             }
@@ -196,7 +199,7 @@
             result: AttemptResult.NotRun,
             isAdapterMissing: Boolean,
         ): Int? {
-            if (!isAdapterMissing) excluded += target.server.id
+            if (isAdapterMissing) missing += target.server.id else excluded += target.server.id
             return when {
                 ++sends >= MAXIMUM_SENDS -> fail(result.reason)
                 result.hasArrived && !takeRetry() -> fail("${result.reason}, no retry left")
@@ -255,14 +258,23 @@
         if (end.isAdapterMissing) state.selection.learned(adapter, target.server.id, null, now())
     }
 
-    /** Finds a place for [plan]; while all are taken, it tries again until the answer would be late. */
-    private suspend fun place(plan: RequestPlan, excluded: Set<ServerId>, trace: RequestTrace): Outcome<Target> {
+    /**
+     * Finds a place for [plan]. All engines are asked for a free place first; while there is none, it waits for one
+     * until the answer is sure to be late. The adapter was not found on the engines in [missing].
+     */
+    private suspend fun place(
+        plan: RequestPlan,
+        excluded: Set<ServerId>,
+        missing: Set<ServerId>,
+        trace: RequestTrace,
+    ): Outcome<Target> {
         val unable = HashSet(excluded)
+        var mayQueue = false
         while (true) {
             val wish = ServerWish(plan.service, plan.model, plan.adapter, unable)
             when (val choice = control.decide { state.selection.choose(wish, now()) }) {
                 is ServerChoice.Send -> return Outcome.Success(begin(plan, choice))
-                is ServerChoice.Load -> when (val answer = load(plan, choice, trace)) {
+                is ServerChoice.Load -> when (val answer = load(plan, choice, mayQueue, choice.server.id in missing, trace)) {
                     is PeerAnswer.AdapterReady -> {
                         val version = answer.version
                         control.decide { state.selection.learned(plan.adapter!!, choice.server.id, version, now()) }
@@ -271,9 +283,11 @@
                     else -> unable += choice.server.id
                 }
                 is ServerChoice.Nowhere -> {
-                    val retryUntil = minOf(plan.targetAt - plan.route.targetMillis / 2, plan.deadlineAt)
-                    if (now() > retryUntil) return Outcome.Failed(notRunFailure(choice.reason, PLACE_ADVICE_MILLIS))
-                    delay(PLACE_PAUSE_MILLIS)
+                    if (now() > minOf(plan.targetAt, plan.deadlineAt)) {
+                        return Outcome.Failed(notRunFailure(choice.reason, PLACE_ADVICE_MILLIS))
+                    }
+                    if (mayQueue || unable.size == excluded.size) delay(PLACE_PAUSE_MILLIS)
+                    mayQueue = true
                     unable.clear()
                     unable += excluded
                 }
@@ -281,10 +295,17 @@
         }
     }
 
-    private suspend fun load(plan: RequestPlan, choice: ServerChoice.Load, trace: RequestTrace): PeerAnswer? {
+    private suspend fun load(
+        plan: RequestPlan,
+        choice: ServerChoice.Load,
+        mayQueue: Boolean,
+        wasMissing: Boolean,
+        trace: RequestTrace,
+    ): PeerAnswer? {
         val startedAt = now()
         val wait = minOf(LOAD_PATIENCE_MILLIS, plan.deadlineAt - now())
-        val request = PeerRequest.EnsureAdapter(choice.server.id, plan.adapter!!, choice.version, wait)
+        val request =
+            PeerRequest.EnsureAdapter(choice.server.id, plan.adapter!!, choice.version, wait, mayQueue, wasMissing)
         val result = fleet.call(choice.controller, request, wait + PEER_MARGIN_MILLIS)
         val answer = (result as? PeerCallResult.Answered)?.answer
         if (answer == null) control.decide { state.selection.memberUnreachable(choice.controller, now()) }
