Use the tokens of requests whose callers left, and refuse requests that crash servers

Cause: two gaps found by reading. When the caller left during an attempt, the attempt was not counted, so the tokens of a request that a server may have run were given back and its team could exceed its rate. A request that crashes each server that runs it was sent on without end; the product's knowledge of such requests was not used by the gateway. Change: an attempt counts also when it is cancelled. After a lost connection the gateway checks whether the server still accepts one; if not, the requests that were there are suspects, all VMs are told, and a request with three crashes is refused with 503, which promises that it has not run.

--- a/core/src/main/kotlin/org/lentilquay/coordination/configuration/AccessView.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/configuration/AccessView.kt
@@ -103,5 +103,7 @@
 }
 
 /** The SHA-256 of [text] in lower-case hexadecimal, the form in which keys are kept. */
-fun sha256Of(text: String): String =
-    HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray()))
+fun sha256Of(text: String): String = sha256Of(text.encodeToByteArray())
+
+/** The SHA-256 of [bytes] in lower-case hexadecimal. */
+fun sha256Of(bytes: ByteArray): String = HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes))
--- a/core/src/main/kotlin/org/lentilquay/coordination/suspects/Suspects.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/suspects/Suspects.kt
@@ -11,7 +11,7 @@
 /** How long a crash counts, and how long a request is quarantined after its latest crash. */
 const val QUARANTINE_MILLIS: Long = 600_000
 
-/** A request that crashed this many servers is quarantined. */
+/** A request that crashed this many servers is quarantined, unless [Suspects] is told otherwise. */
 private const val QUARANTINE_CRASHES = 2
 
 /** A server that crashed this often with different requests is itself the likely cause. */
@@ -31,8 +31,8 @@
     data class Quarantined(val crashes: Int, val remainingMillis: Long) : SuspectVerdict
 }
 
-/** The crashes of the last 10 min. */
-class Suspects {
+/** The crashes of the last 10 min. A request is quarantined after [quarantineCrashes] of them. */
+class Suspects(private val quarantineCrashes: Int = QUARANTINE_CRASHES) {
     private data class CrashId(val server: ServerId, val incarnation: Long)
 
     private class Crash(val at: Long, val fingerprints: LinkedHashSet<String>)
@@ -68,7 +68,7 @@
         // A request that crashed two servers at the same time, by a copy, counts once for each.
         return when {
             until == null -> SuspectVerdict.Clear
-            counted.size < QUARANTINE_CRASHES -> SuspectVerdict.Suspect(counted.size)
+            counted.size < quarantineCrashes -> SuspectVerdict.Suspect(counted.size)
             else -> SuspectVerdict.Quarantined(counted.size, until - now)
         }
     }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
@@ -28,7 +28,9 @@
 import org.lentilquay.state.VmId
 import org.lentilquay.transport.Secret
 import org.lentilquay.transport.TcpNetwork
+import org.lentilquay.transport.attempt
 import org.lentilquay.transport.http.KeptConnections
+import org.lentilquay.transport.http.ipAddressOf
 import org.lentilquay.transport.peer.PeerCallResult
 import org.lentilquay.transport.peer.PeerClient
 import org.lentilquay.transport.peer.PeerHandler
@@ -52,6 +54,9 @@
 /** Bound on asking another VM for its copy of a table. */
 private const val COPY_MILLIS = 400L
 
+/** Bound on a connection to a backend server that may have crashed; a live one answers within a few milliseconds. */
+private const val ACCEPT_MILLIS = 400L
+
 /** Bound on pulling tokens from another VM. */
 private const val TOKENS_MILLIS = 300L
 
@@ -99,6 +104,7 @@
         control.decide { state.serversChanged(ports.decoder.servers(rows.rows), rows.version) }
     }
     private lateinit var fleet: SocketFleetCalls
+    private lateinit var crashes: CrashWatch
     private var callers: GatewayListener? = null
 
     @Volatile
@@ -114,10 +120,11 @@
         val identity = PeerIdentity(options.vm, incarnation)
         fleet = SocketFleetCalls(options.vm, PeerClient(identity, secret)) { state.members[it]?.address }
         val quota = FleetQuota(state.buckets, fleet, control, scope, TOKENS_MILLIS, timer::now)
+        crashes = CrashWatch(fleet, control, scope, { state.members.keys }, ::accepts, timer::now)
         fleet.local = PeerHandler { from, request -> answer(quota, from, request) }
         startPeerServer(options.peers, identity, secret, fleet.local)
         val forwarding = RequestForwarding(
-            ports.headers, state, control, quota, fleet, servers, metrics, scope, timer::now,
+            ports.headers, state, control, quota, fleet, servers, crashes, metrics, scope, timer::now,
         )
         val bounds = { state.rules?.configuration?.bounds }
         callers = GatewayListener(network, forwarding, bounds, { isStopping }, scope, timer::now)
@@ -219,10 +226,19 @@
             PeerAnswer.Done
         }
         is PeerRequest.TakeTokens -> quota.give(from, request)
+        is PeerRequest.SuspectNotice -> {
+            crashes.received(request)
+            PeerAnswer.Done
+        }
         is PeerRequest.ReadWatched -> watched(request)
         else -> PeerAnswer.Refused(Failure(ErrorKind.INTERNAL, "the gateway does not know the request"))
     }
 
+    private suspend fun accepts(address: String): Boolean {
+        val target = ipAddressOf(address) ?: return false
+        return attempt { network.connect(target, ACCEPT_MILLIS)?.use { true } }.getOrNull() ?: false
+    }
+
     private fun watched(request: PeerRequest.ReadWatched): PeerAnswer {
         val loop = listOf(WatchedTableName.OPERATOR to operatorWatch, WatchedTableName.SERVERS to serverWatch)
             .firstOrNull { it.first.text == request.table }?.second
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarding.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarding.kt
@@ -74,6 +74,7 @@
     private val quota: Quota,
     private val fleet: FleetCalls,
     servers: KeptConnections,
+    private val crashes: CrashWatch,
     private val metrics: GatewayMetrics,
     private val scope: CoroutineScope,
     private val now: () -> Long,
@@ -118,6 +119,7 @@
         } else {
             teamOf(rules, head) ?: return refused(ErrorKind.KEY_INVALID, "the key is not known")
         }
+        crashQuarantine(request)?.let { return it }
         val patience = head.header(names.deadline)?.trim()?.toLongOrNull() ?: Long.MAX_VALUE
         val bound = if (route.timeoutMillis > 0) route.timeoutMillis else Long.MAX_VALUE
         val allowed = minOf(patience, bound, Int.MAX_VALUE.toLong())
@@ -128,6 +130,23 @@
         return charge(RequestPlan(request, id, route, service, access, model, adapter, deadlineAt))
     }
 
+    /**
+     * Refuses a request that crashes servers. The refusal promises that it has not run, which a caller of a call that may
+     * not be repeated needs to know; on this platform a status of 422 promises nothing.
+     */
+    private suspend fun crashQuarantine(request: CallerRequest): Admission.Refused? {
+        if (!crashes.hasSuspects) return null
+        val remaining = crashes.quarantineMillis(fingerprint(request)) ?: return null
+        return refused(ErrorKind.NO_CAPACITY, "the request has crashed the backend servers that ran it", remaining)
+    }
+
+    /** The same for each copy of a request, whatever VM it comes to. */
+    private fun fingerprint(request: CallerRequest): String {
+        val head = request.head
+        val key = head.header(names.key).orEmpty()
+        return sha256Of("${head.method} ${head.target}\n$key\n".encodeToByteArray() + request.body)
+    }
+
     private fun teamOf(rules: RequestRules, head: CallerHead): TeamAccess? {
         val key = head.all(names.key).singleOrNull() ?: return null
         return rules.configuration.teamOfKey[sha256Of(key)]?.let { rules.configuration.teams[it] }
@@ -228,10 +247,11 @@
                 val mayRetry = plan.route.mayRunAgain && runs + 1 < plan.route.attempts
                 end = attempts.run(plan, target, writer, mayRetry, resumeAfter)
             } finally {
+                // Also when the caller left: the server may have run the request, so its tokens are used.
+                if (end.result !is AttemptResult.NotRun) runs++
                 trace.step(target.server.id, startedAt, end.result)
                 withContext(NonCancellable) { ended(plan, target, end) }
             }
-            if (end.result !is AttemptResult.NotRun) runs++
             return end
         }
 
@@ -253,6 +273,7 @@
 
     private suspend fun ended(plan: RequestPlan, target: Target, end: AttemptEnd) = control.decide {
         state.health.ended(target.server.id, target.attempt, end.outcome, now())
+        if (end.outcome == ServerOutcome.LOST) crashes.connectionLost(target.server, fingerprint(plan.request))
         val adapter = plan.adapter ?: return@decide
         tellUse(plan, target.server.id, adapter, forMillis = 0)
         if (end.isAdapterMissing) state.selection.learned(adapter, target.server.id, null, now())
