Count an adapter that an engine refuses until a report shows it gone, and wait for replacements

An engine also refuses a request (421) when it holds another version than asked for; the controller then took the adapter for gone and used its place again. Change: a refused adapter counts for the places until a report shows that it is not there. A replaced adapter is ready when a report shows the new version; until then its uses still count, and requests look for another engine first. Tests: the property test now announces versions and reports refusals; it fails without the change (the engine would crash), as do three examples.

--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/EngineController.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/EngineController.kt
@@ -38,6 +38,9 @@
 /** How fast the expected time of a load returns to that of an idle store, for each load. */
 private const val LOAD_RECOVERY = 0.9
 
+/** A replacement of which no report tells is taken to be done after the longest time of a request. */
+private const val REPLACEMENT_MILLIS = 12_000L
+
 /** An adapter that is not in a report for this long after its load was accepted has not been loaded. */
 private const val LOAD_LOST_MILLIS = 3_000L
 
@@ -68,8 +71,14 @@
 /** How old a report may be when it arrives. */
 private const val REPORT_LAG_MILLIS = 250L
 
-/** Time until an order whose outcome is unknown may be followed by another one. */
-private const val UNKNOWN_ORDER_MILLIS = 300L
+/**
+ * Time until an order whose outcome is unknown is followed by another one. The next one names the same number of
+ * accepted orders, so that the engine carries out at most one of them.
+ */
+private const val UNKNOWN_ORDER_MILLIS = 50L
+
+/** Time until an engine that accepts no connection is tried again. */
+private const val UNREACHABLE_MILLIS = 500L
 
 class EngineController(private val profile: EngineProfile) {
     private class Held(var version: Long, var readyAt: Long, val acceptedAt: Long) {
@@ -82,6 +91,9 @@
         val uses = HashMap<String, Long>()
         var isConfirmed = false
         var isUnloading = false
+
+        /** A newer version takes the place of the one that is held, once the requests of that one have ended. */
+        var isReplacing = false
     }
 
     private class Wish(val since: Long, var renewedAt: Long)
@@ -102,6 +114,9 @@
     private var mayOrderFrom = 0L
     private var refusedUnloads = 0
     private var modelToLoad: String? = null
+
+    /** The engine refused an adapter that it should hold. */
+    private var isDoubted = false
     private var freshLoadMillis = FRESH_LOAD_MILLIS
 
     /** Requests running and waiting at the last report. */
@@ -110,8 +125,10 @@
     var queued: Int = 0
         private set
 
-    /** Whether the state of the engine must be read before the next order. */
-    val needsReport: Boolean get() = acceptedOrders == null || doubtful != null || held.values.any { it.isUnloading }
+    /** Whether the state of the engine is to be read soon, before the next order or because a change is awaited. */
+    val needsReport: Boolean
+        get() = acceptedOrders == null || doubtful != null || isDoubted ||
+            held.values.any { it.isUnloading || it.isReplacing }
 
     /** Whether the engine holds a base model. */
     val hasModel: Boolean get() = models.isNotEmpty()
@@ -132,8 +149,11 @@
         if (present != null && !present.isUnloading && present.version >= version) {
             present.usedAt = now
             present.reservedUntil = maxOf(now, present.readyAt) + RESERVED_MILLIS
-            if (present.readyAt <= now) return AdapterStanding.Ready(present.version)
-            return AdapterStanding.Loading(present.readyAt)
+            return when {
+                present.readyAt <= now -> AdapterStanding.Ready(present.version)
+                present.isReplacing && !mayQueue -> AdapterStanding.Full
+                else -> AdapterStanding.Loading(present.readyAt)
+            }
         }
         required.merge(adapter, version, ::maxOf)
         expireWishes(now)
@@ -162,7 +182,8 @@
                 present.readyAt = now + LOAD_EXTENSION_MILLIS
                 freshLoadMillis = minOf((freshLoadMillis * LOAD_GROWTH).toLong(), LONGEST_LOAD_MILLIS)
             }
-            else -> held.remove(adapter)
+            // It counts for the places until a report shows that it is not there: the reason may be another one.
+            else -> isDoubted = true
         }
     }
 
@@ -224,12 +245,14 @@
     }
 
     private fun reconcile(report: EngineReport, now: Long) {
+        isDoubted = false
         report.adapters.forEach { (adapter, version) ->
             val present = held.getOrPut(adapter) { Held(version, now, now) }
             present.isConfirmed = true
             if (present.version <= version) {
                 present.version = version
                 present.readyAt = minOf(present.readyAt, now)
+                present.isReplacing = false
             }
         }
         report.coming.forEach { adapter -> held.getOrPut(adapter) { Held(0, now + FRESH_LOAD_MILLIS, now) } }
@@ -260,7 +283,7 @@
         }
         if (outdated != null) return EngineOrder.LoadAdapter(outdated.key)
         val wanted = wishes.keys.firstOrNull { it.model in models && (it !in held || isOutdated(it)) }
-        val hasFreeLoad = held.values.count { it.readyAt > now } < LOADS_AT_ONCE
+        val hasFreeLoad = held.values.count { it.readyAt > now && !it.isReplacing } < LOADS_AT_ONCE
         return when {
             wanted == null || !hasFreeLoad -> null
             wanted in held || hasRoom(wanted.model) -> EngineOrder.LoadAdapter(wanted)
@@ -285,7 +308,7 @@
                 if (order is EngineOrder.LoadAdapter) wishes.remove(order.adapter)
                 readAgain(now)
             }
-            OrderOutcome.NOT_SENT -> mayOrderFrom = now + UNKNOWN_ORDER_MILLIS
+            OrderOutcome.NOT_SENT -> mayOrderFrom = now + UNREACHABLE_MILLIS
             OrderOutcome.UNKNOWN -> unknown(order, now)
         }
     }
@@ -311,13 +334,26 @@
             is EngineOrder.LoadModel -> isBusy = true
             is EngineOrder.LoadAdapter -> {
                 wishes.remove(order.adapter)
-                val millis = if (remembered.remove(order.adapter)) REPEATED_LOAD_MILLIS else nextFreshLoadMillis()
-                held[order.adapter] = Held(maxOf(1, required[order.adapter] ?: 1), now + millis, now)
+                loading(order.adapter, now)
             }
             is EngineOrder.UnloadAdapter -> held[order.adapter]?.isUnloading = true
         }
     }
 
+    private fun loading(adapter: AdapterName, now: Long) {
+        val version = maxOf(1, required[adapter] ?: 1)
+        val former = held[adapter]
+        val millis = when {
+            former != null -> REPLACEMENT_MILLIS
+            remembered.remove(adapter) -> REPEATED_LOAD_MILLIS
+            else -> nextFreshLoadMillis()
+        }
+        held[adapter] = Held(version, now + millis, now).apply {
+            isReplacing = former != null
+            former?.let { uses += it.uses }
+        }
+    }
+
     private fun nextFreshLoadMillis(): Long = freshLoadMillis.also {
         freshLoadMillis = FRESH_LOAD_MILLIS + ((it - FRESH_LOAD_MILLIS) * LOAD_RECOVERY).toLong()
     }
@@ -330,7 +366,8 @@
             is EngineOrder.LoadModel -> models = models + order.model
             is EngineOrder.LoadAdapter -> {
                 wishes.remove(order.adapter)
-                held[order.adapter] = Held(maxOf(1, required[order.adapter] ?: 1), now, now)
+                val uses = held[order.adapter]?.uses.orEmpty()
+                held[order.adapter] = Held(maxOf(1, required[order.adapter] ?: 1), now, now).also { it.uses += uses }
                 readAgain(now)
             }
             is EngineOrder.UnloadAdapter -> {
--- a/core/src/test/kotlin/org/lentilquay/coordination/gateway/EngineControllerTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/gateway/EngineControllerTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import org.lentilquay.state.gateway.AdapterName
 import kotlin.random.Random
@@ -116,11 +117,13 @@
         controller.want(adapter(2), 0, 401) shouldBe AdapterStanding.Loading(400 + 324)
     }
 
-    test("an adapter that an engine lost without an order is loaded again") {
+    test("an adapter that an engine lost without an order is loaded again once a report shows that") {
         val controller = controller(adapter(1) to 1)
         controller.want(adapter(1), 0, 500) shouldBe AdapterStanding.Ready(1)
         controller.missing(adapter(1), 510)
-        controller.want(adapter(1), 0, 511) shouldBe AdapterStanding.Waiting
+        controller.needsReport shouldBe true
+        controller.reported(report(0), 520, 530)
+        controller.want(adapter(1), 0, 531) shouldBe AdapterStanding.Waiting
     }
 
     test("a use whose end was not told ends with its time") {
@@ -186,13 +189,46 @@
         controller.hasModel shouldBe false
     }
 
-    test("with random wishes and outcomes, an engine never holds more adapters than its places") {
-        repeat(200) { seed ->
+    test("a newer version is ready when a report shows it, because it waits for the requests of the older one") {
+        val controller = controller(adapter(1) to 1, slots = 3)
+        controller.useBegan("r1", adapter(1), until = 60_000)
+        controller.want(adapter(1), 2, 1_000) shouldBe AdapterStanding.Waiting
+        controller.carryOut(OrderOutcome.ACCEPTED, 1_000) shouldBe EngineOrder.LoadAdapter(adapter(1))
+        controller.needsReport shouldBe true
+        controller.want(adapter(1), 2, 2_000, mayQueue = false) shouldBe AdapterStanding.Full
+        controller.want(adapter(1), 2, 2_000).shouldBeInstanceOf<AdapterStanding.Loading>()
+        controller.reported(report(1, adapter(1) to 1), 2_000, 2_010)
+        controller.ready(2_010) shouldBe emptyMap()
+        // Other adapters are loaded meanwhile, and the requests of the older version still count.
+        listOf(2, 3).forEach { controller.want(adapter(it), 0, 2_020) }
+        repeat(2) { controller.carryOut(OrderOutcome.ACCEPTED, 2_020).shouldBeInstanceOf<EngineOrder.LoadAdapter>() }
+        controller.reported(report(3, adapter(1) to 2, adapter(2) to 1, adapter(3) to 1), 3_000, 3_010)
+        controller.want(adapter(1), 2, 3_010) shouldBe AdapterStanding.Ready(2)
+        controller.needsReport shouldBe false
+        controller.want(adapter(4), 0, 3_400)
+        controller.nextOrder(3_400).shouldBeInstanceOf<EngineOrder.UnloadAdapter>().adapter shouldNotBe adapter(1)
+    }
+
+    test("an adapter that an engine refuses counts for the places until a report shows that it is not there") {
+        val controller = controller(adapter(1) to 1, slots = 1)
+        controller.missing(adapter(1), 10_000)
+        controller.needsReport shouldBe true
+        controller.want(adapter(2), 0, 10_000)
+        controller.nextOrder(10_000) shouldBe EngineOrder.UnloadAdapter(adapter(1))
+    }
+
+    test("with random wishes, versions and outcomes, an engine never holds more adapters than its places") {
+        repeat(300) { seed ->
             val random = Random(seed)
             val engine = EngineModel(places = 3)
             val controller = EngineController(profile(3)).apply { reported(engine.report(), 0, 0) }
             for (now in 0L..20_000L step 50) {
-                if (random.nextInt(3) == 0) controller.want(adapter(random.nextInt(12)), 0, now)
+                val wanted = adapter(random.nextInt(12))
+                if (random.nextInt(3) == 0) controller.want(wanted, engine.newest(wanted), now)
+                if (random.nextInt(40) == 0) engine.announce(wanted)
+                if (random.nextInt(40) == 0) controller.announced(wanted, engine.newest(wanted))
+                // Requests are refused for other reasons too, such as an older version.
+                if (random.nextInt(10) == 0) controller.missing(wanted, now)
                 controller.nextOrder(now)?.let { order ->
                     controller.ended(order, engine.receive(order, controller.expectedOrders, now, random), now)
                 }
@@ -204,34 +240,53 @@
     }
 })
 
-/** An engine that loses some answers and carries some of those orders out late, if their condition still holds. */
+/**
+ * An engine that loses some answers and carries some of those orders out late, if their condition still holds. A newer
+ * version replaces the one that it holds some time after the order.
+ */
 private class EngineModel(private val places: Int) {
-    val held = LinkedHashSet<AdapterName>()
+    val held = LinkedHashMap<AdapterName, Long>()
     private var accepted = 0L
     private val late = mutableListOf<Triple<Long, EngineOrder, Long>>()
+    private val announced = HashMap<AdapterName, Long>()
+    private val replaced = HashMap<AdapterName, Long>()
 
-    fun report() = EngineReport(1, accepted, false, setOf("base"), held.associateWith { 1L }, emptySet(), 0, 0)
+    fun newest(adapter: AdapterName): Long = announced[adapter] ?: 1
+
+    fun announce(adapter: AdapterName) {
+        announced[adapter] = newest(adapter) + 1
+    }
+
+    fun report() = EngineReport(1, accepted, false, setOf("base"), held.toMap(), emptySet(), 0, 0)
 
     fun receive(order: EngineOrder, expected: Long?, now: Long, random: Random): OrderOutcome = when {
         random.nextInt(4) == 0 -> {
             late += Triple(now + random.nextLong(12_000), order, expected ?: -1)
             OrderOutcome.UNKNOWN
         }
-        else -> apply(order, expected)
+        else -> apply(order, expected, now)
     }
 
     fun advance(now: Long) {
-        late.filter { it.first <= now }.forEach { (_, order, expected) -> apply(order, expected) }
+        late.filter { it.first <= now }.forEach { (_, order, expected) -> apply(order, expected, now) }
         late.removeAll { it.first <= now }
+        replaced.filterValues { it <= now }.keys.toList().forEach { adapter ->
+            replaced.remove(adapter)
+            if (adapter in held) held[adapter] = newest(adapter)
+        }
     }
 
-    private fun apply(order: EngineOrder, expected: Long?): OrderOutcome {
+    private fun apply(order: EngineOrder, expected: Long?, now: Long): OrderOutcome {
         if (expected != accepted) return OrderOutcome.CONFLICT
         accepted++
         return when (order) {
             is EngineOrder.LoadModel -> OrderOutcome.ACCEPTED
             is EngineOrder.LoadAdapter -> {
-                held += order.adapter
+                if (order.adapter in held) {
+                    replaced[order.adapter] = now + 2_000
+                } else {
+                    held[order.adapter] = newest(order.adapter)
+                }
                 check(held.size <= places) { "the engine would crash" }
                 OrderOutcome.ACCEPTED
             }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ControlledEngine.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ControlledEngine.kt
@@ -110,7 +110,8 @@
             }
             when (standing) {
                 is AdapterStanding.Ready -> return PeerAnswer.AdapterReady(standing.version)
-                is AdapterStanding.Loading -> delay((standing.readyAt - now()).coerceAtLeast(1))
+                is AdapterStanding.Loading ->
+                    withTimeoutOrNull((standing.readyAt - now()).coerceAtLeast(1)) { changes.first { it != seen } }
                 is AdapterStanding.Waiting -> {
                     wake.trySend(Unit)
                     withTimeoutOrNull(ORDER_MILLIS) { changes.first { it != seen } }
