Use the places of unloads whose answers were lost again

An unload without an answer marked its adapter as leaving until a report showed it gone, which never happened if the order was not carried out; the next unload took another adapter, and so on. Reports were ignored whenever an order was under way, which was most of the time. Change: an unload without an answer is sent again; its adapter is usable again once the engine has accepted another order, because it then refuses the lost one. A report that shows the same accepted orders is used while an order is under way. Tests: three, which fail without the change; one plays lost answers for 10 s and then needs every place.

--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/EngineController.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/EngineController.kt
@@ -109,8 +109,12 @@
     private var underWay: EngineOrder? = null
     private var isBusy = false
 
-    /** A load whose answer was lost and that the engine may still carry out. */
+    /**
+     * A load and an unload whose answers were lost and that the engine may still carry out, until it accepts another
+     * order: all of them name the same number of accepted orders.
+     */
     private var doubtful: AdapterName? = null
+    private var doubtfulUnload: AdapterName? = null
     private var mayOrderFrom = 0L
     private var refusedUnloads = 0
     private var modelToLoad: String? = null
@@ -221,13 +225,15 @@
         val known = acceptedOrders
         val isOtherProcess = !isAdopted || report.startedAtEpochMillis != startedAt
         if (isOtherProcess) return adopt(report, now)
-        // A report from before the last order says nothing about it.
-        if (report.acceptedOrders < (known ?: 0) || underWay != null || askedAt < mayOrderFrom) return
+        // A report from before the last order says nothing about it, and one that shows an order under way is counted
+        // when that order ends.
+        val isOlder = report.acceptedOrders < (known ?: 0) || askedAt < mayOrderFrom
+        if (isOlder || (underWay != null && report.acceptedOrders != known)) return
         isBusy = report.isBusy
         models = report.models
         if (known == null || report.acceptedOrders > known) {
             acceptedOrders = report.acceptedOrders
-            doubtful = null
+            settleDoubts()
         }
         reconcile(report, now)
     }
@@ -239,6 +245,7 @@
         models = report.models
         isBusy = report.isBusy
         doubtful = null
+        doubtfulUnload = null
         held.clear()
         remembered.clear()
         reconcile(report, now)
@@ -287,7 +294,7 @@
         return when {
             wanted == null || !hasFreeLoad -> null
             wanted in held || hasRoom(wanted.model) -> EngineOrder.LoadAdapter(wanted)
-            else -> victim(now)?.let { EngineOrder.UnloadAdapter(it) }
+            else -> (doubtfulUnload ?: victim(now))?.let { EngineOrder.UnloadAdapter(it) }
         }
     }
 
@@ -327,9 +334,7 @@
     }
 
     private fun accepted(order: EngineOrder, now: Long) {
-        acceptedOrders = acceptedOrders?.plus(1)
-        doubtful = null
-        refusedUnloads = 0
+        counted()
         when (order) {
             is EngineOrder.LoadModel -> isBusy = true
             is EngineOrder.LoadAdapter -> {
@@ -358,10 +363,21 @@
         freshLoadMillis = FRESH_LOAD_MILLIS + ((it - FRESH_LOAD_MILLIS) * LOAD_RECOVERY).toLong()
     }
 
-    private fun alreadyDone(order: EngineOrder, now: Long) {
+    /** The engine accepted an order, so it never carries out the ones without an answer before it. */
+    private fun counted() {
         acceptedOrders = acceptedOrders?.plus(1)
-        doubtful = null
+        settleDoubts()
         refusedUnloads = 0
+    }
+
+    private fun settleDoubts() {
+        doubtful = null
+        doubtfulUnload?.let { held[it]?.isUnloading = false }
+        doubtfulUnload = null
+    }
+
+    private fun alreadyDone(order: EngineOrder, now: Long) {
+        counted()
         when (order) {
             is EngineOrder.LoadModel -> models = models + order.model
             is EngineOrder.LoadAdapter -> {
@@ -382,7 +398,10 @@
         mayOrderFrom = now + UNKNOWN_ORDER_MILLIS
         when (order) {
             is EngineOrder.LoadAdapter -> doubtful = order.adapter
-            is EngineOrder.UnloadAdapter -> held[order.adapter]?.isUnloading = true
+            is EngineOrder.UnloadAdapter -> {
+                held[order.adapter]?.isUnloading = true
+                doubtfulUnload = order.adapter
+            }
             is EngineOrder.LoadModel -> Unit
         }
     }
--- a/core/src/test/kotlin/org/lentilquay/coordination/gateway/EngineControllerTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/gateway/EngineControllerTest.kt
@@ -217,6 +217,55 @@
         controller.nextOrder(10_000) shouldBe EngineOrder.UnloadAdapter(adapter(1))
     }
 
+    test("orders without an answer: the same unload is sent again, and spares its adapter if another order is accepted") {
+        val controller = controller(adapter(1) to 1, adapter(2) to 1)
+        controller.useEnded("r1", adapter(1), 1_000)
+        controller.useEnded("r2", adapter(2), 1_100)
+        controller.want(adapter(3), 0, 2_000)
+        controller.carryOut(OrderOutcome.UNKNOWN, 2_000) shouldBe EngineOrder.UnloadAdapter(adapter(1))
+        controller.want(adapter(3), 0, 2_100)
+        controller.carryOut(OrderOutcome.UNKNOWN, 2_100) shouldBe EngineOrder.UnloadAdapter(adapter(1))
+        controller.ready(2_150).keys shouldBe setOf(adapter(2))
+        controller.announced(adapter(2), 2)
+        controller.carryOut(OrderOutcome.ACCEPTED, 2_200) shouldBe EngineOrder.LoadAdapter(adapter(2))
+        controller.ready(2_250).keys shouldBe setOf(adapter(1))
+    }
+
+    test("orders without an answer: a report is used while an order is under way, if it shows the same orders") {
+        val controller = controller(adapter(1) to 1, adapter(2) to 1)
+        controller.want(adapter(3), 0, 2_000)
+        controller.nextOrder(2_000)
+        controller.reported(report(0, adapter(2) to 1), 2_010, 2_020)
+        controller.ready(2_020).keys shouldBe setOf(adapter(2))
+        controller.reported(report(1, adapter(1) to 1), 2_030, 2_040)
+        controller.expectedOrders shouldBe 0
+    }
+
+    test("orders without an answer for some seconds leave no place that can not be used afterwards") {
+        repeat(200) { seed ->
+            val random = Random(seed)
+            val engine = EngineModel(places = 3)
+            val controller = EngineController(profile(3)).apply { reported(engine.report(), 0, 0) }
+            fun step(now: Long, lost: Int) {
+                controller.nextOrder(now)?.let { order ->
+                    controller.ended(order, engine.receive(order, controller.expectedOrders, now, random, lost), now)
+                }
+                engine.advance(now)
+                if (now % 150 == 0L) controller.reported(engine.report(), now, now)
+            }
+            for (now in 0L..10_000L step 50) {
+                controller.want(adapter(random.nextInt(12)), 0, now)
+                step(now, lost = 2)
+            }
+            for (now in 10_050L..24_000L step 50) step(now, lost = Int.MAX_VALUE)
+            for (now in 24_050L..26_000L step 50) {
+                (20..22).forEach { controller.want(adapter(it), 0, now) }
+                step(now, lost = Int.MAX_VALUE)
+            }
+            controller.ready(26_000).keys shouldBe (20..22).map { adapter(it) }.toSet()
+        }
+    }
+
     test("with random wishes, versions and outcomes, an engine never holds more adapters than its places") {
         repeat(300) { seed ->
             val random = Random(seed)
@@ -259,8 +308,9 @@
 
     fun report() = EngineReport(1, accepted, false, setOf("base"), held.toMap(), emptySet(), 0, 0)
 
-    fun receive(order: EngineOrder, expected: Long?, now: Long, random: Random): OrderOutcome = when {
-        random.nextInt(4) == 0 -> {
+    /** Takes an order; one answer in [lost] is lost. */
+    fun receive(order: EngineOrder, expected: Long?, now: Long, random: Random, lost: Int = 4): OrderOutcome = when {
+        random.nextInt(lost) == 0 -> {
             late += Triple(now + random.nextLong(12_000), order, expected ?: -1)
             OrderOutcome.UNKNOWN
         }
