Split the search for a place and the wishes for loads from the files that had grown

Change: PlaceSearch finds the server of an attempt; HeldAdapter and LoadWishes hold what one adapter and the waiting requests are. Behaviour is unchanged.

--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/EngineController.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/EngineController.kt
@@ -8,6 +8,8 @@
  */
 package org.lentilquay.coordination.gateway
 
+import org.lentilquay.coordination.gateway.internal.HeldAdapter
+import org.lentilquay.coordination.gateway.internal.LoadWishes
 import org.lentilquay.state.gateway.AdapterName
 import org.lentilquay.state.gateway.EngineProfile
 
@@ -44,27 +46,12 @@
 /** An adapter that is not in a report for this long after its load was accepted has not been loaded. */
 private const val LOAD_LOST_MILLIS = 3_000L
 
-/** After its adapter became ready, a request has this long to tell its use: one message between VMs. */
-private const val RESERVED_MILLIS = 300L
-
-/** A wish for a place on an engine with requests on every adapter is given up after this: three ends of a request. */
-private const val PLACE_PATIENCE_MILLIS = 400L
-
 /** Adapters on their way to one engine at the same time; the platform's bound. */
 private const val LOADS_AT_ONCE = 4
 
 /** Adapters that an engine keeps at hand after their unload, so that they load faster. */
 private const val REMEMBERED_ADAPTERS = 64
 
-/** Loads that wait for their order on one engine; more would wait for over half a second. */
-private const val MAXIMUM_WISHES = 6
-
-/** The same while requests use every adapter; on a busy engine one of them ends about every 100 ms. */
-private const val MAXIMUM_WISHES_WITHOUT_PLACE = 3
-
-/** A wish that nobody renewed for this long is dropped. */
-private const val WISH_MILLIS = 300L
-
 /** More refused unloads in a row than this are not explained by adapters in use. */
 private const val MAXIMUM_REFUSED_UNLOADS = 4
 
@@ -81,25 +68,8 @@
 private const val UNREACHABLE_MILLIS = 500L
 
 class EngineController(private val profile: EngineProfile) {
-    private class Held(var version: Long, var readyAt: Long, val acceptedAt: Long) {
-        var usedAt = acceptedAt
-
-        /** The adapter was promised to requests that have until then to tell their use. */
-        var reservedUntil = maxOf(acceptedAt, readyAt) + RESERVED_MILLIS
-
-        /** The requests that use the adapter, with the time after which they certainly do not. */
-        val uses = HashMap<String, Long>()
-        var isConfirmed = false
-        var isUnloading = false
-
-        /** A newer version takes the place of the one that is held, once the requests of that one have ended. */
-        var isReplacing = false
-    }
-
-    private class Wish(val since: Long, var renewedAt: Long)
-
-    private val held = HashMap<AdapterName, Held>()
-    private val wishes = LinkedHashMap<AdapterName, Wish>()
+    private val held = HashMap<AdapterName, HeldAdapter>()
+    private val wishes = LoadWishes()
     private val remembered = LinkedHashSet<AdapterName>()
     private val required = HashMap<AdapterName, Long>()
     private var models: Set<String> = emptySet()
@@ -145,35 +115,17 @@
         held.filterValues { it.readyAt <= now && !it.isUnloading }.mapValues { it.value.version }
 
     /**
-     * Asks for [adapter] in [version] or later and tells how that stands. Without [mayQueue], it is not waited for while
-     * requests use every adapter of the engine.
+     * Asks for [adapter] in [version] or later and tells how that stands. Without [mayQueue], it is not waited for
+     * while requests use every adapter of the engine.
      */
     fun want(adapter: AdapterName, version: Long, now: Long, mayQueue: Boolean = true): AdapterStanding {
         val present = held[adapter]
         if (present != null && !present.isUnloading && present.version >= version) {
-            present.usedAt = now
-            present.reservedUntil = maxOf(now, present.readyAt) + RESERVED_MILLIS
-            return when {
-                present.readyAt <= now -> AdapterStanding.Ready(present.version)
-                present.isReplacing && !mayQueue -> AdapterStanding.Full
-                else -> AdapterStanding.Loading(present.readyAt)
-            }
+            return present.promise(now, mayQueue)
         }
         required.merge(adapter, version, ::maxOf)
-        expireWishes(now)
         val isInUse = acceptedOrders != null && present == null && !hasRoom(adapter.model) && victim(now) == null
-        val bound = if (isInUse) MAXIMUM_WISHES_WITHOUT_PLACE else MAXIMUM_WISHES
-        val since = wishes[adapter]?.since
-        val isRefused = when {
-            since != null -> isInUse && now - since > PLACE_PATIENCE_MILLIS
-            else -> wishes.size >= bound || (isInUse && !mayQueue)
-        }
-        if (isRefused) {
-            wishes.remove(adapter)
-            return AdapterStanding.Full
-        }
-        wishes.getOrPut(adapter) { Wish(now, now) }.renewedAt = now
-        return AdapterStanding.Waiting
+        return if (wishes.ask(adapter, now, isInUse, mayQueue)) AdapterStanding.Waiting else AdapterStanding.Full
     }
 
     /** The engine refused a request because it does not hold [adapter]. */
@@ -254,7 +206,7 @@
     private fun reconcile(report: EngineReport, now: Long) {
         isDoubted = false
         report.adapters.forEach { (adapter, version) ->
-            val present = held.getOrPut(adapter) { Held(version, now, now) }
+            val present = held.getOrPut(adapter) { HeldAdapter(version, now, now) }
             present.isConfirmed = true
             if (present.version <= version) {
                 present.version = version
@@ -262,7 +214,7 @@
                 present.isReplacing = false
             }
         }
-        report.coming.forEach { adapter -> held.getOrPut(adapter) { Held(0, now + FRESH_LOAD_MILLIS, now) } }
+        report.coming.forEach { adapter -> held.getOrPut(adapter) { HeldAdapter(0, now + FRESH_LOAD_MILLIS, now) } }
         held.entries.removeIf { (adapter, present) ->
             val isMissing = adapter !in report.adapters && adapter !in report.coming
             isMissing && (present.isUnloading || present.isConfirmed || now - present.acceptedAt > LOAD_LOST_MILLIS)
@@ -284,21 +236,20 @@
     }
 
     private fun adapterOrder(now: Long): EngineOrder? {
-        expireWishes(now)
-        val outdated = held.entries.firstOrNull { (adapter, present) ->
-            !present.isUnloading && present.readyAt <= now && present.version < (required[adapter] ?: 0)
-        }
-        if (outdated != null) return EngineOrder.LoadAdapter(outdated.key)
-        val wanted = wishes.keys.firstOrNull { it.model in models && (it !in held || isOutdated(it)) }
-        val hasFreeLoad = held.values.count { it.readyAt > now && !it.isReplacing } < LOADS_AT_ONCE
+        outdated(now)?.let { return EngineOrder.LoadAdapter(it) }
+        val wanted = wishes.next(now) { it.model in models && (it !in held || isOutdated(it)) } ?: return null
+        val underWay = held.values.count { it.readyAt > now && !it.isReplacing }
         return when {
-            wanted == null || !hasFreeLoad -> null
+            underWay >= LOADS_AT_ONCE -> null
             wanted in held || hasRoom(wanted.model) -> EngineOrder.LoadAdapter(wanted)
             else -> (doubtfulUnload ?: victim(now))?.let { EngineOrder.UnloadAdapter(it) }
         }
     }
 
-    private fun expireWishes(now: Long) = wishes.values.removeIf { now - it.renewedAt > WISH_MILLIS }
+    /** An adapter of which a newer version was announced. */
+    private fun outdated(now: Long): AdapterName? = held.entries.firstOrNull { (adapter, present) ->
+        !present.isUnloading && present.readyAt <= now && present.version < (required[adapter] ?: 0)
+    }?.key
 
     private fun isOutdated(adapter: AdapterName): Boolean =
         held[adapter]?.let { !it.isUnloading && it.version < (required[adapter] ?: 0) } ?: true
@@ -322,7 +273,7 @@
 
     /** An engine refuses to unload an adapter with requests; otherwise the number of orders was wrong. */
     private fun conflict(order: EngineOrder, now: Long) {
-        if (order is EngineOrder.UnloadAdapter) held[order.adapter]?.reservedUntil = now + RESERVED_MILLIS
+        if (order is EngineOrder.UnloadAdapter) held[order.adapter]?.unloadRefused(now)
         if (order !is EngineOrder.UnloadAdapter || ++refusedUnloads > MAXIMUM_REFUSED_UNLOADS) readAgain(now)
     }
 
@@ -353,7 +304,7 @@
             remembered.remove(adapter) -> REPEATED_LOAD_MILLIS
             else -> nextFreshLoadMillis()
         }
-        held[adapter] = Held(version, now + millis, now).apply {
+        held[adapter] = HeldAdapter(version, now + millis, now).apply {
             isReplacing = former != null
             former?.let { uses += it.uses }
         }
@@ -382,8 +333,9 @@
             is EngineOrder.LoadModel -> models = models + order.model
             is EngineOrder.LoadAdapter -> {
                 wishes.remove(order.adapter)
+                val version = maxOf(1, required[order.adapter] ?: 1)
                 val uses = held[order.adapter]?.uses.orEmpty()
-                held[order.adapter] = Held(maxOf(1, required[order.adapter] ?: 1), now, now).also { it.uses += uses }
+                held[order.adapter] = HeldAdapter(version, now, now).also { it.uses += uses }
                 readAgain(now)
             }
             is EngineOrder.UnloadAdapter -> {
@@ -411,11 +363,8 @@
         return held.size + uncertain < profile.adapterCapacity(model)
     }
 
+    /** The adapter that was not used for longest, of those that no request uses. */
     private fun victim(now: Long): AdapterName? = held.entries
-        .filter { (_, present) ->
-            present.uses.values.removeIf { it < now }
-            val isIdle = present.uses.isEmpty() && present.reservedUntil <= now
-            isIdle && !present.isUnloading && present.readyAt <= now
-        }
+        .filter { (_, present) -> present.isIdle(now) }
         .minByOrNull { it.value.usedAt }?.key
 }
--- a/core/src/test/kotlin/org/lentilquay/coordination/gateway/EngineControllerTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/gateway/EngineControllerTest.kt
@@ -217,7 +217,7 @@
         controller.nextOrder(10_000) shouldBe EngineOrder.UnloadAdapter(adapter(1))
     }
 
-    test("orders without an answer: the same unload is sent again, and spares its adapter if another order is accepted") {
+    test("orders without an answer: an unload is sent again, and spares its adapter if another order is accepted") {
         val controller = controller(adapter(1) to 1, adapter(2) to 1)
         controller.useEnded("r1", adapter(1), 1_000)
         controller.useEnded("r2", adapter(2), 1_100)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CrashWatch.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CrashWatch.kt
@@ -1,7 +1,7 @@
 /*
  * Recognizes requests that crash the backend servers on which they run. A lost connection alone proves nothing, because
- * servers and networks also reset connections; a crash is taken for certain when the server does not accept a connection
- * shortly afterwards. All VMs are told, since the same request may come again at any of them.
+ * servers and networks also reset connections; a crash is taken for certain when the server does not accept a
+ * connection shortly afterwards. All VMs are told, since the same request may come again at any of them.
  */
 package org.lentilquay.daemon.gateway
 
@@ -22,8 +22,8 @@
 private val log = KotlinLogging.logger {}
 
 /**
- * Crashes after which a request is refused. All requests on a server that crashes are suspects, and callers send many of
- * them again, so that two crashes can be a coincidence; the platform's bound is three.
+ * Crashes after which a request is refused. All requests on a server that crashes are suspects, and callers send many
+ * of them again, so that two crashes can be a coincidence; the platform's bound is three.
  */
 private const val QUARANTINE_CRASHES = 3
 
@@ -60,7 +60,7 @@
         }
     }
 
-    /** The connection to [server] was lost while the request with [fingerprint] was there. Call on the control thread. */
+    /** The connection to [server] was lost with the request of [fingerprint] on it. Call on the control thread. */
     fun connectionLost(server: RegisteredServer, fingerprint: String) {
         val waiting = unchecked[server.id]
         if (waiting != null) {
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarding.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarding.kt
@@ -8,30 +8,24 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.NonCancellable
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import kotlinx.io.IOException
 import org.lentilquay.coordination.configuration.sha256Of
-import org.lentilquay.coordination.gateway.ServerChoice
 import org.lentilquay.coordination.gateway.ServerOutcome
-import org.lentilquay.coordination.gateway.ServerWish
 import org.lentilquay.coordination.gateway.pickService
 import org.lentilquay.coordination.quota.Charge
 import org.lentilquay.daemon.control.FleetCalls
 import org.lentilquay.daemon.logs.change
 import org.lentilquay.daemon.requests.Quota
 import org.lentilquay.daemon.timer.ControlThread
-import org.lentilquay.protocol.PeerAnswer
-import org.lentilquay.protocol.PeerRequest
 import org.lentilquay.state.ErrorKind
 import org.lentilquay.state.Failure
 import org.lentilquay.state.Outcome
 import org.lentilquay.state.ServerId
-import org.lentilquay.state.gateway.AdapterName
+import org.lentilquay.state.gateway.GatewayRoute
 import org.lentilquay.state.gateway.TeamAccess
 import org.lentilquay.transport.http.KeptConnections
-import org.lentilquay.transport.peer.PeerCallResult
 import kotlin.random.Random
 
 private val log = KotlinLogging.logger {}
@@ -43,27 +37,12 @@
 /** Sends of one request, including those that did not run. */
 private const val MAXIMUM_SENDS = 5
 
-/** Longest wait for an engine to load an adapter, in milliseconds; a load takes about 270. */
-private const val LOAD_PATIENCE_MILLIS = 700L
-
-/** Bound on telling another VM about the use of an adapter, in milliseconds. */
-private const val USE_MILLIS = 300L
-
-/** Time that a call to another VM may take beyond the work that it asks for, in milliseconds. */
-private const val PEER_MARGIN_MILLIS = 200L
-
-/** Pause before a place is sought again while all are taken, in milliseconds. */
-private const val PLACE_PAUSE_MILLIS = 60L
-
 /** Advice to callers when there is no place, in milliseconds: loads take a quarter of a second. */
-private const val PLACE_ADVICE_MILLIS = 400L
+internal const val PLACE_ADVICE_MILLIS = 400L
 
 /** Advice to callers while this VM has no configuration yet, in milliseconds. */
 private const val START_ADVICE_MILLIS = 500L
 
-/** Prompt tokens whose reading slows an engine as much as one more running request; about 25 ms of its time. */
-private const val PROMPT_TOKENS_PER_PLACE = 500.0
-
 /** Time that is left for the way of an answer back to the caller, in milliseconds. */
 private const val RETURN_MILLIS = 5L
 
@@ -79,6 +58,7 @@
     private val scope: CoroutineScope,
     private val now: () -> Long,
 ) : CallerHandler {
+    private val places = PlaceSearch(names, state, control, fleet, scope, now)
     private val attempts = ServerAttempt(names, servers, now) { target ->
         scope.launch(control.dispatcher) { state.health.answering(target.server.id, target.attempt) }
     }
@@ -119,7 +99,17 @@
         } else {
             teamOf(rules, head) ?: return refused(ErrorKind.KEY_INVALID, "the key is not known")
         }
-        crashQuarantine(request)?.let { return it }
+        return crashQuarantine(request) ?: charge(planOf(request, id, route, access, rules))
+    }
+
+    private fun planOf(
+        request: CallerRequest,
+        id: String,
+        route: GatewayRoute,
+        access: TeamAccess?,
+        rules: RequestRules,
+    ): RequestPlan {
+        val head = request.head
         val patience = head.header(names.deadline)?.trim()?.toLongOrNull() ?: Long.MAX_VALUE
         val bound = if (route.timeoutMillis > 0) route.timeoutMillis else Long.MAX_VALUE
         val allowed = minOf(patience, bound, Int.MAX_VALUE.toLong())
@@ -127,12 +117,12 @@
         val named = if (rules.configuration.services[service]?.engine == null) null else head.header(names.model)
         val (model, adapter) = named?.let { modelOf(it) } ?: (null to null)
         val deadlineAt = request.arrivedAt + allowed - RETURN_MILLIS
-        return charge(RequestPlan(request, id, route, service, access, model, adapter, deadlineAt))
+        return RequestPlan(request, id, route, service, access, model, adapter, deadlineAt)
     }
 
     /**
-     * Refuses a request that crashes servers. The refusal promises that it has not run, which a caller of a call that may
-     * not be repeated needs to know; on this platform a status of 422 promises nothing.
+     * Refuses a request that crashes servers. The refusal promises that it has not run, which a caller of a call that
+     * may not be repeated needs to know; on this platform a status of 422 promises nothing.
      */
     private suspend fun crashQuarantine(request: CallerRequest): Admission.Refused? {
         if (!crashes.hasSuspects) return null
@@ -200,7 +190,7 @@
         /** One attempt; null if another one is to follow. */
         private suspend fun tryOnce(): Int? {
             if (plan.deadlineAt - now() < LEAST_MILLIS) return fail("no time is left")
-            val target = when (val found = place(plan, excluded, missing, trace)) {
+            val target = when (val found = places.find(plan, excluded, missing, trace)) {
                 is Outcome.Success -> found.value
                 is Outcome.Failed -> return fail(found.failure.message)
             }
@@ -272,88 +262,8 @@
     }
 
     private suspend fun ended(plan: RequestPlan, target: Target, end: AttemptEnd) = control.decide {
-        state.health.ended(target.server.id, target.attempt, end.outcome, now())
+        places.ended(plan, target, end)
         if (end.outcome == ServerOutcome.LOST) crashes.connectionLost(target.server, fingerprint(plan.request))
-        val adapter = plan.adapter ?: return@decide
-        tellUse(plan, target.server.id, adapter, forMillis = 0)
-        if (end.isAdapterMissing) state.selection.learned(adapter, target.server.id, null, now())
-    }
-
-    /**
-     * Finds a place for [plan]. All engines are asked for a free place first; while there is none, it waits for one
-     * until the answer is sure to be late. The adapter was not found on the engines in [missing].
-     */
-    private suspend fun place(
-        plan: RequestPlan,
-        excluded: Set<ServerId>,
-        missing: Set<ServerId>,
-        trace: RequestTrace,
-    ): Outcome<Target> {
-        val unable = HashSet(excluded)
-        var mayQueue = false
-        while (true) {
-            val wish = ServerWish(plan.service, plan.model, plan.adapter, unable)
-            when (val choice = control.decide { state.selection.choose(wish, now()) }) {
-                is ServerChoice.Send -> return Outcome.Success(begin(plan, choice))
-                is ServerChoice.Load -> when (val answer = load(plan, choice, mayQueue, choice.server.id in missing, trace)) {
-                    is PeerAnswer.AdapterReady -> {
-                        val version = answer.version
-                        control.decide { state.selection.learned(plan.adapter!!, choice.server.id, version, now()) }
-                        return Outcome.Success(begin(plan, ServerChoice.Send(choice.server, version)))
-                    }
-                    else -> unable += choice.server.id
-                }
-                is ServerChoice.Nowhere -> {
-                    if (now() > minOf(plan.targetAt, plan.deadlineAt)) {
-                        return Outcome.Failed(notRunFailure(choice.reason, PLACE_ADVICE_MILLIS))
-                    }
-                    if (mayQueue || unable.size == excluded.size) delay(PLACE_PAUSE_MILLIS)
-                    mayQueue = true
-                    unable.clear()
-                    unable += excluded
-                }
-            }
-        }
-    }
-
-    private suspend fun load(
-        plan: RequestPlan,
-        choice: ServerChoice.Load,
-        mayQueue: Boolean,
-        wasMissing: Boolean,
-        trace: RequestTrace,
-    ): PeerAnswer? {
-        val startedAt = now()
-        val wait = minOf(LOAD_PATIENCE_MILLIS, plan.deadlineAt - now())
-        val request =
-            PeerRequest.EnsureAdapter(choice.server.id, plan.adapter!!, choice.version, wait, mayQueue, wasMissing)
-        val result = fleet.call(choice.controller, request, wait + PEER_MARGIN_MILLIS)
-        val answer = (result as? PeerCallResult.Answered)?.answer
-        if (answer == null) control.decide { state.selection.memberUnreachable(choice.controller, now()) }
-        trace.note("load on ${choice.server.id} by ${choice.controller} ${now() - startedAt} ms: ${answer ?: result}")
-        return answer
-    }
-
-    private suspend fun begin(plan: RequestPlan, choice: ServerChoice.Send): Target = control.decide {
-        val overdueAt = now() + plan.route.targetMillis * 2
-        val isVersioned = plan.adapter != null && plan.adapter in state.operator.adapterVersions
-        plan.adapter?.let { tellUse(plan, choice.server.id, it, (plan.deadlineAt - now()).coerceAtLeast(1)) }
-        val attempt = state.health.started(choice.server.id, overdueAt, promptWork(plan))
-        Target(choice.server, choice.adapterVersion.takeIf { isVersioned }, attempt)
-    }
-
-    /** Tells the controller of [server] about a use, so that it does not unload the adapter meanwhile. */
-    private fun tellUse(plan: RequestPlan, server: ServerId, adapter: AdapterName, forMillis: Long) {
-        val controller = state.selection.controllerOf(server) ?: return
-        val use = PeerRequest.AdapterUse(server, adapter, plan.id, forMillis)
-        scope.launch { fleet.call(controller, use, USE_MILLIS) }
-    }
-
-    /** An engine reads long prompts at the cost of all its other requests. */
-    private fun promptWork(plan: RequestPlan): Double {
-        if (plan.model == null) return 0.0
-        val prompt = plan.request.head.header(names.tokens)?.substringBefore(',')?.trim()?.toLongOrNull() ?: 0
-        return prompt / PROMPT_TOKENS_PER_PLACE
     }
 
     private suspend fun refuse(writer: AnswerWriter, failure: Failure, trace: RequestTrace): Int {
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/RequestForwardingTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/RequestForwardingTest.kt
@@ -207,7 +207,7 @@
     }
 }
 
-/** Guards against tokens that are given back for work that was done, and against a request that crashes every server. */
+/** Guards against tokens that are given back for work that was done, and against requests that crash every server. */
 class RequestForwardingTest : FunSpec({
     test("the tokens of a request that may have run are used, although its caller left before the answer") {
         val backend = Backend("s1") { }
