--- /dev/null
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/MemberLoopTest.kt
@@ -0,0 +1,173 @@
+package org.lentilquay.daemon.gateway
+
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import org.lentilquay.coordination.gateway.EngineOrder
+import org.lentilquay.coordination.gateway.EngineReport
+import org.lentilquay.coordination.gateway.ORDER_LEASE_MILLIS
+import org.lentilquay.coordination.gateway.OrderOutcome
+import org.lentilquay.daemon.control.decodeOrNull
+import org.lentilquay.daemon.control.tolerantJson
+import org.lentilquay.daemon.timer.ControlThread
+import org.lentilquay.protocol.TableItem
+import org.lentilquay.protocol.TableOperation
+import org.lentilquay.state.Incarnation
+import org.lentilquay.state.ServerId
+import org.lentilquay.state.VmId
+import org.lentilquay.state.gateway.BaseModel
+import org.lentilquay.state.gateway.CallerBounds
+import org.lentilquay.state.gateway.ControllerRecord
+import org.lentilquay.state.gateway.EngineProfile
+import org.lentilquay.state.gateway.GatewayConfiguration
+import org.lentilquay.state.gateway.MemberRecord
+import org.lentilquay.state.gateway.OperatorState
+import org.lentilquay.state.gateway.RegisteredServer
+import org.lentilquay.state.gateway.ServiceProfile
+import org.lentilquay.state.gateway.controllerKey
+import org.lentilquay.state.gateway.memberKey
+import org.lentilquay.transport.platform.ReadResult
+import org.lentilquay.transport.platform.TableService
+import org.lentilquay.transport.platform.TransactResult
+import kotlin.time.Duration.Companion.seconds
+
+private const val PAUSE = 3_000L
+private const val LAPSE = ORDER_LEASE_MILLIS + 500 + PAUSE
+private val OWN = VmId("vm-1")
+private val LOST = VmId("vm-2")
+private val ENGINE = ServerId("e1")
+
+/** A table in memory whose clock the test sets; it can be out of reach. */
+private class TableInMemory : TableService, TableClock {
+    private val items = HashMap<String, TableItem>()
+    private var version = 0L
+    var time = 1_000L
+    var isReachable = true
+    override var latestMillis: Long? = null
+
+    override suspend fun transact(operations: List<TableOperation>): TransactResult = apply(operations)
+
+    @Synchronized
+    private fun apply(operations: List<TableOperation>): TransactResult {
+        if (!isReachable) return TransactResult.Unavailable("out of reach")
+        latestMillis = time
+        val missed = operations.filter { operation ->
+            val expected = when (operation) {
+                is TableOperation.Put -> operation.expectedVersion
+                is TableOperation.Delete -> operation.expectedVersion
+                is TableOperation.Check -> operation.expectedVersion
+            }
+            expected != null && (items[operation.key]?.version ?: 0) != expected
+        }
+        if (missed.isNotEmpty()) return TransactResult.Conflict(missed.map { it.key })
+        version++
+        val puts = operations.filterIsInstance<TableOperation.Put>()
+        puts.forEach { items[it.key] = TableItem(it.key, it.value, version) }
+        return TransactResult.Committed(puts.associate { it.key to version })
+    }
+
+    override suspend fun item(key: String): ReadResult<TableItem?> = read { items[key] }
+
+    override suspend fun scan(prefix: String): ReadResult<List<TableItem>> =
+        read { items.values.filter { it.key.startsWith(prefix) } }
+
+    @Synchronized
+    private fun <T> read(value: () -> T): ReadResult<T> {
+        if (!isReachable) return ReadResult.Unavailable("out of reach")
+        latestMillis = time
+        return ReadResult.Read(value())
+    }
+}
+
+private object SilentEngines : EngineOrders {
+    override suspend fun report(server: RegisteredServer): ReadResult<EngineReport> = ReadResult.Unavailable("silent")
+
+    override suspend fun send(server: RegisteredServer, order: EngineOrder, envelope: OrderEnvelope): OrderOutcome =
+        OrderOutcome.NOT_SENT
+}
+
+/** One VM of the fleet beside the record of a VM that was lost while it controlled an engine. */
+private class MemberWorld : AutoCloseable {
+    val table = TableInMemory()
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val control = ControlThread()
+    private val now = { System.nanoTime() / 1_000_000 }
+    private val options = gatewayOptions(OWN, orderPauseMillis = PAUSE)
+    private val state = GatewayState(options, Incarnation(1), now)
+    private val members = MemberLoop(options, Incarnation(1), state, table, table, SilentEngines, control, scope, now)
+
+    suspend fun open() {
+        val lost = MemberRecord("", EAST, Incarnation(1), renewal = 9, tableMillis = table.time)
+        val controller = ControllerRecord(LOST, Incarnation(1), fence = 4)
+        table.transact(
+            listOf(
+                TableOperation.Put(memberKey(LOST), tolerantJson.encodeToString(lost)),
+                TableOperation.Put(controllerKey(ENGINE), tolerantJson.encodeToString(controller)),
+            ),
+        )
+        val profile = EngineProfile(listOf(BaseModel("base", 1_000.0, 10.0)), 2_000.0, 4, 8)
+        val bounds = CallerBounds(16_384, 1_024, 3_000, 15_000)
+        val services = mapOf("models" to ServiceProfile("models", 0, 0.0, profile))
+        val configuration = GatewayConfiguration(1, emptyList(), services, emptyMap(), emptyMap(), bounds)
+        val engine = RegisteredServer(ENGINE, "models", "", EAST, 8, false, 0, 1, setOf("base"))
+        control.decide {
+            state.operatorChanged(OperatorState(configuration), 1)
+            state.serversChanged(mapOf(ENGINE to engine), 1)
+        }
+    }
+
+    suspend fun exchange() = members.exchange()
+
+    suspend fun tick() = control.decide { members.tick() }
+
+    suspend fun own(): MemberRecord? =
+        (table.item(memberKey(OWN)) as ReadResult.Read).value?.let { decodeOrNull(it) }
+
+    suspend fun controller(): ControllerRecord? =
+        (table.item(controllerKey(ENGINE)) as ReadResult.Read).value?.let { decodeOrNull(it) }
+
+    override fun close() {
+        scope.cancel()
+        control.close()
+    }
+}
+
+/** Guards against engines that nobody controls after a VM was lost, and against two VMs that order at once. */
+class MemberLoopTest : FunSpec({
+    test("a process that starts after a VM was lost takes its engine as soon as the lease is over, and not before") {
+        MemberWorld().use { world ->
+            world.open()
+            world.table.time = 1_000 + LAPSE - 1
+            world.exchange()
+            world.own()?.tableMillis shouldBe 1_000 + LAPSE - 1
+            world.tick()
+            Thread.sleep(300)
+            world.controller()?.vm shouldBe LOST
+            world.table.time = 1_000 + LAPSE
+            world.exchange()
+            eventually(5.seconds) {
+                world.tick()
+                world.controller() shouldBe ControllerRecord(OWN, Incarnation(1), 5)
+            }
+        }
+    }
+
+    test("a record that can not be written names the time of the last reading once it can") {
+        MemberWorld().use { world ->
+            world.open()
+            world.table.isReachable = false
+            world.exchange()
+            world.table.isReachable = true
+            world.own() shouldBe null
+            world.table.time = 5_000
+            world.exchange()
+            world.table.time = 6_000
+            world.exchange()
+            world.own()?.tableMillis shouldBe 5_000
+        }
+    }
+})
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/RequestForwardingTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/RequestForwardingTest.kt
@@ -15,13 +15,11 @@
 import kotlinx.coroutines.launch
 import kotlinx.io.readString
 import org.lentilquay.coordination.configuration.sha256Of
-import org.lentilquay.coordination.gateway.RetryBounds
 import org.lentilquay.coordination.quota.Charge
 import org.lentilquay.daemon.control.FleetCalls
 import org.lentilquay.daemon.requests.Quota
 import org.lentilquay.daemon.timer.ControlThread
 import org.lentilquay.protocol.PeerRequest
-import org.lentilquay.state.DomainId
 import org.lentilquay.state.Incarnation
 import org.lentilquay.state.Outcome
 import org.lentilquay.state.ServerId
@@ -99,7 +97,7 @@
         id = ServerId(id),
         service = "desk",
         address = "127.0.0.1:${listener.localPort}",
-        domain = DomainId("east"),
+        domain = EAST,
         slots = 4,
         isDraining = false,
         coldMillis = 0,
@@ -117,19 +115,7 @@
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val control = ControlThread()
     private val now = { System.nanoTime() / 1_000_000 }
-    private val options = GatewayOptions(
-        vm = VmId("vm-1"),
-        domain = DomainId("east"),
-        callers = "",
-        readiness = "",
-        readinessPath = "",
-        metrics = "",
-        peers = "",
-        orderPauseMillis = 0,
-        stopMillis = 0,
-        retries = RetryBounds(1.0, 100.0),
-        quotaTolerance = 0,
-    )
+    private val options = gatewayOptions(VmId("vm-1"))
     private val state = GatewayState(options, Incarnation(1), now)
     private val fleet = object : FleetCalls {
         override val own = options.vm
