Name the doubts about orders by what they hold

Cause: found on the last read: a load without an answer was called doubtful beside doubtfulUnload, and the constants for slow loads shared one comment. Change: names and comments only; behaviour is unchanged.

--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/EngineController.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/EngineController.kt
@@ -32,12 +32,14 @@
 private const val FRESH_LOAD_MILLIS = 270L
 private const val REPEATED_LOAD_MILLIS = 35L
 
-/** More time for a load that is not done when expected, and how much longer the next ones are expected to take. */
+/** More time for a load that is not done when expected; the weight store slows down by parts of a load time. */
 private const val LOAD_EXTENSION_MILLIS = 100L
+
+/** How much longer the next loads are expected to take after that, and the most, four times that of an idle store. */
 private const val LOAD_GROWTH = 1.2
 private const val LONGEST_LOAD_MILLIS = 1_000L
 
-/** How fast the expected time of a load returns to that of an idle store, for each load. */
+/** The part of the excess over the time of an idle store that is expected of the next load. */
 private const val LOAD_RECOVERY = 0.9
 
 /** A replacement of which no report tells is taken to be done after the longest time of a request. */
@@ -83,14 +85,14 @@
      * A load and an unload whose answers were lost and that the engine may still carry out, until it accepts another
      * order: all of them name the same number of accepted orders.
      */
-    private var doubtful: AdapterName? = null
+    private var doubtfulLoad: AdapterName? = null
     private var doubtfulUnload: AdapterName? = null
     private var mayOrderFrom = 0L
     private var refusedUnloads = 0
     private var modelToLoad: String? = null
 
-    /** The engine refused an adapter that it should hold. */
-    private var isDoubted = false
+    /** The engine refused an adapter that it should hold; a report must show whether it does. */
+    private var isReportDue = false
     private var freshLoadMillis = FRESH_LOAD_MILLIS
 
     /** Requests running and waiting at the last report. */
@@ -101,7 +103,7 @@
 
     /** Whether the state of the engine is to be read soon, before the next order or because a change is awaited. */
     val needsReport: Boolean
-        get() = acceptedOrders == null || doubtful != null || isDoubted ||
+        get() = acceptedOrders == null || doubtfulLoad != null || isReportDue ||
             held.values.any { it.isUnloading || it.isReplacing }
 
     /** Whether the engine holds a base model. */
@@ -139,7 +141,7 @@
                 freshLoadMillis = minOf((freshLoadMillis * LOAD_GROWTH).toLong(), LONGEST_LOAD_MILLIS)
             }
             // It counts for the places until a report shows that it is not there: the reason may be another one.
-            else -> isDoubted = true
+            else -> isReportDue = true
         }
     }
 
@@ -196,7 +198,7 @@
         acceptedOrders = report.acceptedOrders
         models = report.models
         isBusy = report.isBusy
-        doubtful = null
+        doubtfulLoad = null
         doubtfulUnload = null
         held.clear()
         remembered.clear()
@@ -204,7 +206,7 @@
     }
 
     private fun reconcile(report: EngineReport, now: Long) {
-        isDoubted = false
+        isReportDue = false
         report.adapters.forEach { (adapter, version) ->
             val present = held.getOrPut(adapter) { HeldAdapter(version, now, now) }
             present.isConfirmed = true
@@ -285,18 +287,18 @@
     }
 
     private fun accepted(order: EngineOrder, now: Long) {
-        counted()
+        orderAccepted()
         when (order) {
             is EngineOrder.LoadModel -> isBusy = true
             is EngineOrder.LoadAdapter -> {
                 wishes.remove(order.adapter)
-                loading(order.adapter, now)
+                loadAccepted(order.adapter, now)
             }
             is EngineOrder.UnloadAdapter -> held[order.adapter]?.isUnloading = true
         }
     }
 
-    private fun loading(adapter: AdapterName, now: Long) {
+    private fun loadAccepted(adapter: AdapterName, now: Long) {
         val version = maxOf(1, required[adapter] ?: 1)
         val former = held[adapter]
         val millis = when {
@@ -315,20 +317,20 @@
     }
 
     /** The engine accepted an order, so it never carries out the ones without an answer before it. */
-    private fun counted() {
+    private fun orderAccepted() {
         acceptedOrders = acceptedOrders?.plus(1)
         settleDoubts()
         refusedUnloads = 0
     }
 
     private fun settleDoubts() {
-        doubtful = null
+        doubtfulLoad = null
         doubtfulUnload?.let { held[it]?.isUnloading = false }
         doubtfulUnload = null
     }
 
     private fun alreadyDone(order: EngineOrder, now: Long) {
-        counted()
+        orderAccepted()
         when (order) {
             is EngineOrder.LoadModel -> models = models + order.model
             is EngineOrder.LoadAdapter -> {
@@ -349,7 +351,7 @@
     private fun unknown(order: EngineOrder, now: Long) {
         mayOrderFrom = now + UNKNOWN_ORDER_MILLIS
         when (order) {
-            is EngineOrder.LoadAdapter -> doubtful = order.adapter
+            is EngineOrder.LoadAdapter -> doubtfulLoad = order.adapter
             is EngineOrder.UnloadAdapter -> {
                 held[order.adapter]?.isUnloading = true
                 doubtfulUnload = order.adapter
@@ -359,7 +361,7 @@
     }
 
     private fun hasRoom(model: String): Boolean {
-        val uncertain = if (doubtful != null && doubtful !in held) 1 else 0
+        val uncertain = if (doubtfulLoad != null && doubtfulLoad !in held) 1 else 0
         return held.size + uncertain < profile.adapterCapacity(model)
     }
 
