Let a few VMs of each failure domain read the store for the others

Cause: every VM read all member records each second, asked for changes of two tables and reviewed the seats, so calls to the store grew with the fleet. Ruled out: fewer calls for each VM (a leaving server must be known within two seconds); one reader for all (one loss would delay all). Change: three VMs of each failure domain, by rank, are readers; the others ask one of them and turn to the store when it does not answer or has no current copy. A lease still counts only from times that a VM asked the store for itself. In fleets above 24 VMs records are renewed every two seconds and seats reviewed every four. WatchLoop.currentAt, read by nothing, is gone.

--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/ControlLease.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/ControlLease.kt
@@ -33,8 +33,13 @@
 /** A member that has not renewed for this long is replaced; a VM that restarts is back within a few seconds. */
 private const val GONE_MILLIS = 15_000L
 
-/** A member that has not renewed for this long, three intervals, is not asked for anything. */
-private const val SILENT_MILLIS = 3_000L
+/** A member that missed this many renewals is not asked for anything. */
+private const val SILENT_RENEWALS = 3
+
+/** Fleets of more members than this renew half as often: each renewal is a write to the one table that all share. */
+private const val LARGE_FLEET = 24
+private const val RENEWAL_MILLIS = 1_000L
+private const val LARGE_FLEET_RENEWAL_MILLIS = 2_000L
 
 /** Members that try to take a vacant engine, best rank first; the next one tries this much later: one transaction. */
 private const val NEXT_CANDIDATE_MILLIS = 300L
@@ -72,21 +77,30 @@
     private var clockDifference = 0L
 
     /** The members whose leases had not lapsed at the last reading, with their records. */
-    fun live(): Map<VmId, MemberRecord> = seen
-        .filterValues { !it.reading.record.isLeaving && ageMillis(it) < lapseMillis }
-        .mapValues { it.value.reading.record }
+    var live: Map<VmId, MemberRecord> = emptyMap()
+        private set
+
+    /** The members that missed several renewals before the last reading. */
+    var silent: Set<VmId> = emptySet()
+        private set
+
+    /** The engines that live members other than this VM control. */
+    private var controlledByOthers: Set<ServerId> = emptySet()
+
+    /** The members that are up as far as their renewals tell. */
+    private var candidates: Set<VmId> = emptySet()
 
     /** The number of members that have a record and did not leave in order, also those that lapsed. */
     val known: Int get() = seen.values.count { !it.reading.record.isLeaving }
 
+    /** How often the members of this fleet renew their records, in milliseconds. */
+    val renewalMillis: Long get() = if (live.size > LARGE_FLEET) LARGE_FLEET_RENEWAL_MILLIS else RENEWAL_MILLIS
+
     private val lapseMillis get() = ORDER_LEASE_MILLIS + ORDER_TRANSIT_MILLIS + pauseMillis
 
     /** The members that had not renewed for so long at the last reading that they are taken to be gone for good. */
     fun gone(): Set<VmId> = seen.filterValues { ageMillis(it) > GONE_MILLIS }.keys
 
-    /** The members that missed several renewals before the last reading. */
-    fun silent(): Set<VmId> = seen.filterValues { ageMillis(it) > SILENT_MILLIS }.keys - own
-
     private fun ageMillis(member: Seen) = observedMillis - member.reading.record.tableMillis
 
     /** Takes in all member records, read when the table's clock showed [tableMillis]. */
@@ -95,6 +109,12 @@
         seen = readings.mapValues { (vm, reading) ->
             seen[vm]?.takeIf { it.reading.version >= reading.version } ?: Seen(reading, tableMillis)
         }
+        live = seen
+            .filterValues { !it.reading.record.isLeaving && ageMillis(it) < lapseMillis }
+            .mapValues { it.value.reading.record }
+        silent = seen.filterValues { ageMillis(it) > renewalMillis * SILENT_RENEWALS }.keys - own
+        controlledByOthers = (live - own).values.flatMap { it.engines }.mapTo(HashSet()) { it.server }
+        candidates = live.keys - silent
     }
 
     /**
@@ -114,14 +134,12 @@
 
     /** Whether [server] has no controller among the live members and this VM is next to take it. */
     fun isCandidate(server: ServerId, now: Long): Boolean {
-        val live = live()
-        val isControlled = live.any { (vm, record) -> vm != own && record.engines.any { it.server == server } }
-        if (isControlled || own !in live) {
+        if (server in controlledByOthers || own !in live) {
             vacantSince.remove(server)
             return false
         }
         val since = vacantSince.getOrPut(server) { now }
-        val rank = rendezvousRanking(server.text, live.keys - silent()) { it.text }.indexOf(own)
+        val rank = rendezvousRanking(server.text, candidates) { it.text }.indexOf(own)
         return now - since >= rank * NEXT_CANDIDATE_MILLIS
     }
 
--- a/core/src/main/kotlin/org/lentilquay/protocol/PeerMessages.kt
+++ b/core/src/main/kotlin/org/lentilquay/protocol/PeerMessages.kt
@@ -214,6 +214,14 @@
     @Serializable
     @SerialName("read-watched")
     data class ReadWatched(val table: String, val afterVersion: Long) : PeerRequest
+
+    /**
+     * Asks a reader of the store for the rows of [table] that changed after [afterVersion]. While there are none, the
+     * answer waits up to [waitMillis].
+     */
+    @Serializable
+    @SerialName("follow-table")
+    data class FollowTable(val table: String, val afterVersion: Long, val waitMillis: Long) : PeerRequest
 }
 
 @Serializable
@@ -317,8 +325,17 @@
     @Serializable
     @SerialName("watched")
     data class Watched(val version: Long, val rows: Map<String, String>?) : PeerAnswer
+
+    /** The rows that changed up to [version], read at [tableMillis] of the store's clock. */
+    @Serializable
+    @SerialName("table-changes")
+    data class TableChanges(val version: Long, val tableMillis: Long, val rows: Map<String, RowChange>) : PeerAnswer
 }
 
+/** What a row of a table became in [version]; no [text] stands for a removed row. */
+@Serializable
+data class RowChange(@SerialName("t") val text: String?, @SerialName("v") val version: Long)
+
 /** Why an adapter can not be made ready. */
 @Serializable
 enum class AdapterRefusal { NOT_CONTROLLER, NO_FREE_PLACE, NOT_IN_TIME }
--- a/core/src/test/kotlin/org/lentilquay/coordination/gateway/ControlLeaseTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/gateway/ControlLeaseTest.kt
@@ -57,7 +57,7 @@
     test("a VM that has just started takes an engine over whose controller was lost long before") {
         val lease = lease()
         lease.observed(mapOf(vm(2) to renewed(5, tableMillis = 1_000)), 1_000 + LAPSE)
-        lease.live() shouldBe emptyMap()
+        lease.live shouldBe emptyMap()
         lease.known shouldBe 1
         lease.takeOver(heldBy(vm(2))).shouldBeInstanceOf<TakeOver.Due>()
     }
@@ -66,8 +66,8 @@
         val lease = lease()
         lease.observed(mapOf(vm(1) to renewed(4, 1_000), vm(2) to renewed(5, 1_000)), 1_500)
         lease.isCandidate(SERVER, 600_000)
-        lease.live().keys shouldBe setOf(vm(1), vm(2))
-        lease.silent() shouldBe emptySet()
+        lease.live.keys shouldBe setOf(vm(1), vm(2))
+        lease.silent shouldBe emptySet()
         lease.takeOver(heldBy(vm(2))) shouldBe TakeOver.NotDue
     }
 
@@ -97,7 +97,7 @@
         val lease = lease()
         val members = mapOf(vm(2) to renewed(5, tableMillis = 0), vm(3) to renewed(6, tableMillis = 14_000))
         lease.observed(members, 3_001)
-        lease.silent() shouldBe setOf(vm(2))
+        lease.silent shouldBe setOf(vm(2))
         lease.gone() shouldBe emptySet()
         lease.observed(members, 15_001)
         lease.gone() shouldBe setOf(vm(2))
--- /dev/null
+++ b/core/src/test/kotlin/org/lentilquay/coordination/gateway/ReaderPlanTest.kt
@@ -0,0 +1,56 @@
+package org.lentilquay.coordination.gateway
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeIn
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
+import org.lentilquay.state.DomainId
+import org.lentilquay.state.VmId
+
+private val domains = List(4) { DomainId("zone-$it") }
+
+private fun members(count: Int) = List(count) { VmId("vm-$it") to domains[it % domains.size] }.toMap()
+
+private fun plans(members: Map<VmId, DomainId>) =
+    members.mapValues { (vm, domain) -> ReaderPlan(vm, domain).apply { membersChanged(members) } }
+
+/** Guards against calls to the store that grow with the fleet, and against VMs that are left without a copy. */
+class ReaderPlanTest : FunSpec({
+    listOf(1, 8, 12, 79, 370).forEach { count ->
+        test("in a fleet of $count each VM reads itself or asks a reader of its failure domain") {
+            val members = members(count)
+            val plans = plans(members)
+            val readers = plans.filterValues { it.reader(0) == null }.keys
+            readers.size shouldBeLessThanOrEqual READERS_PER_DOMAIN * domains.size
+            plans.forEach { (vm, plan) ->
+                val asked = plan.reader(0) ?: return@forEach
+                asked shouldBeIn readers
+                members[asked] shouldBe members[vm]
+                plans.getValue(asked).hasFollowers shouldBe true
+            }
+        }
+    }
+
+    test("small fleets have no followers") {
+        plans(members(12)).values.none { it.hasFollowers } shouldBe true
+    }
+
+    test("a reader that does not answer is replaced, and after the last one the VM reads itself") {
+        val (_, plan) = plans(members(40)).entries.first { (_, plan) -> plan.reader(0) != null }
+        val first = plan.reader(0)
+        repeat(READERS_PER_DOMAIN) { plan.reader(0)?.let { plan.failed(it, 0) } }
+        plan.reader(0) shouldBe null
+        plan.reader(3_000) shouldBe first
+    }
+
+    test("followers of one failure domain are spread over its readers") {
+        val asked = plans(members(79)).filterKeys { members(79)[it] == domains[0] }.values.mapNotNull { it.reader(0) }
+        asked.toSet().size shouldBe READERS_PER_DOMAIN
+    }
+
+    test("a VM that knows no members reads itself") {
+        ReaderPlan(VmId("vm-1"), domains[0]).reader(0) shouldBe null
+        ReaderPlan(VmId("vm-1"), domains[0]).hasFollowers shouldNotBe true
+    }
+})
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
@@ -42,7 +42,9 @@
 private val log = KotlinLogging.logger {}
 private const val TICK_MILLIS = 200L
 private const val EXCHANGE_MILLIS = 1_000L
-private const val SEAT_MILLIS = 2_000L
+
+/** The seats are reviewed once in this many renewals of member records. */
+private const val RENEWALS_PER_REVIEW = 2
 private const val SWEEP_MILLIS = 1_000L
 
 /**
@@ -91,8 +93,19 @@
     private val servers = KeptConnections(network)
     private val state = GatewayState(options, incarnation, timer::now)
     private val metrics = GatewayMetrics()
+    private lateinit var fleet: SocketFleetCalls
+    private val relay = TableRelay(state.readers, ports.watch, ports.clock, { fleet }, control, timer::now)
     private val members = MemberLoop(
-        options, incarnation, state, ports.table, ports.clock, ports.orders, control, scope, timer::now,
+        options,
+        incarnation,
+        state,
+        ports.table,
+        ports.clock,
+        MemberTable(ports.table, ports.clock, relay),
+        ports.orders,
+        control,
+        scope,
+        timer::now,
     )
     private val operatorWatch = watchLoop(WatchedTableName.OPERATOR) { rows ->
         control.decide {
@@ -103,7 +116,6 @@
     private val serverWatch = watchLoop(WatchedTableName.SERVERS) { rows ->
         control.decide { state.serversChanged(ports.decoder.servers(rows.rows), rows.version) }
     }
-    private lateinit var fleet: SocketFleetCalls
     private lateinit var crashes: CrashWatch
     private var callers: GatewayListener? = null
 
@@ -198,16 +210,28 @@
             if (state.lease.known > 0) state.buckets.started(most, state.lease.known, timer.now())
         }
         seats.review()
-        scope.launch { timer.ticks(SEAT_MILLIS).collect { seats.review() } }
+        scope.launch { keepReviewing(seats) }
         timer.ticks(EXCHANGE_MILLIS).collect { members.exchange() }
     }
 
+    /** Large fleets review their seats less often, as they renew less often. */
+    private suspend fun keepReviewing(seats: SeatLoop) {
+        var reviewedAt = timer.now()
+        timer.ticks(EXCHANGE_MILLIS).collect {
+            val interval = control.decide { state.lease.renewalMillis } * RENEWALS_PER_REVIEW
+            if (timer.now() - reviewedAt >= interval - EXCHANGE_MILLIS / 2) {
+                reviewedAt = timer.now()
+                seats.review()
+            }
+        }
+    }
+
     private suspend fun seatMembers(): SeatLoop.SeatMembers = control.decide {
         SeatLoop.SeatMembers(state.members.keys + options.vm, state.lease.gone())
     }
 
     private fun watchLoop(table: WatchedTableName, changed: suspend (WatchedRows) -> Unit) =
-        WatchLoop(table, ports.watch, ::askPeer, timer::now, changed)
+        WatchLoop(table, relay, ::askPeer, timer::now, changed)
 
     private suspend fun askPeer(table: WatchedTableName, version: Long): PeerAnswer.Watched? {
         val peer = control.decide { state.members.keys.filter { it != options.vm }.randomOrNull() } ?: return null
@@ -231,6 +255,7 @@
             PeerAnswer.Done
         }
         is PeerRequest.ReadWatched -> watched(request)
+        is PeerRequest.FollowTable -> relay.answer(request)
         else -> PeerAnswer.Refused(Failure(ErrorKind.INTERNAL, "the gateway does not know the request"))
     }
 
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayPorts.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayPorts.kt
@@ -20,8 +20,8 @@
 
 /** The answer to a question for changes. */
 sealed interface WatchAnswer {
-    /** The rows that changed up to [version]; null stands for a removed row. */
-    data class Changes(val version: Long, val rows: Map<String, String?>) : WatchAnswer
+    /** The rows that changed up to [version]; null stands for a removed row. [isRelayed] by another VM. */
+    data class Changes(val version: Long, val rows: Map<String, String?>, val isRelayed: Boolean = false) : WatchAnswer
 
     /** The changes are no longer kept; the table must be read again. */
     data object HistoryLost : WatchAnswer
@@ -29,8 +29,8 @@
     data class Unavailable(val reason: String) : WatchAnswer
 }
 
-/** The tables that others write and the gateway follows. */
-enum class WatchedTableName(val text: String) { OPERATOR("operator"), SERVERS("servers") }
+/** The tables that the gateway follows: those of the operator and of the servers, and its own member records. */
+enum class WatchedTableName(val text: String) { OPERATOR("operator"), SERVERS("servers"), MEMBERS("members") }
 
 /** Reads watched tables. */
 interface WatchSource {
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayState.kt
@@ -7,6 +7,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.lentilquay.coordination.gateway.ColdStartLimit
 import org.lentilquay.coordination.gateway.ControlLease
+import org.lentilquay.coordination.gateway.ReaderPlan
 import org.lentilquay.coordination.gateway.RetryBudget
 import org.lentilquay.coordination.gateway.RouteTable
 import org.lentilquay.coordination.gateway.ServerHealth
@@ -37,6 +38,7 @@
     val lease = ControlLease(options.vm, incarnation, options.orderPauseMillis)
     val pulls = PullPlan(options.vm)
     val buckets = TeamBuckets(options.vm, pulls = pulls)
+    val readers = ReaderPlan(options.vm, options.domain)
 
     var operator = OperatorState()
         private set
@@ -105,6 +107,7 @@
             retries.membersChanged(changed.size)
         }
         members = changed
+        readers.membersChanged((changed - silent).mapValues { it.value.domain })
         selection.membersChanged(changed, silent, now())
     }
 }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/MemberLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/MemberLoop.kt
@@ -1,7 +1,7 @@
 /*
  * This VM among the others: renews its member record, reads those of the others, and takes control of engines that
  * have no controller. The record also carries what this VM knows about its engines, so that one write and one read a
- * second keep all VMs informed.
+ * second keep all VMs informed; in large fleets one write in two seconds, and most reads are those of another VM.
  */
 package org.lentilquay.daemon.gateway
 
@@ -11,10 +11,8 @@
 import kotlinx.coroutines.launch
 import org.lentilquay.coordination.WriteResult
 import org.lentilquay.coordination.gateway.ControllerReading
-import org.lentilquay.coordination.gateway.MemberReading
 import org.lentilquay.coordination.gateway.TableTime
 import org.lentilquay.coordination.gateway.TakeOver
-import org.lentilquay.daemon.control.decodeOrNull
 import org.lentilquay.daemon.control.record
 import org.lentilquay.daemon.control.tolerantJson
 import org.lentilquay.daemon.control.write
@@ -25,12 +23,10 @@
 import org.lentilquay.state.ServerId
 import org.lentilquay.state.VmId
 import org.lentilquay.state.gateway.ControllerRecord
-import org.lentilquay.state.gateway.MEMBER_PREFIX
 import org.lentilquay.state.gateway.MemberRecord
 import org.lentilquay.state.gateway.RegisteredServer
 import org.lentilquay.state.gateway.controllerKey
 import org.lentilquay.state.gateway.memberKey
-import org.lentilquay.transport.platform.ReadResult
 import org.lentilquay.transport.platform.TableService
 
 private val log = KotlinLogging.logger {}
@@ -40,12 +36,16 @@
 private const val MAXIMUM_RENEWALS = 3
 private const val RENEWAL_PAUSE_MILLIS = 250L
 
+/** A renewal may come this much early, because exchanges come a little early and late, in milliseconds. */
+private const val RENEWAL_SLACK_MILLIS = 200L
+
 class MemberLoop(
     private val options: GatewayOptions,
     private val incarnation: Incarnation,
     private val state: GatewayState,
     private val table: TableService,
     private val clock: TableClock,
+    private val records: MemberTable,
     private val orders: EngineOrders,
     private val control: ControlThread,
     private val scope: CoroutineScope,
@@ -55,6 +55,10 @@
     private var renewal = 0L
     private var isTaking = false
     private var wasRenewed = false
+    private var renewedAt = Long.MIN_VALUE / 2
+
+    /** The engines that the record as it was last written names. */
+    private var publishedEngines: Set<ServerId> = emptySet()
 
     /** What the next renewal counts from, and the wall clock less the monotonic clock at that time. */
     private var basis: Pair<TableTime, Long>? = null
@@ -69,18 +73,33 @@
     /** The member records and this VM's view of its own engines are exchanged. Call once a second. */
     suspend fun exchange() {
         if (basis == null) observe()
-        // A renewal that failed is tried again at once, because the lease may run out before the next exchange.
-        var attempts = 0
-        while (!renew() && ++attempts < MAXIMUM_RENEWALS) delay(RENEWAL_PAUSE_MILLIS)
+        if (control.decide { isRenewalDue() }) {
+            // A renewal that failed is tried again at once, because the lease may run out before the next exchange.
+            var attempts = 0
+            while (!renew() && ++attempts < MAXIMUM_RENEWALS) delay(RENEWAL_PAUSE_MILLIS)
+        }
         observe()
     }
 
+    /** The others must learn at once which engines this VM controls. */
+    private fun isRenewalDue(): Boolean = isLeaving || engines.keys != publishedEngines ||
+        now() - renewedAt >= state.lease.renewalMillis - RENEWAL_SLACK_MILLIS
+
     private suspend fun renew(): Boolean {
         val (from, difference) = basis ?: return false
         val record = control.decide { ownRecord(from.millis) }
         val put = TableOperation.Put(memberKey(options.vm), tolerantJson.encodeToString(record))
+        val askedAt = now()
+        val nextDifference = clockDifference()
         val isRenewed = table.write(listOf(put)) == WriteResult.COMMITTED
-        if (isRenewed) control.decide { state.lease.renewed(from, difference) }
+        if (isRenewed) {
+            control.decide {
+                state.lease.renewed(from, difference)
+                renewedAt = askedAt
+                publishedEngines = record.engines.mapTo(HashSet()) { it.server }
+            }
+            clock.latestMillis?.let { basis = TableTime(it, askedAt) to nextDifference }
+        }
         if (isRenewed != wasRenewed) log.change("member record", "renewed" to isRenewed, "renewal" to record.renewal)
         wasRenewed = isRenewed
         return isRenewed
@@ -99,16 +118,12 @@
     private suspend fun observe() {
         val askedAt = now()
         val difference = clockDifference()
-        val items = (table.scan(MEMBER_PREFIX) as? ReadResult.Read)?.value ?: return
-        val tableMillis = clock.latestMillis ?: return
-        basis = TableTime(tableMillis, askedAt) to difference
-        val readings = items.mapNotNull { item ->
-            val record = decodeOrNull<MemberRecord>(item) ?: return@mapNotNull null
-            VmId(item.key.removePrefix(MEMBER_PREFIX)) to MemberReading(record, item.version)
-        }.toMap()
+        // A lease counts only from a time that this VM has asked the store for.
+        val reading = records.read(mayFollow = basis != null) ?: return
+        if (reading.isOwn) basis = TableTime(reading.tableMillis, askedAt) to difference
         control.decide {
-            state.lease.observed(readings, tableMillis)
-            state.membersChanged(state.lease.live(), state.lease.silent())
+            state.lease.observed(reading.members, reading.tableMillis)
+            state.membersChanged(state.lease.live, state.lease.silent)
         }
     }
 
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/WatchLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/WatchLoop.kt
@@ -22,6 +22,9 @@
 private const val OPERATOR_PAUSE_MILLIS = 100L
 private const val SERVERS_PAUSE_MILLIS = 800L
 
+/** The reader that relayed an answer has paused itself; this only bounds the work of a fast series of changes. */
+private const val RELAYED_PAUSE_MILLIS = 100L
+
 /** Pause after a failed question. */
 private const val RETRY_MILLIS = 250L
 
@@ -44,11 +47,6 @@
     var copy: WatchedRows? = null
         private set
 
-    /** When the copy was last known to be current, in milliseconds. */
-    @Volatile
-    var currentAt: Long = Long.MIN_VALUE / 2
-        private set
-
     suspend fun run() {
         while (true) {
             val known = copy
@@ -57,9 +55,8 @@
     }
 
     private suspend fun readAll() {
-        val askedAt = now()
         when (val read = source.readAll(table)) {
-            is ReadResult.Read -> succeeded(askedAt, read.value)
+            is ReadResult.Read -> succeeded(read.value)
             is ReadResult.Unavailable -> failed(read.reason)
         }
     }
@@ -68,8 +65,8 @@
         val askedAt = now()
         when (val answer = source.changes(table, known.version, HOLD_MILLIS)) {
             is WatchAnswer.Changes -> {
-                succeeded(askedAt, merged(known, answer))
-                delay(pauseMillis() - (now() - askedAt))
+                succeeded(merged(known, answer))
+                delay(pauseMillis(answer) - (now() - askedAt))
             }
             is WatchAnswer.HistoryLost -> {
                 log.change("history of a table is lost, reading it again", "table" to table.text)
@@ -79,9 +76,10 @@
         }
     }
 
-    private fun pauseMillis() = when (table) {
-        WatchedTableName.OPERATOR -> OPERATOR_PAUSE_MILLIS
-        WatchedTableName.SERVERS -> SERVERS_PAUSE_MILLIS
+    private fun pauseMillis(answer: WatchAnswer.Changes) = when {
+        answer.isRelayed -> RELAYED_PAUSE_MILLIS
+        table == WatchedTableName.SERVERS -> SERVERS_PAUSE_MILLIS
+        else -> OPERATOR_PAUSE_MILLIS
     }
 
     private suspend fun merged(known: WatchedRows, answer: WatchAnswer.Changes): WatchedRows {
@@ -94,14 +92,13 @@
         return WatchedRows(answer.version, known.rows - removed + written)
     }
 
-    private suspend fun succeeded(askedAt: Long, rows: WatchedRows) {
+    private suspend fun succeeded(rows: WatchedRows) {
         if (failures > 0) {
             val version = rows.version
             log.change("table is readable again", "table" to table.text, "failures" to failures, "version" to version)
             recoveredAt = now()
             failures = 0
         }
-        currentAt = askedAt
         take(rows)
     }
 
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/GatewayFixture.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/GatewayFixture.kt
@@ -4,8 +4,12 @@
 package org.lentilquay.daemon.gateway
 
 import org.lentilquay.coordination.gateway.RetryBounds
+import org.lentilquay.daemon.control.FleetCalls
+import org.lentilquay.protocol.PeerRequest
 import org.lentilquay.state.DomainId
 import org.lentilquay.state.VmId
+import org.lentilquay.transport.peer.PeerCallResult
+import org.lentilquay.transport.platform.ReadResult
 
 internal val EAST = DomainId("east")
 
@@ -22,3 +26,24 @@
     retries = RetryBounds(1.0, 100.0),
     quotaTolerance = 0,
 )
+
+/** A table clock that has shown no time yet. */
+internal object NoClock : TableClock {
+    override val latestMillis: Long? = null
+}
+
+/** Watched tables that cannot be read. */
+internal object NoWatch : WatchSource {
+    override suspend fun readAll(table: WatchedTableName): ReadResult<WatchedRows> = ReadResult.Unavailable("no table")
+
+    override suspend fun changes(table: WatchedTableName, after: Long, waitMillis: Long): WatchAnswer =
+        WatchAnswer.Unavailable("no table")
+}
+
+/** A fleet in which no other VM can be reached. */
+internal object NoFleet : FleetCalls {
+    override val own = VmId("vm-1")
+
+    override suspend fun call(vm: VmId, request: PeerRequest, timeoutMillis: Long): PeerCallResult =
+        PeerCallResult.Unreachable("no network", sent = false)
+}
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/MemberLoopTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/MemberLoopTest.kt
@@ -98,7 +98,10 @@
     private val now = { System.nanoTime() / 1_000_000 }
     private val options = gatewayOptions(OWN, orderPauseMillis = PAUSE)
     private val state = GatewayState(options, Incarnation(1), now)
-    private val members = MemberLoop(options, Incarnation(1), state, table, table, SilentEngines, control, scope, now)
+    private val relay = TableRelay(state.readers, NoWatch, table, { NoFleet }, control, now)
+    private val records = MemberTable(table, table, relay)
+    private val members =
+        MemberLoop(options, Incarnation(1), state, table, table, records, SilentEngines, control, scope, now)
 
     suspend fun open() {
         val lost = MemberRecord("", EAST, Incarnation(1), renewal = 9, tableMillis = table.time)
