--- a/cli/src/main/kotlin/org/lentilquay/cli/logs/RequestStory.kt
+++ b/cli/src/main/kotlin/org/lentilquay/cli/logs/RequestStory.kt
@@ -30,7 +30,6 @@
     "table is readable again",
     "history of a table is lost, reading it again",
     "quota seats changed",
-    "log lines dropped",
 )
 
 /** The line of a [request] and the [changes] that may explain it, oldest first. */
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarding.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarding.kt
@@ -43,6 +43,9 @@
 /** Advice to callers while this VM has no configuration yet, in milliseconds. */
 private const val START_ADVICE_MILLIS = 500L
 
+/** A shorter wait for tokens is not noted with the request, in milliseconds: two calls to another VM. */
+private const val NOTED_WAIT_MILLIS = 20L
+
 /** Time that is left for the way of an answer back to the caller, in milliseconds. */
 private const val RETURN_MILLIS = 5L
 
@@ -68,7 +71,7 @@
         var status = 0
         var plan: RequestPlan? = null
         try {
-            status = when (val admitted = admit(request)) {
+            status = when (val admitted = admit(request, trace)) {
                 is Admission.Refused -> refuse(writer, admitted.failure, trace)
                 is Admission.Admitted -> {
                     plan = admitted.plan
@@ -86,7 +89,7 @@
         class Refused(val failure: Failure) : Admission
     }
 
-    private suspend fun admit(request: CallerRequest): Admission {
+    private suspend fun admit(request: CallerRequest, trace: RequestTrace): Admission {
         val rules = state.rules
             ?: return refused(ErrorKind.CONFIGURATION_STALE, "no configuration is known yet", START_ADVICE_MILLIS)
         val head = request.head
@@ -99,7 +102,7 @@
         } else {
             teamOf(rules, head) ?: return refused(ErrorKind.KEY_INVALID, "the key is not known")
         }
-        return crashQuarantine(request) ?: charge(planOf(request, id, route, access, rules))
+        return crashQuarantine(request) ?: charge(planOf(request, id, route, access, rules), trace)
     }
 
     private fun planOf(
@@ -142,12 +145,16 @@
         return rules.configuration.teamOfKey[sha256Of(key)]?.let { rules.configuration.teams[it] }
     }
 
-    private suspend fun charge(plan: RequestPlan): Admission {
+    private suspend fun charge(plan: RequestPlan, trace: RequestTrace): Admission {
         val team = plan.access?.team
         if (team == null || team.tokensPerSecond <= 0) return Admission.Admitted(plan, null)
         val tokens = tokenCount(plan.request.head.header(names.tokens)) ?: plan.access.unmeasuredTokens
+        val askedAt = now()
         // A request that is larger than the burst takes all of it.
-        return when (val outcome = quota.admit(team.id, plan.id, minOf(tokens, team.burstTokens))) {
+        val outcome = quota.admit(team.id, plan.id, minOf(tokens, team.burstTokens))
+        val waited = now() - askedAt
+        if (waited >= NOTED_WAIT_MILLIS) trace.note("waited $waited ms for $tokens tokens")
+        return when (outcome) {
             is Outcome.Success -> Admission.Admitted(plan, outcome.value)
             is Outcome.Failed -> Admission.Refused(outcome.failure)
         }
