Ask the readers of the store in turn

Cause: found by reading. A reader that is cut off from the store notices it after up to 2.4 s; until then its followers took its silence for an unchanged table, longer than a leaving server may be served on some deployments (2 s). Ruled out: shorter holds and pauses at the readers, which cost a third more calls to the store. Change: a follower asks its readers in turn, for each table, so a reader that does not know delays a change by one held question (0.5 s).

--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/ReaderPlan.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/ReaderPlan.kt
@@ -21,6 +21,9 @@
     private var readers: List<VmId> = emptyList()
     private val failedUntil = HashMap<VmId, Long>()
 
+    /** Questions asked so far, by table. VMs begin at different readers. */
+    private val turns = HashMap<String, Int>()
+
     /** Whether other VMs are to have their copies from this one. */
     var hasFollowers: Boolean = false
         private set
@@ -33,10 +36,16 @@
         failedUntil.keys.retainAll(readers.toSet())
     }
 
-    /** The VM to ask for copies, or null if this VM reads the store itself. */
-    fun reader(now: Long): VmId? {
+    /**
+     * The VM to ask next for changes of [table], or null if this VM reads the store itself. Readers are asked in turn,
+     * so that one that has lost the store and does not know it yet delays a change by one question only.
+     */
+    fun reader(table: String, now: Long): VmId? {
         if (own in readers) return null
-        return rendezvousRanking(own.text, readers) { it.text }.firstOrNull { (failedUntil[it] ?: 0) <= now }
+        val open = readers.filter { (failedUntil[it] ?: 0) <= now }
+        if (open.isEmpty()) return null
+        val turn = turns.merge(table, 1, Int::plus) ?: 0
+        return open[(turn + own.text.hashCode()).mod(open.size)]
     }
 
     /** The reader [vm] did not answer, or has no current copy. */
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/TableRelay.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/TableRelay.kt
@@ -70,7 +70,7 @@
 
     /** Asks a reader for the changes of [table] after version [after]; null if this VM is to ask the store. */
     suspend fun ask(table: WatchedTableName, after: Long, waitMillis: Long): PeerAnswer.TableChanges? {
-        val reader = control.decide { plan.reader(now()) } ?: return null
+        val reader = control.decide { plan.reader(table.text, now()) } ?: return null
         val request = PeerRequest.FollowTable(table.text, after, waitMillis)
         val result = fleet().call(reader, request, waitMillis + RELAY_MARGIN_MILLIS)
         val answer = (result as? PeerCallResult.Answered)?.answer
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/TableRelayTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/TableRelayTest.kt
@@ -1,6 +1,7 @@
 package org.lentilquay.daemon.gateway
 
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldContain
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import org.lentilquay.coordination.gateway.READERS_PER_DOMAIN
@@ -31,7 +32,7 @@
     val relays: Map<VmId, TableRelay> = vms.associateWith { vm ->
         TableRelay(plans.getValue(vm), Store(vm), NoClock, { Peers(vm) }, control, now)
     }
-    val readers get() = vms.filter { plans.getValue(it).reader(now()) == null }
+    val readers get() = vms.filter { plans.getValue(it).reader(WatchedTableName.SERVERS.text, now()) == null }
 
     private inner class Store(private val vm: VmId) : WatchSource {
         override suspend fun readAll(table: WatchedTableName): ReadResult<WatchedRows> {
@@ -77,6 +78,17 @@
         }
     }
 
+    test("a reader that has lost the store and does not know it delays a change by one question") {
+        RelayWorld().use { world ->
+            world.readAll()
+            val aware = world.readers.drop(1)
+            aware.forEach { world.relays.getValue(it).changes(WatchedTableName.SERVERS, 5, 0) }
+            val follower = world.relays.getValue((world.vms - world.readers.toSet()).first())
+            val answers = List(2) { follower.changes(WatchedTableName.SERVERS, 5, 0) as WatchAnswer.Changes }
+            answers.map { it.rows } shouldContain CHANGE.rows
+        }
+    }
+
     listOf<Pair<String, (RelayWorld, List<VmId>) -> Unit>>(
         "do not answer" to { world, readers -> world.lost += readers },
         "are cut off from the store" to { world, readers -> world.cutOff += readers },
