Drop a member whose record cannot be read any more

Since only changed records are decoded, a record that became unreadable kept its last readable version; before, the member was left out. Change: MemberTable.take replaces every changed row, readable or not, which is also shorter.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/MemberTable.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/MemberTable.kt
@@ -48,12 +48,13 @@
         return MemberTableReading(members, tableMillis, isOwn = true)
     }
 
+    /** Takes the rows in; a record that cannot be read any more counts as none. */
     private fun take(changed: Map<String, RowChange>) {
-        val (written, removed) = changed.entries.partition { it.value.text != null }
-        val readable = written.mapNotNull { (name, row) ->
-            val item = TableItem(MEMBER_PREFIX + name, row.text.orEmpty(), row.version)
-            decodeOrNull<MemberRecord>(item)?.let { VmId(name) to MemberReading(it, row.version) }
+        val readable = changed.mapNotNull { (name, row) ->
+            val text = row.text ?: return@mapNotNull null
+            val record = decodeOrNull<MemberRecord>(TableItem(MEMBER_PREFIX + name, text, row.version))
+            record?.let { VmId(name) to MemberReading(it, row.version) }
         }
-        members = members - removed.map { VmId(it.key) }.toSet() + readable
+        members = members - changed.keys.mapTo(HashSet()) { VmId(it) } + readable
     }
 }
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/MemberLoopTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/MemberLoopTest.kt
@@ -127,6 +127,8 @@
 
     suspend fun tick() = control.decide { members.tick() }
 
+    suspend fun members(): Set<VmId> = control.decide { state.members.keys }
+
     suspend fun own(): MemberRecord? =
         (table.item(memberKey(OWN)) as ReadResult.Read).value?.let { decodeOrNull(it) }
 
@@ -173,4 +175,15 @@
             world.own()?.tableMillis shouldBe 5_000
         }
     }
+
+    test("a member whose record cannot be read any more is not taken to be up") {
+        MemberWorld().use { world ->
+            world.open()
+            world.exchange()
+            world.members() shouldBe setOf(OWN, LOST)
+            world.table.transact(listOf(TableOperation.Put(memberKey(LOST), "{")))
+            world.exchange()
+            world.members() shouldBe setOf(OWN)
+        }
+    }
 })
