--- a/cli/src/main/kotlin/org/lentilquay/cli/logs/StoryText.kt
+++ b/cli/src/main/kotlin/org/lentilquay/cli/logs/StoryText.kt
@@ -19,9 +19,9 @@
     appendLine("changes around it, by milliseconds from its arrival:")
     if (story.changes.isEmpty()) appendLine("  none in these files")
     story.changes.forEach { entry ->
-        val facts = entry.facts.entries.joinToString(", ") { "${it.key} ${it.value}" }
+        val details = entry.facts.entries.joinToString(", ") { "${it.key} ${it.value}" }
         val offset = entry.epochMillis - story.arrivedAtEpochMillis
-        appendLine("  ${offset.toString().padStart(OFFSET_WIDTH)} ${entry.origin}: ${entry.event} ($facts)")
+        appendLine("  ${offset.toString().padStart(OFFSET_WIDTH)} ${entry.origin}: ${entry.event} ($details)")
     }
 }.trimEnd()
 
--- a/core/src/main/kotlin/org/lentilquay/state/gateway/MemberRecord.kt
+++ b/core/src/main/kotlin/org/lentilquay/state/gateway/MemberRecord.kt
@@ -17,9 +17,6 @@
 /** The prefix of the keys of all member records. */
 const val MEMBER_PREFIX: String = MEMBER_TABLE
 
-/** The prefix of the keys of all controller records. */
-const val CONTROLLER_PREFIX: String = CONTROLLER_TABLE
-
 /** The key of the member record of [vm]. */
 fun memberKey(vm: VmId): String = MEMBER_TABLE + vm
 
