Log the renewal and the age of the former controller's record at a takeover

The log of the VM that took control named the former controller, but neither the renewal of its member record nor its age, so a VM that did not renew could not be distinguished from one whose record had been replaced by an older one. No decision changes.

--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/ControlLease.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/ControlLease.kt
@@ -136,6 +136,9 @@
     /** The members that at the last reading had not renewed for so long that they count as permanently gone. */
     fun departedMembers(): Set<VmId> = members.filterValues { ageMillis(it) > DEPARTED_MILLIS }.keys
 
+    /** The member record of [vm] at the last reading, with its age in milliseconds; null if there was none. */
+    fun recordWithAge(vm: VmId): Pair<MemberRecord, Long>? = members[vm]?.let { it.row.record to ageMillis(it) }
+
     private fun ageMillis(member: Member) = observedMillis - member.row.record.tableMillis
 
     /** Replaces the member records by [readings], which were read at the table time [tableMillis]. */
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
@@ -202,7 +202,15 @@
 
     private fun started(server: RegisteredServer, fence: Long, former: VmId?) {
         val profile = state.operator.configuration?.services?.get(server.service)?.engine ?: return
-        log.event("control of an engine taken", "server" to server.id, "fence" to fence, "former" to former)
+        val (formerRecord, formerAgeMillis) = former?.let { state.lease.recordWithAge(it) } ?: (null to null)
+        log.event(
+            "control of an engine taken",
+            "server" to server.id,
+            "fence" to fence,
+            "former" to former,
+            "formerRenewal" to formerRecord?.renewal,
+            "formerAgeMillis" to formerAgeMillis,
+        )
         val mayOrder = { !isLeaving && state.lease.isValid(now(), clockDifference()) }
         val engine = ControlledEngine(server, fence, options.vm.text, profile, client, control, mayOrder, now)
         engines.put(server.id, engine)?.stop()
