Show that a late renewal of a control lease replaces a newer one

The former controller had been cut off from the table service from second 3 to 11. In second 17 the table service executed three more of its transactions than usual; from 17.37 to 18.37 all other VMs counted it as expired, and one took over its engine. Its own lease was valid all the while.

Hypotheses: (1) renewals that were sent during the cut took effect after newer ones; (2) the VM was suspended and regained its lease between two checks; against it: no gap in its logs and metrics; (3) the controller record was lost and the fence began again; against it: fences 1, 2, 3 in order.

The test has the table service execute the renewals of a cut late.

--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/EngineControlLoopTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/EngineControlLoopTest.kt
@@ -41,17 +41,33 @@
 private const val TAKEOVER_MILLIS = ORDER_LEASE_MILLIS + 500 + PAUSE_MILLIS
 private val OWN = VmId("vm-1")
 private val LOST = VmId("vm-2")
+private val OTHER = VmId("vm-3")
 private val ENGINE = ServerId("e1")
 
-/** A table service in memory; the test sets its clock and whether it is reachable. */
+/** Time in which a VM that may take control of an engine has done so. */
+private const val TAKEOVER_ATTEMPT_MILLIS = 300L
+
+/** A table service in memory; the test sets its clock, whether it is reachable, and whether writes take effect late. */
 private class InMemoryTable : TableService, TableClock {
     private val items = HashMap<String, TableItem>()
+    private val delayed = mutableListOf<List<TableOperation>>()
     private var version = 0L
     var time = 1_000L
     var isReachable = true
+    var delaysWrites = false
     override var latestMillis: Long? = null
 
-    override suspend fun transact(operations: List<TableOperation>): TransactResult = apply(operations)
+    override suspend fun transact(operations: List<TableOperation>): TransactResult {
+        if (!delaysWrites) return apply(operations)
+        delayed += operations
+        return TransactResult.OutcomeUnknown("no answer")
+    }
+
+    /** Executes the writes that got no answer, each if its conditions still hold. */
+    fun executeDelayed() {
+        delayed.forEach { apply(it) }
+        delayed.clear()
+    }
 
     @Synchronized
     private fun apply(operations: List<TableOperation>): TransactResult {
@@ -93,19 +109,24 @@
 }
 
 /** The loop of one VM, and a table with the records of another VM that was lost while it controlled an engine. */
-private class LoopFixture : AutoCloseable {
-    val table = InMemoryTable()
+private class LoopFixture(private val own: VmId = OWN, val table: InMemoryTable = InMemoryTable()) : AutoCloseable {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val control = ControlThread()
     private val now = { System.nanoTime() / 1_000_000 }
-    private val options = gatewayOptions(OWN, controllerChangePauseMillis = PAUSE_MILLIS)
+    private val options = gatewayOptions(own, controllerChangePauseMillis = PAUSE_MILLIS)
     private val state = GatewayState(options, Incarnation(1), now)
     private val relay = SharedWatchSource(state.readers, NoWatch, table, { NoFleet }, control, now)
     private val records = MemberRecordReader(table, table, relay)
     private val loop =
         EngineControlLoop(options, Incarnation(1), state, table, table, records, SilentEngines, control, scope, now)
 
+    /** Writes the records of the lost VM, and makes the engine known to the loop. */
     suspend fun open() {
+        writeLostVm()
+        registerEngine()
+    }
+
+    private suspend fun writeLostVm() {
         val lost = MemberRecord("", EAST, Incarnation(1), renewal = 9, tableMillis = table.time)
         val controller = ControllerRecord(LOST, Incarnation(1), fence = 4)
         table.transact(
@@ -114,6 +135,9 @@
                 TableOperation.Put(controllerKey(ENGINE), tolerantJson.encodeToString(controller)),
             ),
         )
+    }
+
+    suspend fun registerEngine() {
         val profile = EngineProfile(listOf(BaseModel("base", 1_000.0, 10.0)), 2_000.0, 4, 8)
         val bounds = CallerLimits(16_384, 1_024, 3_000, 15_000)
         val services = mapOf("models" to ServiceProfile("models", 0, 0.0, profile))
@@ -131,8 +155,16 @@
 
     suspend fun members(): Set<VmId> = control.decide { state.members.keys }
 
+    /** Takes control of the engine, whose former controller must have expired. */
+    suspend fun takeControl() {
+        eventually(5.seconds) {
+            tick()
+            controller()?.vm shouldBe own
+        }
+    }
+
     suspend fun own(): MemberRecord? =
-        (table.item(memberKey(OWN)) as ReadResult.Read).value?.let { decodeOrNull(it) }
+        (table.item(memberKey(own)) as ReadResult.Read).value?.let { decodeOrNull(it) }
 
     suspend fun controller(): ControllerRecord? =
         (table.item(controllerKey(ENGINE)) as ReadResult.Read).value?.let { decodeOrNull(it) }
@@ -188,4 +220,36 @@
             fixture.members() shouldBe setOf(OWN)
         }
     }
+
+    // A VM that was cut off from the table service once lost its engine to another VM and went on sending orders,
+    // because a renewal of that time took effect after newer ones and made its lease look expired.
+    test("a renewal that takes effect late does not replace a newer one, and no other VM takes over the engine") {
+        val table = InMemoryTable()
+        LoopFixture(table = table).use { controller ->
+            controller.open()
+            table.time = 1_000 + TAKEOVER_MILLIS
+            controller.exchange()
+            controller.takeControl()
+
+            table.delaysWrites = true
+            controller.exchange()
+            table.delaysWrites = false
+            table.time += TAKEOVER_MILLIS
+            eventually(5.seconds) {
+                controller.exchange()
+                controller.own()?.tableMillis shouldBe table.time
+            }
+            val newest = controller.own()
+            table.executeDelayed()
+
+            controller.own() shouldBe newest
+            LoopFixture(OTHER, table).use { other ->
+                other.registerEngine()
+                other.exchange()
+                other.tick()
+                Thread.sleep(TAKEOVER_ATTEMPT_MILLIS)
+                other.controller()?.vm shouldBe OWN
+            }
+        }
+    }
 })
