Write renewals of a control lease only over the version that the VM knows

Cause: the member record, which carries the control lease, was written without a condition. A renewal that got no answer during a cut took effect after newer ones and put an old time back into the record. All other VMs took the lease for expired, one took over the engine under a condition that held, and the former controller, whose own lease was valid, went on sending orders. Class of fault: a delayed duplicate of a blind write undoes a later one (lost update).

Each renewal now expects the version that the last one wrote. After a transaction without an answer the version is read first, so that a renewal that is still under way fails once a newer one is in place.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
@@ -29,6 +29,7 @@
 import org.lentilquay.state.gateway.controllerKey
 import org.lentilquay.state.gateway.memberKey
 import org.lentilquay.transport.platform.TableService
+import org.lentilquay.transport.platform.TransactResult
 
 private val log = KotlinLogging.logger {}
 private const val NANOS_PER_MILLI = 1_000_000L
@@ -64,6 +65,12 @@
     /** The table time from which the next renewal extends the lease, and the [clockDifference] at that time. */
     private var leaseBasis: Pair<TableTime, Long>? = null
 
+    /**
+     * The version of this VM's member record, which the next renewal expects; null if an earlier renewal may have
+     * changed it, so that it must be read first.
+     */
+    private var recordVersion: Long? = null
+
     /** Set during a planned stop; the record then says that this VM leaves, and no control is taken. */
     @Volatile
     var isLeaving: Boolean = false
@@ -91,11 +98,23 @@
 
     private suspend fun renew(): Boolean {
         val (from, difference) = leaseBasis ?: return false
+        val expectedVersion = recordVersion ?: readRecordVersion() ?: return false
         val record = control.decide { ownRecord(from.millis) }
-        val put = TableOperation.Put(memberKey(options.vm), tolerantJson.encodeToString(record))
+        // A transaction without an answer may still take effect later; the condition keeps it from replacing a newer
+        // renewal, which would let the lease look expired to other VMs while it is valid here.
+        val put = TableOperation.Put(memberKey(options.vm), tolerantJson.encodeToString(record), expectedVersion)
         val askedAt = now()
         val nextDifference = clockDifference()
-        val isRenewed = table.write(listOf(put)) == WriteResult.COMMITTED
+        val result = table.transact(listOf(put))
+        recordVersion = when (result) {
+            is TransactResult.Committed -> result.versions[put.key]
+            is TransactResult.Unavailable -> expectedVersion
+            is TransactResult.Conflict, is TransactResult.OutcomeUnknown -> null
+        }
+        if (result is TransactResult.Conflict) {
+            log.event("renewal conflicted", "renewal" to record.renewal, "expectedVersion" to expectedVersion)
+        }
+        val isRenewed = result is TransactResult.Committed
         if (isRenewed) {
             control.decide {
                 state.lease.renewed(from, difference)
@@ -109,6 +128,9 @@
         return isRenewed
     }
 
+    /** The version of this VM's member record, 0 if there is none; null if the table service does not answer. */
+    private suspend fun readRecordVersion(): Long? = table.readRecord<MemberRecord>(memberKey(options.vm))?.version
+
     private fun ownRecord(tableMillis: Long) = MemberRecord(
         address = options.peerAddress,
         domain = options.domain,
