End control of engines when a lease that has expired is renewed

A VM that was suspended could renew its lease before the next tick, and then kept engines that another VM had taken over in the meantime, with the old fencing number. Class of fault: a right that was lost and regained counts as held all the time.

The clock difference is a parameter, so that the test sets both clocks. The test failed before ("expected false but was true") and passes now.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
@@ -52,6 +52,8 @@
     private val control: ControlThread,
     private val scope: CoroutineScope,
     private val now: () -> Long,
+    /** The wall clock minus the monotonic clock, in milliseconds. It changes when the VM is suspended. */
+    private val clockDifference: () -> Long = ::systemClockDifference,
 ) {
     private val engines = HashMap<ServerId, ControlledEngine>()
     private var renewal = 0L
@@ -117,6 +119,8 @@
         val isRenewed = result is TransactResult.Committed
         if (isRenewed) {
             control.decide {
+                // The lease may have expired since the last tick, so that another VM took the engines over.
+                releaseIfExpired()
                 state.lease.renewed(from, difference)
                 renewedAt = askedAt
                 publishedEngines = record.engines.mapTo(HashSet()) { it.server }
@@ -157,11 +161,7 @@
      * Applies changes of the lease and of the registered servers. Call on the control thread, several times a second.
      */
     fun tick() {
-        if (!state.lease.isValid(now(), clockDifference())) {
-            if (engines.isNotEmpty()) log.event("lease lapsed", "engines" to engines.keys.sorted())
-            releaseAll()
-            return
-        }
+        if (releaseIfExpired()) return
         val registered = state.selection.registered
         engines.keys.filter { it !in registered }.forEach(::release)
         registered.values.forEach { server -> engines[server.id]?.server = server }
@@ -181,6 +181,14 @@
         }
     }
 
+    /** Ends control of all engines if the lease has expired, and returns whether it has. */
+    private fun releaseIfExpired(): Boolean {
+        if (state.lease.isValid(now(), clockDifference())) return false
+        if (engines.isNotEmpty()) log.event("lease lapsed", "engines" to engines.keys.sorted())
+        releaseAll()
+        return true
+    }
+
     /** Passes announced adapter versions on to all controlled engines. Call on the control thread. */
     fun versionsAnnounced() = engines.values.forEach(::announceVersions)
 
@@ -241,5 +249,4 @@
     }
 }
 
-/** The wall clock minus the monotonic clock, in milliseconds. It changes when the VM is suspended. */
-internal fun clockDifference(): Long = System.currentTimeMillis() - System.nanoTime() / NANOS_PER_MILLI
+private fun systemClockDifference(): Long = System.currentTimeMillis() - System.nanoTime() / NANOS_PER_MILLI
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/EngineControlLoopTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/EngineControlLoopTest.kt
@@ -33,6 +33,7 @@
 import org.lentilquay.transport.platform.ReadResult
 import org.lentilquay.transport.platform.TableService
 import org.lentilquay.transport.platform.TransactResult
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration.Companion.seconds
 
 private const val PAUSE_MILLIS = 3_000L
@@ -44,6 +45,8 @@
 private val OTHER = VmId("vm-3")
 private val ENGINE = ServerId("e1")
 
+private const val RENEWAL_INTERVAL_MILLIS = 1_000L
+
 /** Time in which a VM that may take control of an engine has done so. */
 private const val TAKEOVER_ATTEMPT_MILLIS = 300L
 
@@ -112,13 +115,22 @@
 private class LoopFixture(private val own: VmId = OWN, val table: InMemoryTable = InMemoryTable()) : AutoCloseable {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val control = ControlThread()
-    private val now = { System.nanoTime() / 1_000_000 }
+
+    /** The monotonic clock of the VM, which only the test advances. */
+    private val clock = AtomicLong()
+    private val now = clock::get
     private val options = gatewayOptions(own, controllerChangePauseMillis = PAUSE_MILLIS)
     private val state = GatewayState(options, Incarnation(1), now)
     private val relay = SharedWatchSource(state.readers, NoWatch, table, { NoFleet }, control, now)
     private val records = MemberRecordReader(table, table, relay)
     private val loop =
-        EngineControlLoop(options, Incarnation(1), state, table, table, records, SilentEngines, control, scope, now)
+        EngineControlLoop(options, Incarnation(1), state, table, table, records, SilentEngines, control, scope, now) { 0 }
+
+    fun advanceClock(millis: Long) {
+        clock.addAndGet(millis)
+    }
+
+    suspend fun controlsEngine(): Boolean = control.decide { loop.engine(ENGINE) != null }
 
     /** Writes the records of the lost VM, and makes the engine known to the loop. */
     suspend fun open() {
@@ -160,6 +172,7 @@
         eventually(5.seconds) {
             tick()
             controller()?.vm shouldBe own
+            controlsEngine() shouldBe true
         }
     }
 
@@ -235,10 +248,11 @@
             controller.exchange()
             table.delaysWrites = false
             table.time += TAKEOVER_MILLIS
-            eventually(5.seconds) {
+            repeat(2) {
+                controller.advanceClock(RENEWAL_INTERVAL_MILLIS)
                 controller.exchange()
-                controller.own()?.tableMillis shouldBe table.time
             }
+            controller.own()?.tableMillis shouldBe table.time
             val newest = controller.own()
             table.executeDelayed()
 
@@ -252,4 +266,18 @@
             }
         }
     }
+
+    // The process does not run while its VM is suspended; a renewal may be the first thing that it does afterwards.
+    test("a lease that expired between two checks and was renewed since does not give back control of the engines") {
+        LoopFixture().use { fixture ->
+            fixture.open()
+            fixture.table.time = 1_000 + TAKEOVER_MILLIS
+            fixture.exchange()
+            fixture.takeControl()
+            fixture.exchange()
+            fixture.advanceClock(ORDER_LEASE_MILLIS)
+            fixture.exchange()
+            fixture.controlsEngine() shouldBe false
+        }
+    }
 })
