Begin control of an engine only if the lease held until the takeover's answer

The third way to two controllers of one engine: the answer to a takeover can come long after its execution, for example after a suspension, and another VM may then have taken the engine over already. The VM still began control with the old fencing number, and kept it if its lease was renewed before the next tick. The lapses of the lease are now counted, and control begins only if none was found between the decision and the answer. The test failed before ("expected false but was true") and passes now.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
@@ -58,6 +58,9 @@
     private val engines = HashMap<ServerId, ControlledEngine>()
     private var renewal = 0L
     private var isTakingControl = false
+
+    /** Incremented whenever the lease is found expired. */
+    private var leaseLapses = 0L
     private var wasRenewed = false
     private var renewedAt = Long.MIN_VALUE / 2
 
@@ -184,6 +187,7 @@
     /** Ends control of all engines if the lease has expired, and returns whether it has. */
     private fun releaseIfExpired(): Boolean {
         if (state.lease.isValid(now(), clockDifference())) return false
+        leaseLapses++
         if (engines.isNotEmpty()) log.event("lease lapsed", "engines" to engines.keys.sorted())
         releaseAll()
         return true
@@ -218,8 +222,9 @@
     private suspend fun takeControl(server: RegisteredServer) {
         val read = table.readRecord<ControllerRecord>(controllerKey(server.id)) ?: return
         val reading = read.value?.let { VersionedControllerRecord(it, read.version) }
-        val due =
-            control.decide { state.lease.decideTakeover(server.id, reading, now()) } as? TakeoverDecision.Due ?: return
+        val (decision, lapses) =
+            control.decide { state.lease.decideTakeover(server.id, reading, now()) to leaseLapses }
+        val due = decision as? TakeoverDecision.Due ?: return
         val operations = buildList {
             val record = tolerantJson.encodeToString(due.record)
             add(TableOperation.Put(controllerKey(server.id), record, due.expectedVersion))
@@ -227,7 +232,11 @@
             due.former?.let { (vm, version) -> add(TableOperation.Check(memberKey(vm), version)) }
         }
         val result = table.write(operations)
-        if (result == WriteResult.COMMITTED) control.decide { started(server, due.record.fence, reading?.record?.vm) }
+        if (result != WriteResult.COMMITTED) return
+        control.decide {
+            // If the lease expired before the answer came, another VM may have taken the engine over.
+            if (!releaseIfExpired() && leaseLapses == lapses) started(server, due.record.fence, reading?.record?.vm)
+        }
     }
 
     private fun started(server: RegisteredServer, fence: Long, former: VmId?) {
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/EngineControlLoopTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/EngineControlLoopTest.kt
@@ -58,10 +58,13 @@
     var time = 1_000L
     var isReachable = true
     var delaysWrites = false
+
+    /** Runs between the execution of a transaction and its answer. */
+    var beforeAnswer: (List<TableOperation>) -> Unit = {}
     override var latestMillis: Long? = null
 
     override suspend fun transact(operations: List<TableOperation>): TransactResult {
-        if (!delaysWrites) return apply(operations)
+        if (!delaysWrites) return apply(operations).also { beforeAnswer(operations) }
         delayed += operations
         return TransactResult.OutcomeUnknown("no answer")
     }
@@ -280,4 +283,20 @@
             fixture.controlsEngine() shouldBe false
         }
     }
+
+    // Another VM may take over the engine before the answer to this VM's own takeover arrives.
+    test("a takeover whose answer comes after the lease has expired does not begin control of the engine") {
+        LoopFixture().use { fixture ->
+            fixture.open()
+            fixture.table.time = 1_000 + TAKEOVER_MILLIS
+            fixture.exchange()
+            fixture.table.beforeAnswer = { operations ->
+                if (operations.any { it.key == controllerKey(ENGINE) }) fixture.advanceClock(ORDER_LEASE_MILLIS)
+            }
+            fixture.tick()
+            eventually(5.seconds) { fixture.controller()?.vm shouldBe OWN }
+            Thread.sleep(TAKEOVER_ATTEMPT_MILLIS)
+            fixture.controlsEngine() shouldBe false
+        }
+    }
 })
