End control of an engine when another VM's record has a higher fencing number

Class of fault: the loser of a takeover is not told.

A controller now ends its control when a member record names a higher fencing number for the engine. Fencing numbers rise with each takeover by a conditional write, so a higher one proves the takeover even if its record is stale. This bounds the harm of any other way to two controllers to one to two seconds. The test failed before ("expected false but was true") and passes now.

--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/ControlLease.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/ControlLease.kt
@@ -116,6 +116,9 @@
     /** The engines that live members other than this VM control. */
     private var controlledByOthers: Set<ServerId> = emptySet()
 
+    /** The highest fencing number of each engine in the records of other members, including those that expired. */
+    private var fencesOfOthers: Map<ServerId, Long> = emptyMap()
+
     /** The live members that are not overdue. */
     private var candidates: Set<VmId> = emptySet()
 
@@ -152,6 +155,9 @@
             .mapValues { it.value.row.record }
         overdueMembers = members.filterValues { ageMillis(it) > renewalMillis * OVERDUE_RENEWALS }.keys - own
         controlledByOthers = (liveMembers - own).values.flatMap { it.engines }.mapTo(HashSet()) { it.server }
+        fencesOfOthers = (members - own).values.flatMap { it.row.record.engines }
+            .groupingBy { it.server }
+            .fold(0L) { highest, engine -> maxOf(highest, engine.fence) }
         candidates = liveMembers.keys - overdueMembers
     }
 
@@ -188,6 +194,9 @@
         return controller == own || now - since >= rank * candidateDelayMillis
     }
 
+    /** Whether another VM has taken over [server] since this VM took it with the fencing number [fence]. */
+    fun isSuperseded(server: ServerId, fence: Long): Boolean = (fencesOfOthers[server] ?: 0) > fence
+
     /** Drops engines that are no longer [registered]. */
     fun retain(registered: Set<ServerId>) {
         vacantSince.keys.retainAll(registered)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
@@ -167,6 +167,10 @@
         if (releaseIfExpired()) return
         val registered = state.selection.registered
         engines.keys.filter { it !in registered }.forEach(::release)
+        engines.filterValues { state.lease.isSuperseded(it.server.id, it.fence) }.forEach { (server, engine) ->
+            log.event("another VM has taken over an engine", "server" to server, "fence" to engine.fence)
+            release(server)
+        }
         registered.values.forEach { server -> engines[server.id]?.server = server }
         state.lease.retain(registered.keys)
         assignModels()
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/EngineControlLoopTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/EngineControlLoopTest.kt
@@ -23,6 +23,7 @@
 import org.lentilquay.state.gateway.CallerLimits
 import org.lentilquay.state.gateway.ControllerRecord
 import org.lentilquay.state.gateway.EngineProfile
+import org.lentilquay.state.gateway.EngineRecord
 import org.lentilquay.state.gateway.GatewayConfiguration
 import org.lentilquay.state.gateway.MemberRecord
 import org.lentilquay.state.gateway.OperatorState
@@ -126,8 +127,19 @@
     private val state = GatewayState(options, Incarnation(1), now)
     private val relay = SharedWatchSource(state.readers, NoWatch, table, { NoFleet }, control, now)
     private val records = MemberRecordReader(table, table, relay)
-    private val loop =
-        EngineControlLoop(options, Incarnation(1), state, table, table, records, SilentEngines, control, scope, now) { 0 }
+    private val loop = EngineControlLoop(
+        options = options,
+        incarnation = Incarnation(1),
+        state = state,
+        table = table,
+        clock = table,
+        records = records,
+        client = SilentEngines,
+        control = control,
+        scope = scope,
+        now = now,
+        clockDifference = { 0 },
+    )
 
     fun advanceClock(millis: Long) {
         clock.addAndGet(millis)
@@ -299,4 +311,22 @@
             fixture.controlsEngine() shouldBe false
         }
     }
+
+    // Without this check, a controller whose lease looked expired to another VM sends orders until it stops.
+    test("a controller that learns of a higher fencing number for its engine ends its control") {
+        LoopFixture().use { fixture ->
+            fixture.open()
+            fixture.table.time = 1_000 + TAKEOVER_MILLIS
+            fixture.exchange()
+            fixture.takeControl()
+            val engine = EngineRecord(ENGINE, fence = 6, running = 0, queued = 0)
+            val successor = MemberRecord("", EAST, Incarnation(1), 1, engines = listOf(engine), tableMillis = 10_500)
+            fixture.table.transact(
+                listOf(TableOperation.Put(memberKey(OTHER), tolerantJson.encodeToString(successor))),
+            )
+            fixture.exchange()
+            fixture.tick()
+            fixture.controlsEngine() shouldBe false
+        }
+    }
 })
