Show that an abandoned exchange leaves its bytes to the system for a later delivery

Found while the same cause was looked for elsewhere: an order or a write that was given up after its timeout is closed in order, and the system goes on sending it when the other side can be reached again.

--- a/daemon/src/test/kotlin/org/lentilquay/transport/http/HttpConnectionPoolTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/transport/http/HttpConnectionPoolTest.kt
@@ -1,5 +1,6 @@
 package org.lentilquay.transport.http
 
+import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
@@ -7,6 +8,7 @@
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.net.SocketException
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 
@@ -95,4 +97,19 @@
         HttpConnectionPool(TcpNetwork()).send(closedAddress(), "h", HttpRequest("GET", "/"), options)
             .shouldBeInstanceOf<PooledExchange.NotWritten>()
     }
+
+    // After an orderly close, the system sends what it still holds for a server that could not be reached, up to many
+    // seconds later. An order of a former controller would then arrive after those of its successor.
+    test("an exchange that is abandoned resets its connection, so that its bytes do not arrive later") {
+        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { listener ->
+            val connections = HttpConnectionPool(TcpNetwork())
+            val impatient = ExchangeOptions(1_000, headerMillis = 50)
+            connections.send("127.0.0.1:${listener.localPort}", "h", HttpRequest("GET", "/"), impatient)
+                .shouldBeInstanceOf<PooledExchange.Lost>()
+            listener.accept().use { socket ->
+                socket.soTimeout = 2_000
+                shouldThrow<SocketException> { while (socket.getInputStream().read() >= 0) Unit }
+            }
+        }
+    }
 })
