Reset connections to servers when they are closed

The same cause elsewhere: a call that is abandoned after its timeout was closed in order, so the system went on sending its bytes and delivered them once the other side could be reached again.

Connections that this side opens are closed by a reset, which discards what was not delivered. Complete exchanges lose nothing by it.

--- a/daemon/src/main/kotlin/org/lentilquay/transport/TcpNetwork.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/TcpNetwork.kt
@@ -41,8 +41,13 @@
         var opened: TcpConnection? = null
         val inTime = withTimeoutOrNull(timeoutMillis) {
             val target = InetSocketAddress(address.ip, address.port)
-            // Without noDelay, small requests wait for the acknowledgement of earlier ones (Nagle's algorithm).
-            val socket = aSocket(selector).tcp().connect(target) { noDelay = true }
+            val socket = aSocket(selector).tcp().connect(target) {
+                // Without noDelay, small requests wait for the acknowledgement of earlier ones (Nagle's algorithm).
+                noDelay = true
+                // Closing resets the connection. After an orderly close, bytes for a server that cannot be reached
+                // would be sent again until it can, and an abandoned order could take effect many seconds later.
+                lingerSeconds = 0
+            }
             opened = TcpConnection(socket, wake::wake)
         } != null
         if (!inTime) opened?.close()
--- a/daemon/src/test/kotlin/org/lentilquay/transport/http/HttpConnectionPoolTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/transport/http/HttpConnectionPoolTest.kt
@@ -104,11 +104,13 @@
         ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { listener ->
             val connections = HttpConnectionPool(TcpNetwork())
             val impatient = ExchangeOptions(1_000, headerMillis = 50)
-            connections.send("127.0.0.1:${listener.localPort}", "h", HttpRequest("GET", "/"), impatient)
+            // More than the system buffers, so that some of it is still to be sent when the exchange is abandoned.
+            val request = HttpRequest("POST", "/", body = ByteArray(16 shl 20))
+            connections.send("127.0.0.1:${listener.localPort}", "h", request, impatient)
                 .shouldBeInstanceOf<PooledExchange.Lost>()
             listener.accept().use { socket ->
                 socket.soTimeout = 2_000
-                shouldThrow<SocketException> { while (socket.getInputStream().read() >= 0) Unit }
+                shouldThrow<SocketException> { socket.getInputStream().readAllBytes() }
             }
         }
     }
