--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
@@ -29,6 +29,7 @@
 import org.lentilquay.state.gateway.controllerKey
 import org.lentilquay.state.gateway.memberKey
 import org.lentilquay.transport.platform.TableService
+import org.lentilquay.transport.platform.TransactResult
 
 private val log = KotlinLogging.logger {}
 private const val NANOS_PER_MILLI = 1_000_000L
@@ -51,10 +52,15 @@
     private val control: ControlThread,
     private val scope: CoroutineScope,
     private val now: () -> Long,
+    /** The wall clock minus the monotonic clock, in milliseconds. It changes when the VM is suspended. */
+    private val clockDifference: () -> Long = ::systemClockDifference,
 ) {
     private val engines = HashMap<ServerId, ControlledEngine>()
     private var renewal = 0L
     private var isTakingControl = false
+
+    /** Incremented whenever the lease is found expired. */
+    private var leaseLapses = 0L
     private var wasRenewed = false
     private var renewedAt = Long.MIN_VALUE / 2
 
@@ -64,6 +70,12 @@
     /** The table time from which the next renewal extends the lease, and the [clockDifference] at that time. */
     private var leaseBasis: Pair<TableTime, Long>? = null
 
+    /**
+     * The version of this VM's member record, which the next renewal expects; null if an earlier renewal may have
+     * changed it, so that it must be read first.
+     */
+    private var recordVersion: Long? = null
+
     /** Set during a planned stop; the record then says that this VM leaves, and no control is taken. */
     @Volatile
     var isLeaving: Boolean = false
@@ -91,13 +103,27 @@
 
     private suspend fun renew(): Boolean {
         val (from, difference) = leaseBasis ?: return false
+        val expectedVersion = recordVersion ?: readRecordVersion() ?: return false
         val record = control.decide { ownRecord(from.millis) }
-        val put = TableOperation.Put(memberKey(options.vm), tolerantJson.encodeToString(record))
+        // A transaction without an answer may still take effect later; the condition keeps it from replacing a newer
+        // renewal, which would let the lease look expired to other VMs while it is valid here.
+        val put = TableOperation.Put(memberKey(options.vm), tolerantJson.encodeToString(record), expectedVersion)
         val askedAt = now()
         val nextDifference = clockDifference()
-        val isRenewed = table.write(listOf(put)) == WriteResult.COMMITTED
+        val result = table.transact(listOf(put))
+        recordVersion = when (result) {
+            is TransactResult.Committed -> result.versions[put.key]
+            is TransactResult.Unavailable -> expectedVersion
+            is TransactResult.Conflict, is TransactResult.OutcomeUnknown -> null
+        }
+        if (result is TransactResult.Conflict) {
+            log.event("renewal conflicted", "renewal" to record.renewal, "expectedVersion" to expectedVersion)
+        }
+        val isRenewed = result is TransactResult.Committed
         if (isRenewed) {
             control.decide {
+                // The lease may have expired since the last tick, so that another VM took the engines over.
+                releaseIfExpired()
                 state.lease.renewed(from, difference)
                 renewedAt = askedAt
                 publishedEngines = record.engines.mapTo(HashSet()) { it.server }
@@ -109,6 +135,9 @@
         return isRenewed
     }
 
+    /** The version of this VM's member record, 0 if there is none; null if the table service does not answer. */
+    private suspend fun readRecordVersion(): Long? = table.readRecord<MemberRecord>(memberKey(options.vm))?.version
+
     private fun ownRecord(tableMillis: Long) = MemberRecord(
         address = options.peerAddress,
         domain = options.domain,
@@ -135,13 +164,13 @@
      * Applies changes of the lease and of the registered servers. Call on the control thread, several times a second.
      */
     fun tick() {
-        if (!state.lease.isValid(now(), clockDifference())) {
-            if (engines.isNotEmpty()) log.event("lease lapsed", "engines" to engines.keys.sorted())
-            releaseAll()
-            return
-        }
+        if (releaseIfExpired()) return
         val registered = state.selection.registered
         engines.keys.filter { it !in registered }.forEach(::release)
+        engines.filterValues { state.lease.isSuperseded(it.server.id, it.fence) }.forEach { (server, engine) ->
+            log.event("another VM has taken over an engine", "server" to server, "fence" to engine.fence)
+            release(server)
+        }
         registered.values.forEach { server -> engines[server.id]?.server = server }
         state.lease.retain(registered.keys)
         assignModels()
@@ -159,6 +188,15 @@
         }
     }
 
+    /** Ends control of all engines if the lease has expired, and returns whether it has. */
+    private fun releaseIfExpired(): Boolean {
+        if (state.lease.isValid(now(), clockDifference())) return false
+        leaseLapses++
+        if (engines.isNotEmpty()) log.event("lease lapsed", "engines" to engines.keys.sorted())
+        releaseAll()
+        return true
+    }
+
     /** Passes announced adapter versions on to all controlled engines. Call on the control thread. */
     fun versionsAnnounced() = engines.values.forEach(::announceVersions)
 
@@ -188,8 +226,9 @@
     private suspend fun takeControl(server: RegisteredServer) {
         val read = table.readRecord<ControllerRecord>(controllerKey(server.id)) ?: return
         val reading = read.value?.let { VersionedControllerRecord(it, read.version) }
-        val due =
-            control.decide { state.lease.decideTakeover(server.id, reading, now()) } as? TakeoverDecision.Due ?: return
+        val (decision, lapses) =
+            control.decide { state.lease.decideTakeover(server.id, reading, now()) to leaseLapses }
+        val due = decision as? TakeoverDecision.Due ?: return
         val operations = buildList {
             val record = tolerantJson.encodeToString(due.record)
             add(TableOperation.Put(controllerKey(server.id), record, due.expectedVersion))
@@ -197,12 +236,24 @@
             due.former?.let { (vm, version) -> add(TableOperation.Check(memberKey(vm), version)) }
         }
         val result = table.write(operations)
-        if (result == WriteResult.COMMITTED) control.decide { started(server, due.record.fence, reading?.record?.vm) }
+        if (result != WriteResult.COMMITTED) return
+        control.decide {
+            // If the lease expired before the answer came, another VM may have taken the engine over.
+            if (!releaseIfExpired() && leaseLapses == lapses) started(server, due.record.fence, reading?.record?.vm)
+        }
     }
 
     private fun started(server: RegisteredServer, fence: Long, former: VmId?) {
         val profile = state.operator.configuration?.services?.get(server.service)?.engine ?: return
-        log.event("control of an engine taken", "server" to server.id, "fence" to fence, "former" to former)
+        val (formerRecord, formerAgeMillis) = former?.let { state.lease.recordWithAge(it) } ?: (null to null)
+        log.event(
+            "control of an engine taken",
+            "server" to server.id,
+            "fence" to fence,
+            "former" to former,
+            "formerRenewal" to formerRecord?.renewal,
+            "formerAgeMillis" to formerAgeMillis,
+        )
         val mayOrder = { !isLeaving && state.lease.isValid(now(), clockDifference()) }
         val engine = ControlledEngine(server, fence, options.vm.text, profile, client, control, mayOrder, now)
         engines.put(server.id, engine)?.stop()
@@ -211,5 +262,4 @@
     }
 }
 
-/** The wall clock minus the monotonic clock, in milliseconds. It changes when the VM is suspended. */
-internal fun clockDifference(): Long = System.currentTimeMillis() - System.nanoTime() / NANOS_PER_MILLI
+private fun systemClockDifference(): Long = System.currentTimeMillis() - System.nanoTime() / NANOS_PER_MILLI
