--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ServerPickerTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ServerPickerTest.kt
@@ -6,11 +6,14 @@
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.cancelAndJoin
@@ -24,17 +27,22 @@
 import org.lentilquay.state.ServerId
 import org.lentilquay.state.VmId
 import org.lentilquay.state.gateway.AdapterName
+import org.lentilquay.state.gateway.CallerLimits
 import org.lentilquay.state.gateway.EngineRecord
+import org.lentilquay.state.gateway.GatewayConfiguration
 import org.lentilquay.state.gateway.GatewayRoute
 import org.lentilquay.state.gateway.MemberRecord
+import org.lentilquay.state.gateway.OperatorState
 import org.lentilquay.state.gateway.RegisteredServer
 import org.lentilquay.state.gateway.RouteKind
+import org.lentilquay.state.gateway.ServiceProfile
 import org.lentilquay.state.gateway.WeightedService
 import org.lentilquay.transport.peer.PeerCallResult
-import java.util.concurrent.CopyOnWriteArrayList
-import kotlin.time.Duration.Companion.seconds
 
 private const val SLOTS = 2
+
+/** Each of the three VMs of the fleet gets a fifth of it as its rate, with a burst of one request. */
+private const val COLD_REQUESTS_PER_SECOND = 10.0
 private val ADAPTER = AdapterName("base", "a1")
 private val FULL = PeerAnswer.AdapterUnavailable(AdapterUnavailableReason.BATCH_FULL)
 
@@ -44,6 +52,8 @@
  */
 private class PickerFixture(
     engines: Map<String, List<String>>,
+    /** The duration of the cold start in which all engines are, 0 for none. */
+    private val coldMillis: Long = 0,
     private val answer: suspend (PeerRequest) -> PeerAnswer?,
 ) : AutoCloseable {
     val calls = CopyOnWriteArrayList<PeerRequest>()
@@ -69,12 +79,18 @@
             VmId("controller of $id") to MemberRecord("127.0.0.1:1", EAST, Incarnation(1), 1, engines = listOf(state))
         }
         val idle = VmId("idle") to MemberRecord("127.0.0.1:1", EAST, Incarnation(1), 1)
+        val services = mapOf("models" to ServiceProfile("models", coldMillis, COLD_REQUESTS_PER_SECOND, null))
+        val limits = CallerLimits(16_384, 1_024, 3_000, 15_000)
+        state.operatorChanged(
+            OperatorState(GatewayConfiguration(1, emptyList(), services, emptyMap(), emptyMap(), limits)),
+            1,
+        )
         state.serversChanged(servers.associateBy { it.id }, 1)
         state.membersChanged(members + idle, emptySet())
     }
 
     private fun engine(id: String) =
-        RegisteredServer(ServerId(id), "models", "127.0.0.1:1", EAST, SLOTS, false, 0, 1, setOf(ADAPTER.model))
+        RegisteredServer(ServerId(id), "models", "127.0.0.1:1", EAST, SLOTS, false, coldMillis, 1, setOf(ADAPTER.model))
 
     fun pickAsync() = scope.async { pick() }
 
@@ -167,4 +183,14 @@
             }
         }
     }
+
+    // After many crashes all engines are cold and empty; requests that had their adapter loaded came without any limit.
+    test("requests whose adapter was loaded on a cold engine are sent within its cold start limit") {
+        PickerFixture(mapOf("e1" to emptyList()), coldMillis = 3_000) { request ->
+            if (request is PeerRequest.EnsureAdapter) PeerAnswer.AdapterReady(1) else PeerAnswer.Done
+        }.use { fixture ->
+            val picked = List(8) { fixture.pickAsync() }.awaitAll()
+            picked.count { it is Outcome.Success } shouldBe 1
+        }
+    }
 })
