Hold requests that waited for a load to the cold start limit

Cause: a request whose adapter had just been loaded was sent at once, without a token of the cold start limit. While some engines are warm, loads avoid cold ones, so it shows only when all engines have crashed. Class of fault: a second way past a limit.

Such a request now takes a token as well; without one its slot is given back and another engine is tried.

--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/ServerSelection.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/ServerSelection.kt
@@ -191,7 +191,7 @@
     }
 
     /** Takes a token of the cold start limit if [server] is cold; returns false if there is none. */
-    private fun acquireIfCold(server: RegisteredServer, now: Long): Boolean {
+    fun acquireIfCold(server: RegisteredServer, now: Long): Boolean {
         val rate = operator.configuration?.services?.get(server.service)?.coldRequestsPerSecond ?: 0.0
         return rate <= 0 || cold.tryAcquire(server.id, rate, members.keys + own, now)
     }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ServerPicker.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ServerPicker.kt
@@ -82,16 +82,10 @@
                     // The selection has recorded that the adapter is missing there, so the next choice differs.
                     SlotReservation.ADAPTER_MISSING -> Unit
                 }
-                is ServerChoice.Load -> when (val answer = load(routed, choice, mayQueue, withoutAdapter, trace)) {
-                    is PeerAnswer.AdapterReady -> {
-                        val version = answer.version
-                        control.decide {
-                            state.selection.recordAdapter(routed.adapter!!, choice.server.id, version, now())
-                        }
-                        val send = ServerChoice.Send(choice.server, version)
-                        return Outcome.Success(startAttempt(routed, send, isReserved = choice.needsReservation))
-                    }
-                    else -> rejected += choice.server.id
+                is ServerChoice.Load -> {
+                    val answer = load(routed, choice, mayQueue, withoutAdapter, trace)
+                    sendAfterLoad(routed, choice, answer)?.let { return Outcome.Success(it) }
+                    rejected += choice.server.id
                 }
                 is ServerChoice.Unavailable -> {
                     if (now() > minOf(routed.targetAt, routed.deadlineAt)) {
@@ -146,6 +140,26 @@
         return answer
     }
 
+    /**
+     * Starts the attempt of a request after the [answer] to its load; null if the adapter is not loaded, or if the
+     * engine is cold and takes no more requests for now.
+     */
+    private suspend fun sendAfterLoad(
+        routed: RoutedRequest,
+        choice: ServerChoice.Load,
+        answer: PeerAnswer?,
+    ): AttemptTarget? {
+        val version = (answer as? PeerAnswer.AdapterReady)?.version ?: return null
+        val server = choice.server
+        val isAcquired = control.decide {
+            state.selection.recordAdapter(routed.adapter!!, server.id, version, now())
+            state.selection.acquireIfCold(server, now())
+        }
+        if (isAcquired) return startAttempt(routed, ServerChoice.Send(server, version), choice.needsReservation)
+        if (choice.needsReservation) release(choice.controller, reservationRequest(routed, server.id, mayQueue = false))
+        return null
+    }
+
     private enum class SlotReservation { GRANTED, FULL, ADAPTER_MISSING, UNKNOWN }
 
     /** Reserves a batch slot with the engine's controller; other VMs may have filled it since its last report. */
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ServerPickerTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ServerPickerTest.kt
@@ -6,8 +6,6 @@
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
-import java.util.concurrent.CopyOnWriteArrayList
-import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -38,6 +36,8 @@
 import org.lentilquay.state.gateway.ServiceProfile
 import org.lentilquay.state.gateway.WeightedService
 import org.lentilquay.transport.peer.PeerCallResult
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.time.Duration.Companion.seconds
 
 private const val SLOTS = 2
 
