Count a renewal whose answer was lost once the record shows that it took effect

Found by the review of the conditional renewals: after a lost answer a renewal now needs a read and a write, so a controller whose answers get lost for some seconds gives its lease up more easily than before, and after a cut the first renewal still carried the time from before it, so that control came back a second later. The record that is read back now confirms a renewal that it contains, and its time is the basis of the next one. The test failed before ("expected true but was false") and passes now.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
@@ -76,6 +76,12 @@
      */
     private var recordVersion: Long? = null
 
+    /** A write of the member record, and what the lease is based on once it has taken effect. */
+    private class Renewal(val record: MemberRecord, val basis: TableTime, val difference: Long, val sentAt: Long)
+
+    /** The last renewal if its answer was lost. */
+    private var unconfirmed: Renewal? = null
+
     /** Set during a planned stop; the record then says that this VM leaves, and no control is taken. */
     @Volatile
     var isLeaving: Boolean = false
@@ -102,15 +108,16 @@
         now() - renewedAt >= state.lease.renewalMillis - RENEWAL_SLACK_MILLIS
 
     private suspend fun renew(): Boolean {
+        val expectedVersion = recordVersion ?: readBack() ?: return false
         val (from, difference) = leaseBasis ?: return false
-        val expectedVersion = recordVersion ?: readRecordVersion() ?: return false
         val record = control.decide { ownRecord(from.millis) }
         // A transaction without an answer may still take effect later; the condition keeps it from replacing a newer
         // renewal, which would let the lease look expired to other VMs while it is valid here.
         val put = TableOperation.Put(memberKey(options.vm), tolerantJson.encodeToString(record), expectedVersion)
-        val askedAt = now()
+        val renewal = Renewal(record, from, difference, sentAt = now())
         val nextDifference = clockDifference()
         val result = table.transact(listOf(put))
+        unconfirmed = renewal.takeIf { result is TransactResult.OutcomeUnknown }
         recordVersion = when (result) {
             is TransactResult.Committed -> result.versions[put.key]
             is TransactResult.Unavailable -> expectedVersion
@@ -121,22 +128,37 @@
         }
         val isRenewed = result is TransactResult.Committed
         if (isRenewed) {
-            control.decide {
-                // The lease may have expired since the last tick, so that another VM took the engines over.
-                releaseIfExpired()
-                state.lease.renewed(from, difference)
-                renewedAt = askedAt
-                publishedEngines = record.engines.mapTo(HashSet()) { it.server }
-            }
-            clock.latestMillis?.let { leaseBasis = TableTime(it, askedAt) to nextDifference }
+            tookEffect(renewal)
+            clock.latestMillis?.let { leaseBasis = TableTime(it, renewal.sentAt) to nextDifference }
         }
         if (isRenewed != wasRenewed) log.event("member record", "renewed" to isRenewed, "renewal" to record.renewal)
         wasRenewed = isRenewed
         return isRenewed
     }
 
-    /** The version of this VM's member record, 0 if there is none; null if the table service does not answer. */
-    private suspend fun readRecordVersion(): Long? = table.readRecord<MemberRecord>(memberKey(options.vm))?.version
+    private suspend fun tookEffect(renewal: Renewal) = control.decide {
+        // Must come before the lease is extended: it may have expired since the last tick, so that another VM took the
+        // engines over.
+        releaseIfExpired()
+        state.lease.renewed(renewal.basis, renewal.difference)
+        renewedAt = renewal.sentAt
+        publishedEngines = renewal.record.engines.mapTo(HashSet()) { it.server }
+    }
+
+    /**
+     * Reads the version of this VM's member record, 0 if there is none; null if the table service does not answer. An
+     * unconfirmed renewal counts if the record shows that it took effect.
+     */
+    private suspend fun readBack(): Long? {
+        val askedAt = now()
+        val difference = clockDifference()
+        val read = table.readRecord<MemberRecord>(memberKey(options.vm)) ?: return null
+        val isSame = read.value?.incarnation == incarnation && read.value.renewal == unconfirmed?.record?.renewal
+        unconfirmed?.takeIf { isSame }?.let { tookEffect(it) }
+        unconfirmed = null
+        clock.latestMillis?.let { leaseBasis = TableTime(it, askedAt) to difference }
+        return read.version
+    }
 
     private fun ownRecord(tableMillis: Long) = MemberRecord(
         address = options.peerAddress,
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/EngineControlLoopTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/EngineControlLoopTest.kt
@@ -59,13 +59,17 @@
     var time = 1_000L
     var isReachable = true
     var delaysWrites = false
+    var losesAnswers = false
 
     /** Runs between the execution of a transaction and its answer. */
     var beforeAnswer: (List<TableOperation>) -> Unit = {}
     override var latestMillis: Long? = null
 
     override suspend fun transact(operations: List<TableOperation>): TransactResult {
-        if (!delaysWrites) return apply(operations).also { beforeAnswer(operations) }
+        if (!delaysWrites) {
+            val result = apply(operations).also { beforeAnswer(operations) }
+            return if (losesAnswers) TransactResult.OutcomeUnknown("no answer") else result
+        }
         delayed += operations
         return TransactResult.OutcomeUnknown("no answer")
     }
@@ -329,4 +333,20 @@
             fixture.controlsEngine() shouldBe false
         }
     }
+
+    // Without the read-back, a controller whose answers get lost for a few seconds would give up its engines.
+    test("a renewal whose answer was lost extends the lease once the record shows that it took effect") {
+        LoopFixture().use { fixture ->
+            fixture.open()
+            fixture.table.time = 1_000 + TAKEOVER_MILLIS
+            fixture.exchange()
+            fixture.takeControl()
+            fixture.advanceClock(ORDER_LEASE_MILLIS / 2)
+            fixture.table.losesAnswers = true
+            fixture.exchange()
+            fixture.advanceClock(ORDER_LEASE_MILLIS - 1)
+            fixture.tick()
+            fixture.controlsEngine() shouldBe true
+        }
+    }
 })
