--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/ControlLease.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/ControlLease.kt
@@ -27,6 +27,12 @@
 /** Time for an order that was sent at the end of a lease to reach the engine. */
 private const val ORDER_TRANSIT_MILLIS = 500L
 
+/**
+ * No order begins in this last part of a lease: connecting and sending may take 600 ms, which is longer than
+ * [ORDER_TRANSIT_MILLIS].
+ */
+private const val ORDER_MARGIN_MILLIS = 200L
+
 /** A larger change of the difference between wall clock and monotonic clock means that the VM was suspended. */
 private const val CLOCK_TOLERANCE_MILLIS = 400L
 
@@ -180,6 +186,9 @@
             kotlin.math.abs(difference - clockDifference) < CLOCK_TOLERANCE_MILLIS
     }
 
+    /** Whether an order that begins at [now] reaches its engine before another VM may take the engine over. */
+    fun mayOrder(now: Long, difference: Long): Boolean = isValid(now + ORDER_MARGIN_MILLIS, difference)
+
     /** Whether [server] has no live controller and it is this VM's turn to take it. */
     fun isCandidate(server: ServerId, now: Long): Boolean {
         if (server in controlledByOthers || own !in liveMembers) {
--- a/core/src/test/kotlin/org/lentilquay/coordination/gateway/ControlLeaseTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/gateway/ControlLeaseTest.kt
@@ -30,6 +30,14 @@
         lease.isValid(100 + ORDER_LEASE_MILLIS, 0) shouldBe false
     }
 
+    // Connecting and sending may take 600 ms, of which other VMs wait for 500 ms after the end of the lease.
+    test("no order begins in the last 200 ms of a lease") {
+        val lease = lease()
+        lease.renewed(TableTime(70_000, sentAt = 100), difference = 0)
+        lease.mayOrder(100 + ORDER_LEASE_MILLIS - 201, 0) shouldBe true
+        lease.mayOrder(100 + ORDER_LEASE_MILLIS - 200, 0) shouldBe false
+    }
+
     test("a lease is invalid after a suspension that the monotonic clock does not count") {
         val lease = lease()
         lease.renewed(TableTime(70_000, sentAt = 100), difference = 5_000)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
@@ -276,7 +276,7 @@
             "formerRenewal" to formerRecord?.renewal,
             "formerAgeMillis" to formerAgeMillis,
         )
-        val mayOrder = { !isLeaving && state.lease.isValid(now(), clockDifference()) }
+        val mayOrder = { !isLeaving && state.lease.mayOrder(now(), clockDifference()) }
         val engine = ControlledEngine(server, fence, options.vm.text, profile, client, control, mayOrder, now)
         engines.put(server.id, engine)?.stop()
         announceVersions(engine)
