--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/ControlLease.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/ControlLease.kt
@@ -203,8 +203,11 @@
         return controller == own || now - since >= rank * candidateDelayMillis
     }
 
-    /** Whether another VM has taken over [server] since this VM took it with the fencing number [fence]. */
-    fun isSuperseded(server: ServerId, fence: Long): Boolean = (fencesOfOthers[server] ?: 0) > fence
+    /**
+     * The fencing number of a VM that has taken over [server] since this VM took it with the fencing number [fence];
+     * null if there is none.
+     */
+    fun supersedingFence(server: ServerId, fence: Long): Long? = fencesOfOthers[server]?.takeIf { it > fence }
 
     /** Drops engines that are no longer [registered]. */
     fun retain(registered: Set<ServerId>) {
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ControlledEngine.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ControlledEngine.kt
@@ -184,6 +184,7 @@
                 "order" to order,
                 "expected" to expected,
                 "outcome" to outcome,
+                "fence" to fence,
             )
         } else if (order is EngineOrder.LoadModel) {
             log.event("base model load ordered", "server" to server.id, "model" to order.model, "fence" to fence)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
@@ -189,10 +189,7 @@
         if (releaseIfExpired()) return
         val registered = state.selection.registered
         engines.keys.filter { it !in registered }.forEach(::release)
-        engines.filterValues { state.lease.isSuperseded(it.server.id, it.fence) }.forEach { (server, engine) ->
-            log.event("another VM has taken over an engine", "server" to server, "fence" to engine.fence)
-            release(server)
-        }
+        engines.values.toList().forEach(::releaseIfSuperseded)
         registered.values.forEach { server -> engines[server.id]?.server = server }
         state.lease.retain(registered.keys)
         assignModels()
@@ -219,6 +216,14 @@
         return true
     }
 
+    /** Ends control of [engine] if another VM has taken it over. */
+    private fun releaseIfSuperseded(engine: ControlledEngine) {
+        val server = engine.server.id
+        val successor = state.lease.supersedingFence(server, engine.fence) ?: return
+        log.event("superseded as controller", "server" to server, "fence" to engine.fence, "successor" to successor)
+        release(server)
+    }
+
     /** Passes announced adapter versions on to all controlled engines. Call on the control thread. */
     fun versionsAnnounced() = engines.values.forEach(::announceVersions)
 
