Show that one odd row stops a VM from following the backend servers

Callers of a VM that has read such a row get servers that have left, and none of the new ones, until the process is started again. One registration of nested arrays is enough: the JSON parser recurses once for each level, and the StackOverflowError ends the coroutine that follows the table. Any other exception of a decoder ends the loop as well.

--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/WatchLoopTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/WatchLoopTest.kt
@@ -3,6 +3,8 @@
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
@@ -58,4 +60,23 @@
         val failing = ScriptedSource(ReadResult.Read(FIRST), WatchResult.Unavailable("silent"))
         expectCopies(failing, PeerAnswer.Watched(4, mapOf("a" to "0")), listOf(FIRST))
     }
+
+    // A row that a decoder could not take ended the loop: the VM kept the servers that it knew until its restart.
+    listOf(IllegalArgumentException("odd row"), StackOverflowError()).forEach { failure ->
+        test("a failure to apply a change does not end the loop: ${failure::class.simpleName}") {
+            val changes = (6L..7L).map { WatchResult.Changes(it, mapOf("a" to "$it")) }.toTypedArray()
+            val seen = CopyOnWriteArrayList<Long>()
+            val source = ScriptedSource(ReadResult.Read(FIRST), *changes)
+            val now = { System.nanoTime() / 1_000_000 }
+            val loop = WatchLoop(WatchedTableName.OPERATOR, source, { _, _ -> null }, now) {
+                seen += it.version
+                if (it.version < 7) throw failure
+            }
+            coroutineScope {
+                val job = launch(SupervisorJob() + CoroutineExceptionHandler { _, _ -> }) { loop.run() }
+                eventually(5.seconds) { seen.toList() shouldBe listOf(5L, 6L, 7L) }
+                job.cancel()
+            }
+        }
+    }
 })
