Show that a repeated refusal is taken for that of a running request

Callers are told that their request did not run and can be sent again (503, 421) although a backend server runs it (REFUSED), or the gateway sends it to a second server itself (TWICE).

A refusal counted before its request id was checked, so one that does not repeat any id was taken for the answer to the request that came next on the connection. And an engine that lacks an adapter may get the same request twice, on the same kept connection and with the same id, so that a repetition of the first refusal carries the id of the second attempt.

--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/RequestForwarderTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/RequestForwarderTest.kt
@@ -39,6 +39,7 @@
 import org.lentilquay.state.gateway.WeightedService
 import org.lentilquay.transport.TcpNetwork
 import org.lentilquay.transport.http.HttpConnectionPool
+import org.lentilquay.transport.http.answer
 import org.lentilquay.transport.peer.PeerCallResult
 import java.net.InetAddress
 import java.net.ServerSocket
@@ -53,7 +54,7 @@
 private val TEAM = Team(TeamId("kitchen"), tokensPerSecond = 1_000, burstTokens = 1_000)
 private val OTHER_VM = VmId("vm-2")
 
-private val HEADERS = HeaderNames(
+internal val HEADERS = HeaderNames(
     requestId = "Request",
     deadline = "Patience",
     model = "Base",
@@ -272,4 +273,16 @@
             fixture.received.filterIsInstance<PeerRequest.SuspectNotice>() shouldBe emptyList()
         }
     }
+
+    // A refusal that answered another request told the caller of a running one to send it again.
+    test("a refusal without the id of the request is an unknown outcome, and the request runs at no second server") {
+        val backends = List(2) { number ->
+            Backend("s$number") { socket -> socket.answer(503, "full", "Not-Run: 1\n") }
+        }
+        ForwarderFixture(backends, RouteKind.RUN_ONCE).use { fixture ->
+            fixture.open()
+            fixture.ask("r1", "work") shouldContain "502"
+            backends.sumOf { it.requests.get() } shouldBe 1
+        }
+    }
 })
--- a/daemon/src/test/kotlin/org/lentilquay/transport/http/HttpConnectionPoolTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/transport/http/HttpConnectionPoolTest.kt
@@ -11,7 +11,7 @@
 import kotlin.concurrent.thread
 
 /** A keep-alive server; [answer] writes the response to the request with the given number on its connection. */
-private class KeepAliveServer(private val answer: (Int, Socket) -> Unit) : AutoCloseable {
+internal class KeepAliveServer(private val answer: (Int, Socket) -> Unit) : AutoCloseable {
     private val listener = ServerSocket(0, 100, InetAddress.getLoopbackAddress())
     val address = "127.0.0.1:${listener.localPort}"
     val connections = AtomicInteger()
