Take a refusal for an answer only if it carries the id of the request

Callers were told that a request did not run (503, 421) while a backend server ran it, or the gateway sent it to a second server. Cause: a response with the header for refused requests, or with status 421, counted before its request id was checked, and a response without an id is not dropped as a stray one.

Servers repeat the id in each response, so a refusal without it says nothing about this request: its outcome is unknown, the caller gets 502, and nothing but an idempotent request is sent again.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptRunner.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptRunner.kt
@@ -111,11 +111,13 @@
         resumeAfter: String?,
     ): AttemptOutcome {
         onResponse(target)
-        val hasRefused = answer.status == MISDIRECTED_STATUS || answer.header(headerNames.notRun) != null
+        val isRefusal = answer.status == MISDIRECTED_STATUS || answer.header(headerNames.notRun) != null
+        // A server may repeat the refusal of another request, so one without the id says nothing about this request.
+        val isOwn = answer.header(headerNames.requestId) == routed.id
         val isSuccess = answer.status in FIRST_SUCCESS_STATUS until FIRST_REDIRECT_STATUS
         return when {
-            hasRefused && !isSuccess -> refused(target, answer)
-            answer.header(headerNames.signature) == null || answer.header(headerNames.requestId) != routed.id ->
+            isRefusal && isOwn && !isSuccess -> refused(target, answer)
+            answer.header(headerNames.signature) == null || !isOwn ->
                 lost("response ${answer.status} lacks a server signature or the id of this request")
             isSuccess && routed.route.kind == RouteKind.STREAM -> passOnStream(routed, answer, writer, resumeAfter)
             resumeAfter != null ->
