Send a request again only on connections on which it was not sent

Callers were told that a request did not run while an engine ran it. Cause: after a refusal for a missing adapter, the same request may go to the same engine once the adapter is loaded, on the kept connection and with the same id. If the engine repeats its first refusal there, it carries the right id.

Each request now remembers its connections, and the pool skips them for its later attempts. So a refusal with the right id can answer only the last attempt.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptRunner.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptRunner.kt
@@ -63,6 +63,7 @@
             maximumWait,
             routed.id,
             headerNames.requestId,
+            usedConnections = routed.usedConnections,
         )
         val host = routed.request.head.header("Host").orEmpty()
         val message = HttpRequest(
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RoutedRequest.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RoutedRequest.kt
@@ -11,6 +11,7 @@
 import org.lentilquay.state.gateway.GatewayRoute
 import org.lentilquay.state.gateway.RegisteredServer
 import org.lentilquay.state.gateway.TeamAccess
+import org.lentilquay.transport.http.UsedConnections
 
 /** A request that was matched with the configuration and may run. Times are monotonic milliseconds. */
 internal class RoutedRequest(
@@ -24,6 +25,9 @@
     /** When the complete response is due: the end of the caller's maximum wait or of the route's timeout. */
     val deadlineAt: Long,
 ) {
+    /** The connections to backend servers on which the request was sent. */
+    val usedConnections = UsedConnections()
+
     val priority: Int get() = access?.priority ?: route.priority
 
     /** When the response should start, by the target latency of the route. */
--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/HttpConnectionPool.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/HttpConnectionPool.kt
@@ -4,7 +4,8 @@
  * bytes arrived while it was idle, is not reused. Requests are never retried here.
  *
  * A response to another request, which a faulty server may send late, is detected by the request id that responses
- * repeat; it is read and dropped. Thread-safe; times are in milliseconds.
+ * repeat; it is read and dropped. The id does not tell the attempts of one request apart, so a request that is sent
+ * again goes to a connection on which it was not sent before. Thread-safe; times are in milliseconds.
  */
 package org.lentilquay.transport.http
 
@@ -18,6 +19,8 @@
 import org.lentilquay.transport.TcpNetwork
 import org.lentilquay.transport.describe
 import org.lentilquay.transport.runSuspendCatching
+import java.util.Collections
+import java.util.IdentityHashMap
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedDeque
 
@@ -65,6 +68,15 @@
     class Answered(val answer: PooledResponse) : PooledExchange
 }
 
+/** The connections on which a request was sent. For use by one attempt after the other. */
+internal class UsedConnections {
+    private val used = Collections.newSetFromMap(IdentityHashMap<TcpConnection, Boolean>())
+
+    fun add(connection: TcpConnection) = used.add(connection)
+
+    operator fun contains(connection: TcpConnection) = connection in used
+}
+
 /** Timeouts of an exchange, and how its response is recognized. */
 internal data class ExchangeOptions(
     val connectMillis: Long,
@@ -74,6 +86,8 @@
     val idHeader: String = "",
     /** A connection that was idle for longer is not reused. */
     val maximumIdleMillis: Long = Long.MAX_VALUE,
+    /** The connections on which earlier attempts were sent; they are not used again for this request. */
+    val usedConnections: UsedConnections? = null,
 )
 
 internal class HttpConnectionPool(private val network: TcpNetwork) {
@@ -89,11 +103,12 @@
     suspend fun send(address: String, host: String, request: HttpRequest, options: ExchangeOptions): PooledExchange {
         val head = encodedHead(host, request)
             ?: return PooledExchange.NotWritten("the method, target or a header is invalid")
-        val pooled = takeIdle(address, options.maximumIdleMillis)
+        val pooled = takeIdle(address, options)
             ?: when (val opened = open(address, options.connectMillis)) {
                 is ConnectResult.Connected -> opened.pooled
                 is ConnectResult.Failed -> return PooledExchange.NotWritten(opened.reason)
             }
+        options.usedConnections?.add(pooled.connection)
         var exchange: PooledExchange? = null
         try {
             exchange = withTimeoutOrNull(options.headerMillis) { exchange(address, pooled, head, request, options) }
@@ -131,16 +146,26 @@
         return ConnectResult.Connected(PooledConnection(connection, System.nanoTime(), DEFAULT_MAXIMUM_IDLE_MILLIS))
     }
 
-    private fun takeIdle(address: String, maximumIdleMillis: Long): PooledConnection? {
-        val ofAddress = idle[address] ?: return null
-        while (true) {
-            val pooled = ofAddress.pollLast() ?: return null
+    private fun takeIdle(address: String, options: ExchangeOptions): PooledConnection? {
+        val skipped = mutableListOf<PooledConnection>()
+        var taken: PooledConnection? = null
+        while (taken == null) {
+            val pooled = idle[address]?.pollLast() ?: break
             val age = millisSince(pooled.idleSinceNanos)
-            if (age <= minOf(pooled.idleLimitMillis, maximumIdleMillis) && pooled.isUsable) return pooled
-            pooled.connection.close()
+            when {
+                age > minOf(pooled.idleLimitMillis, options.maximumIdleMillis) || !pooled.isUsable ->
+                    pooled.connection.close()
+                options.usedConnections?.contains(pooled.connection) == true -> skipped += pooled
+                else -> taken = pooled
+            }
         }
+        skipped.asReversed().forEach { addIdle(address, it) }
+        return taken
     }
 
+    private fun addIdle(address: String, pooled: PooledConnection) =
+        idle.computeIfAbsent(address) { ConcurrentLinkedDeque() }.addLast(pooled)
+
     private suspend fun exchange(
         address: String,
         pooled: PooledConnection,
@@ -225,7 +250,7 @@
         }
         pooled.idleSinceNanos = System.nanoTime()
         if (pooled.isUsable) {
-            idle.computeIfAbsent(address) { ConcurrentLinkedDeque() }.addLast(pooled)
+            addIdle(address, pooled)
         } else {
             pooled.connection.close()
         }
