Keep the loops of the gateway running after a step that fails

Callers of a VM got servers that had left and none of the new ones until the process was started again. Cause: the loops that follow tables, poll reports, send orders, renew member records and review seats had no protection against an exception in a step, for example in a decoder; the coroutine ended with a trace on the standard error output and nothing in the log.

Each step now runs on its own. A failure is logged as "step of a loop failed", once until its reason changes, and the loop goes on with the next change of the table, which the decoder gets whole. A stack overflow counts as a failure of the step, because text from outside can cause it; other errors of the virtual machine still end the coroutine.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ControlledEngine.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ControlledEngine.kt
@@ -140,32 +140,45 @@
     }
 
     private suspend fun pollReports() {
+        val steps = LoopSteps("reports of ${server.id}")
         var failures = 0
         while (true) {
-            val askedAt = now()
-            when (val read = client.report(server)) {
-                is ReadResult.Read -> {
-                    failures = 0
-                    control.decide { controller.applyReport(read.value, askedAt, now()) }
-                    notifyChange()
-                }
-                is ReadResult.Unavailable -> if (failures++ == 0) {
+            val isDone = steps.run { failures = if (applyReport(failures == 0)) 0 else failures + 1 }
+            val isUrgent = isDone && control.decide { controller.needsReport } && failures == 0
+            delay(if (isUrgent) URGENT_REPORT_MILLIS else REPORT_MILLIS)
+        }
+    }
+
+    /** Reads a report and applies it; returns false if there is none. */
+    private suspend fun applyReport(isFailureLogged: Boolean): Boolean {
+        val askedAt = now()
+        when (val read = client.report(server)) {
+            is ReadResult.Read -> {
+                control.decide { controller.applyReport(read.value, askedAt, now()) }
+                notifyChange()
+                return true
+            }
+            is ReadResult.Unavailable -> {
+                if (isFailureLogged) {
                     log.event("engine report failed", "server" to server.id, "reason" to read.reason)
                 }
+                return false
             }
-            val isUrgent = control.decide { controller.needsReport } && failures == 0
-            delay(if (isUrgent) URGENT_REPORT_MILLIS else REPORT_MILLIS)
         }
     }
 
     private suspend fun sendOrders() {
+        val steps = LoopSteps("orders to ${server.id}")
         while (true) {
-            val next = control.decide { if (mayOrder()) controller.nextOrder(now()) else null }
-            if (next == null) {
-                withTimeoutOrNull(ORDER_CHECK_MILLIS) { orderDue.receive() }
-            } else {
-                send(next)
+            val isDone = steps.run {
+                val next = control.decide { if (mayOrder()) controller.nextOrder(now()) else null }
+                if (next == null) {
+                    withTimeoutOrNull(ORDER_CHECK_MILLIS) { orderDue.receive() }
+                } else {
+                    send(next)
+                }
             }
+            if (!isDone) delay(ORDER_CHECK_MILLIS)
         }
     }
 
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
@@ -180,8 +180,8 @@
     private fun startLoops() {
         scope.launch { operatorWatch.run() }
         scope.launch { serverWatch.run() }
-        scope.launch(control.dispatcher) { timer.ticks(TICK_MILLIS).collect { engineControl.tick() } }
-        scope.launch { timer.ticks(SWEEP_MILLIS).collect { servers.sweep() } }
+        scope.launch(control.dispatcher) { everyTick("control of engines", TICK_MILLIS) { engineControl.tick() } }
+        scope.launch { everyTick("idle connections", SWEEP_MILLIS) { servers.sweep() } }
         val seats = QuotaSeatLoop(
             tracker = SeatTracker(SeatPlan(options.vm, incarnation) { UUID.randomUUID().toString() }),
             buckets = state.buckets,
@@ -200,7 +200,8 @@
      * distribution depends on the members.
      */
     private suspend fun joinFleet(seats: QuotaSeatLoop) {
-        engineControl.exchangeRecords()
+        val steps = LoopSteps("first records and seats")
+        steps.run { engineControl.exchangeRecords() }
         control.decide {
             val maximumTokens = (options.quotaToleranceTokens * INITIAL_TOKENS_FRACTION).toLong()
             // The tokens are divided among the known members, so their records are needed first.
@@ -208,14 +209,20 @@
                 state.buckets.grantInitialTokens(maximumTokens, state.lease.knownMembers, timer.now())
             }
         }
-        seats.review()
+        steps.run { seats.review() }
         scope.launch { keepReviewing(seats) }
-        timer.ticks(EXCHANGE_MILLIS).collect { engineControl.exchangeRecords() }
+        everyTick("member records", EXCHANGE_MILLIS) { engineControl.exchangeRecords() }
+    }
+
+    /** Runs [step] at intervals of [millis]; a step that fails does not end the loop. */
+    private suspend fun everyTick(name: String, millis: Long, step: suspend () -> Unit) {
+        val steps = LoopSteps(name)
+        timer.ticks(millis).collect { steps.run(step) }
     }
 
     private suspend fun keepReviewing(seats: QuotaSeatLoop) {
         val schedule = SeatReviewSchedule(timer.now())
-        timer.ticks(EXCHANGE_MILLIS).collect {
+        everyTick("quota seats", EXCHANGE_MILLIS) {
             val isDue = control.decide {
                 schedule.isDue(
                     state.members.keys,
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/WatchLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/WatchLoop.kt
@@ -39,6 +39,7 @@
     private val now: () -> Long,
     private val onChange: suspend (WatchedRows) -> Unit,
 ) {
+    private val steps = LoopSteps("watch of ${table.text}")
     private var failures = 0
     private var recoveredAt = Long.MIN_VALUE / 2
 
@@ -49,8 +50,11 @@
 
     suspend fun run() {
         while (true) {
-            val known = copy
-            if (known == null) readAll() else follow(known)
+            val isDone = steps.run {
+                val known = copy
+                if (known == null) readAll() else follow(known)
+            }
+            if (!isDone) delay(RETRY_MILLIS)
         }
     }
 
