--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/Addresses.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/Addresses.kt
@@ -4,6 +4,8 @@
  */
 package org.lentilquay.transport.http
 
+import java.net.InetAddress
+
 private const val MAXIMUM_PORT = 65_535
 private const val MAXIMUM_OCTET = 255
 private val IPV4 = Regex("""(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3})""")
@@ -22,7 +24,7 @@
     val host = text.substring(0, separator)
     val bracketed = host.startsWith('[') && host.endsWith(']')
     return when {
-        bracketed && IPV6.matches(host.drop(1).dropLast(1)) -> IpAddress(host.drop(1).dropLast(1), port)
+        bracketed && isIpv6(host) -> IpAddress(host.drop(1).dropLast(1), port)
         !bracketed && isIpv4(host) -> IpAddress(host, port)
         else -> null
     }
@@ -30,3 +32,7 @@
 
 private fun isIpv4(host: String): Boolean =
     IPV4.matchEntire(host)?.destructured?.toList()?.all { it.toInt() <= MAXIMUM_OCTET } ?: false
+
+/** Whether the bracketed [host] is an IPv6 address. The name service is not asked about text in brackets. */
+private fun isIpv6(host: String): Boolean =
+    IPV6.matches(host.drop(1).dropLast(1)) && runCatching { InetAddress.getByName(host) }.isSuccess
