--- a/daemon/src/test/kotlin/org/lentilquay/daemon/logs/UnreadableRowsTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/logs/UnreadableRowsTest.kt
@@ -27,4 +27,17 @@
             logger.detachAppender(lines)
         }
     }
+
+    // Keys and reasons may come from another writer and be of any length.
+    test("long keys and reasons are cut in the log line") {
+        val logger = LoggerFactory.getLogger(LOGGER) as Logger
+        val lines = ListAppender<ILoggingEvent>().apply { start() }
+        logger.addAppender(lines)
+        try {
+            UnreadableRows().report("servers/" + "x".repeat(100_000), "{", "y".repeat(100_000))
+            lines.list.single().keyValuePairs.map { it.value.toString().length } shouldContainExactly listOf(200, 200)
+        } finally {
+            logger.detachAppender(lines)
+        }
+    }
 })
