Refuse requests with a part of a prompt that crashes servers

Callers saw 502 for requests that share one part of their prompt, and every server that began to answer one of them crashed; other requests on these servers were cut as well. Cause: only whole requests were recognized. Class of fault: a poison message that is identified by too much of its content.

Each VM now keeps the shared prompt parts of the requests that were lost in a crash, from its own crashes and the notices of others, and attributes crashes to parts: an answered request clears its parts of the crashes before it was sent; the part in most crashes explains these; parts that come only together are quarantined together, so a common first part that nobody has cleared yet never blocks sound requests. Requests with it get 503 before they are charged, and are checked again before each send. VMs tell each other once of suspect parts that are clear.

The notice gets fields with defaults and no new message type: a type that an earlier build does not know would close the connection to it.

--- a/core/src/main/kotlin/org/lentilquay/protocol/PeerMessages.kt
+++ b/core/src/main/kotlin/org/lentilquay/protocol/PeerMessages.kt
@@ -193,11 +193,24 @@
     @SerialName("load-done")
     data class LoadDone(val loadId: String, val store: String) : PeerRequest
 
-    /** Notice that a server was lost while requests with these [fingerprints] ran on it, so that they are suspect. */
+    /**
+     * Notice that a server was lost while requests with these [fingerprints] ran on it, so that they are suspect.
+     * Without fingerprints it reports no crash, only parts of prompts that are clear; earlier builds ignore it then,
+     * whereas a message of a type that they do not know would close the connection.
+     */
     @Serializable
     @SerialName("suspect-notice")
-    data class SuspectNotice(val server: ServerId, val serverIncarnation: Long, val fingerprints: List<String>) :
-        PeerRequest
+    data class SuspectNotice(
+        val server: ServerId,
+        val serverIncarnation: Long,
+        val fingerprints: List<String>,
+        /** How long ago the connections to the server were lost. */
+        val ageMillis: Long = 0,
+        /** The shared prompt parts of each request that had not begun to be answered. */
+        @SerialName("parts") val promptParts: List<Set<String>> = emptyList(),
+        /** Prompt parts of requests that were answered, each with the time since that request was sent. */
+        @SerialName("cleared") val clearedAgeMillis: Map<String, Long> = emptyMap(),
+    ) : PeerRequest
 
     /** Asks for the state of the non-repeatable call whose idempotency record carries [nonce]. */
     @Serializable
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptRunner.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptRunner.kt
@@ -30,6 +30,9 @@
 /** Longest response body that is buffered until it is complete. */
 private const val MAXIMUM_BUFFERED_BYTES = 8 shl 20
 
+/** Whether [status] is that of a successful response. */
+internal fun isSuccess(status: Int): Boolean = status in FIRST_SUCCESS_STATUS until FIRST_REDIRECT_STATUS
+
 /** The result of one attempt for the request, and its outcome for the health of the server. */
 internal data class AttemptOutcome(
     val result: AttemptResult,
@@ -47,7 +50,8 @@
     /**
      * Sends the request of [routed] to [target]. With [mayRetry], another attempt may follow, so an error response is
      * returned and not passed on. [resumeAfter] is the id of the last event of a stream that is resumed; the events
-     * after it continue the response that was started.
+     * after it continue the response that was started. [onFirstEvent] is called when the server has sent the first
+     * event of a stream.
      */
     suspend fun run(
         routed: RoutedRequest,
@@ -55,6 +59,7 @@
         writer: ResponseWriter,
         mayRetry: Boolean,
         resumeAfter: String?,
+        onFirstEvent: () -> Unit,
     ): AttemptOutcome {
         val remaining = routed.deadlineAt - now()
         val maximumWait = if (mayRetry) minOf(remaining, retryWaitMillis(routed)) else remaining
@@ -76,7 +81,7 @@
                 AttemptOutcome(AttemptResult.NotRun(exchange.reason, hasArrived = false), ServerOutcome.UNREACHABLE)
             is PooledExchange.Lost -> lost(exchange.reason)
             is PooledExchange.Answered ->
-                exchange.answer.use { process(routed, target, it, writer, mayRetry, resumeAfter) }
+                exchange.answer.use { process(routed, target, it, writer, mayRetry, resumeAfter, onFirstEvent) }
         }
     }
 
@@ -109,15 +114,17 @@
         writer: ResponseWriter,
         mayRetry: Boolean,
         resumeAfter: String?,
+        onFirstEvent: () -> Unit,
     ): AttemptOutcome {
         onResponse(target)
         val hasRefused = answer.status == MISDIRECTED_STATUS || answer.header(headerNames.notRun) != null
-        val isSuccess = answer.status in FIRST_SUCCESS_STATUS until FIRST_REDIRECT_STATUS
+        val isSuccess = isSuccess(answer.status)
         return when {
             hasRefused && !isSuccess -> refused(target, answer)
             answer.header(headerNames.signature) == null || answer.header(headerNames.requestId) != routed.id ->
                 lost("response ${answer.status} lacks a server signature or the id of this request")
-            isSuccess && routed.route.kind == RouteKind.STREAM -> passOnStream(routed, answer, writer, resumeAfter)
+            isSuccess && routed.route.kind == RouteKind.STREAM ->
+                passOnStream(routed, answer, writer, resumeAfter, onFirstEvent)
             resumeAfter != null ->
                 AttemptOutcome(AttemptResult.BrokenStream("status ${answer.status}", resumeAfter), ServerOutcome.FAILED)
             else -> passOnBuffered(routed, answer, writer, mayRetry)
@@ -171,13 +178,19 @@
         answer: PooledResponse,
         writer: ResponseWriter,
         resumeAfter: String?,
+        onFirstEvent: () -> Unit,
     ): AttemptOutcome {
         val buffer = SseEventBuffer()
+        var hasEvent = false
         val read = runSuspendCatching {
             var chunk = nextChunk(routed, answer)
             while (chunk != null && !buffer.isTooLong) {
                 val bytes = chunk.bytes ?: return endOfStream(routed, answer, writer, buffer)
-                buffer.append(bytes)?.let { passOn(answer, writer, it) }
+                buffer.append(bytes)?.let { events ->
+                    if (!hasEvent) onFirstEvent()
+                    hasEvent = true
+                    passOn(answer, writer, events)
+                }
                 chunk = nextChunk(routed, answer)
             }
         }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CrashDetector.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CrashDetector.kt
@@ -1,7 +1,7 @@
 /*
- * Detects requests that crash the backend servers on which they run. A lost connection alone proves nothing, because
- * servers and networks also reset connections; a server counts as crashed if it accepts no connection shortly
- * afterwards. All VMs are notified, because the same request may arrive at any of them.
+ * Detects requests, and parts of prompts, that crash the backend servers on which they run. A lost connection alone
+ * proves nothing, because servers and networks also reset connections; a server counts as crashed if it accepts no
+ * connection shortly afterwards. All VMs are notified, because the same request may arrive at any of them.
  */
 package org.lentilquay.daemon.gateway
 
@@ -34,6 +34,12 @@
 /** Timeout of the notice to one member. */
 private const val NOTICE_TIMEOUT_MILLIS = 300L
 
+/** Stands for the server in a notice that reports no crash. */
+private val NO_SERVER = ServerId("none")
+
+/** Why a request is not run, and for how long. */
+class RequestQuarantine(val reason: String, val remainingMillis: Long)
+
 class CrashDetector(
     private val fleet: PeerCaller,
     private val control: ControlThread,
@@ -43,50 +49,113 @@
     private val accepts: suspend (String) -> Boolean,
     private val now: () -> Long,
 ) {
+    private class LostRequests(val at: Long) {
+        val fingerprints = LinkedHashSet<String>()
+        val attempts = ArrayList<AttemptProgress>()
+    }
+
     private val suspects = SuspectTracker(QUARANTINE_CRASHES)
+    private val promptParts = PromptPartQuarantine(now)
 
-    /** Fingerprints of the requests that lost their connection to a server that is still to be checked. */
-    private val unchecked = HashMap<ServerId, MutableSet<String>>()
+    /** The requests that lost their connection to a server that is still to be checked. */
+    private val unchecked = HashMap<ServerId, LostRequests>()
 
     /** Whether any request is suspect; readable from any thread, so that most requests need no fingerprint. */
     @Volatile
     var hasSuspects: Boolean = false
         private set
 
-    /** How long the request with [fingerprint] remains quarantined, or null if it may run. */
-    suspend fun quarantineMillis(fingerprint: String): Long? = control.decide {
+    /** The quarantine of the request with [fingerprint] and the shared prompt [parts], or null if it may run. */
+    suspend fun quarantine(fingerprint: String, parts: Set<String>): RequestQuarantine? = control.decide {
         when (val verdict = suspects.verdict(fingerprint, now())) {
-            is SuspectVerdict.Quarantined -> verdict.remainingMillis
-            is SuspectVerdict.Suspect, SuspectVerdict.Clear -> null
+            is SuspectVerdict.Quarantined ->
+                RequestQuarantine("the request has crashed the backend servers that ran it", verdict.remainingMillis)
+            is SuspectVerdict.Suspect, SuspectVerdict.Clear -> promptParts.quarantine(parts)?.let {
+                val names = it.parts.sorted().joinToString(" ")
+                RequestQuarantine("requests with prompt part $names crash backend servers", it.remainingMillis(now()))
+            }
         }
     }
 
-    /** The connection to [server] was lost while the request with [fingerprint] ran. Call on the control thread. */
-    fun connectionLost(server: RegisteredServer, fingerprint: String) {
-        val pending = unchecked[server.id]
-        if (pending != null) {
-            pending += fingerprint
-        } else {
-            unchecked[server.id] = mutableSetOf(fingerprint)
+    /**
+     * The connection to [server] was lost while the request with [fingerprint] ran. Call on the control thread.
+     */
+    fun connectionLost(server: RegisteredServer, fingerprint: String, progress: AttemptProgress) {
+        progress.hasFailed = true
+        val lost = unchecked.getOrPut(server.id) {
             scope.launch { check(server) }
+            LostRequests(now())
+        }
+        lost.fingerprints += fingerprint
+        lost.attempts += progress
+    }
+
+    /** The server of an attempt has sent the first event, which clears its prompt parts unless it fails soon after. */
+    fun firstEvent(progress: AttemptProgress) {
+        progress.firstEventAt = now()
+        if (progress.parts.isEmpty()) return
+        scope.launch {
+            delay(ANSWER_PROOF_MILLIS)
+            control.decide { if (!progress.hasFailed) clear(progress) }
+        }
+    }
+
+    /** An attempt ended with [result], and its connection was not lost. Call on the control thread. */
+    internal fun ended(progress: AttemptProgress, result: AttemptResult) {
+        if (result is AttemptResult.Delivered && isSuccess(result.status)) {
+            clear(progress)
+        } else {
+            progress.hasFailed = true
         }
     }
 
+    private fun clear(progress: AttemptProgress) {
+        if (progress.parts.isEmpty()) return
+        promptParts.answered(progress)
+        announceCleared()
+    }
+
     /** Records the suspects in a notice of this or another VM. */
     suspend fun record(notice: PeerRequest.SuspectNotice) = control.decide {
         suspects.merge(notice, now())
-        hasSuspects = suspects.size > 0
+        promptParts.record(notice)
+        hasSuspects = suspects.size > 0 || promptParts.hasCrashes
+        announceCleared()
+    }
+
+    /** Tells the other VMs of suspect parts that are clear; they may not have seen the answers. */
+    private fun announceCleared() {
+        val cleared = promptParts.takeUnannounced()
+        if (cleared.isEmpty()) return
+        log.event("suspect prompt parts are clear", "parts" to cleared.keys.sorted())
+        notifyOthers(PeerRequest.SuspectNotice(NO_SERVER, 0, emptyList(), clearedAgeMillis = cleared))
     }
 
     private suspend fun check(server: RegisteredServer) {
         delay(CHECK_DELAY_MILLIS)
         val isAccepting = accepts(server.address)
-        val fingerprints = control.decide { unchecked.remove(server.id) }.orEmpty()
-        if (isAccepting) return
-        log.event("backend server crashed", "server" to server.id, "requests" to fingerprints.size)
-        val notice = PeerRequest.SuspectNotice(server.id, server.startedAtEpochMillis ?: 0, fingerprints.toList())
+        val notice = control.decide {
+            val lost = unchecked.remove(server.id) ?: return@decide null
+            if (isAccepting) return@decide null
+            PeerRequest.SuspectNotice(
+                server.id,
+                server.startedAtEpochMillis ?: 0,
+                lost.fingerprints.toList(),
+                now() - lost.at,
+                promptParts.noticeParts(lost.attempts, lost.at),
+            )
+        } ?: return
+        log.event(
+            "backend server crashed",
+            "server" to server.id,
+            "requests" to notice.fingerprints.size,
+            "promptParts" to notice.promptParts.flatten().distinct().size,
+        )
         record(notice)
-        val others = control.decide { members() - fleet.own }
-        others.forEach { vm -> scope.launch { fleet.call(vm, notice, NOTICE_TIMEOUT_MILLIS) } }
+        control.decide { notifyOthers(notice) }
+    }
+
+    private fun notifyOthers(notice: PeerRequest.SuspectNotice) = (members() - fleet.own).forEach { vm ->
+        scope.launch { fleet.call(vm, notice, NOTICE_TIMEOUT_MILLIS) }
     }
 }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayPorts.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayPorts.kt
@@ -103,6 +103,8 @@
     val expectedVersion: String,
     /** Priority at an engine; lower numbers are admitted first. */
     val priority: String,
+    /** The parts of the prompt in order, as `id:tokens` separated by commas; the last one is the request's own. */
+    val promptParts: String,
     /** Request headers, in lower case, that are removed from callers' requests. */
     val reserved: Set<String>,
 )
--- /dev/null
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/PromptPartQuarantine.kt
@@ -0,0 +1,100 @@
+/*
+ * The parts of prompts that crash backend servers, as this VM knows them: reads them from the requests, feeds the
+ * tracker with crashes and answered requests, and logs each quarantine with the crashes on which it was decided.
+ */
+package org.lentilquay.daemon.gateway
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.lentilquay.coordination.suspects.PartQuarantine
+import org.lentilquay.coordination.suspects.PromptPartTracker
+import org.lentilquay.daemon.logs.event
+import org.lentilquay.protocol.PeerRequest
+
+private val log = KotlinLogging.logger {}
+
+/** Parts of one prompt that are considered, the first ones; bounds memory and the size of notices. */
+private const val MAXIMUM_PARTS = 32
+
+/** Requests with different parts in one notice; with [MAXIMUM_PARTS] it bounds a notice to about 70 kB. */
+private const val MAXIMUM_NOTICE_REQUESTS = 64
+
+private val PART_ID = Regex("[0-9a-f]{1,32}")
+
+/**
+ * A request whose first event is this old did not crash its server: a request that does so crashes it when the server
+ * begins to write the answer.
+ */
+internal const val ANSWER_PROOF_MILLIS: Long = 500
+
+/** The progress of one attempt of a request with [parts], which was sent at [sentAt]. */
+class AttemptProgress(val parts: Set<String>, val sentAt: Long) {
+    /** Written by the thread that runs the attempt. */
+    @Volatile
+    var firstEventAt: Long? = null
+
+    /** Whether the attempt ended without a success. */
+    var hasFailed: Boolean = false
+}
+
+/**
+ * The ids of all parts but the last, which belongs to the request itself, in a [header] of the form `id:tokens,...`; a
+ * header of another form has none.
+ */
+internal fun sharedPromptParts(header: String?): Set<String> {
+    if (header == null) return emptySet()
+    val ids = header.split(',').dropLast(1).take(MAXIMUM_PARTS).map { it.substringBefore(':').trim().lowercase() }
+    return if (ids.all(PART_ID::matches)) ids.toSet() else emptySet()
+}
+
+/** Call on the control thread. */
+internal class PromptPartQuarantine(private val now: () -> Long) {
+    private val tracker = PromptPartTracker()
+    private var logged: Map<Set<String>, PartQuarantine> = emptyMap()
+
+    /** Whether any crash is kept on which a request with a prompt was lost. */
+    val hasCrashes: Boolean get() = tracker.hasCrashes
+
+    /** The parts of the attempts that were [lost] at [lostAt] and may have crashed the server, bounded for a notice. */
+    fun noticeParts(lost: List<AttemptProgress>, lostAt: Long): List<Set<String>> = lost
+        .filter { attempt -> attempt.firstEventAt.let { it == null || lostAt - it < ANSWER_PROOF_MILLIS } }
+        .map { it.parts }.filter { it.isNotEmpty() }.distinct().take(MAXIMUM_NOTICE_REQUESTS)
+
+    fun record(notice: PeerRequest.SuspectNotice) {
+        val at = now()
+        val requests = notice.promptParts.take(MAXIMUM_NOTICE_REQUESTS)
+            .map { parts -> parts.take(MAXIMUM_PARTS).toSet() }
+        tracker.merge(notice.server, notice.serverIncarnation, at - notice.ageMillis, requests)
+        tracker.clearedElsewhere(notice.clearedAgeMillis.mapValues { at - it.value })
+        logChanges()
+    }
+
+    fun answered(progress: AttemptProgress) {
+        tracker.answered(progress.parts, progress.sentAt)
+        logChanges()
+    }
+
+    /** The parts that other VMs must be told are clear, each with the time since the answered request was sent. */
+    fun takeUnannounced(): Map<String, Long> {
+        if (!tracker.hasCrashes) return emptyMap()
+        val at = now()
+        return tracker.takeUnannounced(at).mapValues { at - it.value }
+    }
+
+    fun quarantine(parts: Set<String>): PartQuarantine? =
+        if (parts.isEmpty() || !tracker.hasCrashes) null else tracker.quarantine(parts, now()).also { logChanges() }
+
+    private fun logChanges() {
+        if (!tracker.hasCrashes && logged.isEmpty()) return
+        val current = tracker.quarantines(now()).associateBy { it.parts }
+        (current - logged.keys).values.forEach { log("prompt parts quarantined", it) }
+        (logged - current.keys).values.forEach { log("prompt parts released", it) }
+        logged = current
+    }
+
+    private fun log(event: String, quarantine: PartQuarantine) = log.event(
+        event,
+        "parts" to quarantine.parts.sorted(),
+        "crashes" to quarantine.crashes,
+        "servers" to quarantine.servers.sorted(),
+    )
+}
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarder.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarder.kt
@@ -117,7 +117,13 @@
         } else {
             teamOf(rules, head) ?: return refused(ErrorKind.KEY_INVALID, "the API key is missing or unknown")
         }
-        return quarantineRefusal(request) ?: charge(routedRequest(request, id, route, access, rules), trace)
+        val routed = routedRequest(request, id, route, access, rules)
+        val quarantine = quarantineOf(routed)
+        return if (quarantine == null) {
+            charge(routed, trace)
+        } else {
+            refused(ErrorKind.NO_CAPACITY, quarantine.reason, quarantine.remainingMillis)
+        }
     }
 
     /** The current configuration; waits for the first one while this process starts. */
@@ -142,18 +148,16 @@
         val named = if (rules.configuration.services[service]?.engine == null) null else head.header(headerNames.model)
         val (model, adapter) = named?.let { modelOf(it) } ?: (null to null)
         val deadlineAt = request.arrivedAt + maximumWait - RESPONSE_MARGIN_MILLIS
-        return RoutedRequest(request, id, route, service, access, model, adapter, deadlineAt)
+        val parts = sharedPromptParts(head.header(headerNames.promptParts))
+        return RoutedRequest(request, id, route, service, access, model, adapter, deadlineAt, parts)
     }
 
     /**
-     * The refusal of a quarantined request, or null. It promises that the request did not run, which the caller of a
+     * The quarantine of a request, or null. Its refusal promises that the request did not run, which the caller of a
      * non-repeatable call needs to know; on this platform a status of 422 makes no such promise.
      */
-    private suspend fun quarantineRefusal(request: CallerRequest): Admission.Refused? {
-        if (!crashes.hasSuspects) return null
-        val remaining = crashes.quarantineMillis(hashOf(request)) ?: return null
-        return refused(ErrorKind.NO_CAPACITY, "the request has crashed the backend servers that ran it", remaining)
-    }
+    private suspend fun quarantineOf(routed: RoutedRequest): RequestQuarantine? =
+        if (crashes.hasSuspects) crashes.quarantine(hashOf(routed.request), routed.promptParts) else null
 
     /** A hash of the content of a request, equal for all copies of it on all VMs. */
     private fun hashOf(request: CallerRequest): String {
@@ -223,6 +227,7 @@
         /** Makes one attempt; returns the status of the response, or null if another attempt is to follow. */
         private suspend fun tryOnce(): Int? {
             if (routed.deadlineAt - now() < MINIMUM_REMAINING_MILLIS) return fail("no time is left before the deadline")
+            quarantineOf(routed)?.let { return fail(it.reason, it.remainingMillis) }
             val target = when (val found = picker.pick(routed, excluded, withoutAdapter, trace)) {
                 is Outcome.Success -> found.value
                 is Outcome.Failed -> return fail(found.failure.message)
@@ -265,42 +270,57 @@
 
         private suspend fun attempt(target: AttemptTarget): AttemptOutcome {
             val startedAt = now()
+            val progress = AttemptProgress(routed.promptParts, startedAt)
             var outcome = AttemptOutcome(
                 AttemptResult.Failed("the caller disconnected or the time ran out"),
                 ServerOutcome.UNKNOWN,
             )
             try {
                 val mayRetry = routed.route.mayRunAgain && runs + 1 < routed.route.maximumAttempts
-                outcome = runner.run(routed, target, writer, mayRetry, resumeAfter)
+                // The request may have become quarantined while it waited for a server.
+                outcome = quarantineOf(routed)?.let { notSent(it.reason) }
+                    ?: runner.run(routed, target, writer, mayRetry, resumeAfter) { crashes.firstEvent(progress) }
             } finally {
                 // Also after a cancellation: the server may have run the request, so its tokens count as used.
                 if (outcome.result !is AttemptResult.NotRun) runs++
                 trace.addAttempt(target.server.id, startedAt, outcome.result)
-                withContext(NonCancellable) { ended(routed, target, outcome) }
+                withContext(NonCancellable) { ended(routed, target, outcome, progress) }
             }
             return outcome
         }
 
+        private fun notSent(reason: String) =
+            AttemptOutcome(AttemptResult.NotRun(reason, hasArrived = false), ServerOutcome.UNKNOWN)
+
         private fun canRunAgain() =
             routed.route.mayRunAgain && runs < routed.route.maximumAttempts && sends++ < MAXIMUM_SENDS
 
         private suspend fun tryRetry(): Boolean = control.decide { state.retries.tryAcquire(routed.service, now()) }
 
-        private suspend fun fail(reason: String): Int {
+        private suspend fun fail(reason: String, retryAfterMillis: Long = NO_SLOT_RETRY_AFTER_MILLIS): Int {
             if (writer.isStarted) throw IOException("the stream broke off: $reason")
             val answer = errorResponse
             if (answer != null) {
                 writer.respond(answer.status, answer.headers, answer.body)
                 return answer.status
             }
-            val failure = if (runs == 0) notRunFailure(reason, NO_SLOT_RETRY_AFTER_MILLIS) else unknownOutcome(reason)
+            val failure = if (runs == 0) notRunFailure(reason, retryAfterMillis) else unknownOutcome(reason)
             return refuse(writer, failure, trace)
         }
     }
 
-    private suspend fun ended(routed: RoutedRequest, target: AttemptTarget, outcome: AttemptOutcome) = control.decide {
+    private suspend fun ended(
+        routed: RoutedRequest,
+        target: AttemptTarget,
+        outcome: AttemptOutcome,
+        progress: AttemptProgress,
+    ) = control.decide {
         picker.attemptEnded(routed, target, outcome)
-        if (outcome.serverOutcome == ServerOutcome.LOST) crashes.connectionLost(target.server, hashOf(routed.request))
+        if (outcome.serverOutcome == ServerOutcome.LOST) {
+            crashes.connectionLost(target.server, hashOf(routed.request), progress)
+        } else {
+            crashes.ended(progress, outcome.result)
+        }
     }
 
     private suspend fun refuse(writer: ResponseWriter, failure: Failure, trace: RequestTrace): Int {
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RoutedRequest.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RoutedRequest.kt
@@ -23,6 +23,8 @@
     val adapter: AdapterName?,
     /** When the complete response is due: the end of the caller's maximum wait or of the route's timeout. */
     val deadlineAt: Long,
+    /** The parts of the prompt that other requests may share. */
+    val promptParts: Set<String> = emptySet(),
 ) {
     val priority: Int get() = access?.priority ?: route.priority
 
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ForwarderFixture.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ForwarderFixture.kt
@@ -61,6 +61,7 @@
     serverId = "Server-Id",
     expectedVersion = "Version",
     priority = "Priority",
+    promptParts = "Parts",
     reserved = setOf("key", "team"),
 )
 
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ServerPickerTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ServerPickerTest.kt
@@ -59,7 +59,8 @@
             return answer(request)?.let { PeerCallResult.Answered(it) } ?: PeerCallResult.TimedOut
         }
     }
-    private val headers = HeaderNames("r", "d", "m", "t", "l", "k", "team", "s", "e", "n", "i", "v", "p", emptySet())
+    private val headers =
+        HeaderNames("r", "d", "m", "t", "l", "k", "team", "s", "e", "n", "i", "v", "p", "pp", emptySet())
     private val picker = ServerPicker(headers, state, control, fleet, scope, now)
 
     init {
