--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RoutedRequest.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RoutedRequest.kt
@@ -24,6 +24,8 @@
     val adapter: AdapterName?,
     /** When the complete response is due: the end of the caller's maximum wait or of the route's timeout. */
     val deadlineAt: Long,
+    /** The parts of the prompt that other requests may share. */
+    val promptParts: Set<String> = emptySet(),
 ) {
     /** The connections to backend servers on which the request was sent. */
     val usedConnections = UsedConnections()
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/RepeatedRefusalTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/RepeatedRefusalTest.kt
@@ -51,7 +51,7 @@
             attempt = 1,
         )
         val writer = ResponseWriter(ByteChannel(autoFlush = true), now) { true }
-        return runner.run(request, target, writer, mayRetry = false, resumeAfter = null).result
+        return runner.run(request, target, writer, mayRetry = false, resumeAfter = null, onFirstEvent = {}).result
     }
 }
 
