Show that a stream that ends inside an event ends as complete

Callers get a part of an event and a last chunk, so that an answer that the backend server broke off looks whole; a resumable stream is not resumed. The tests run with real sockets on both sides and with each framing: length, chunks, none.

--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/RequestForwarderTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/RequestForwarderTest.kt
@@ -71,9 +71,10 @@
 )
 
 /** A backend server that reads the head of each request and then runs [act] on the connection. */
-private class Backend(val id: String, private val act: Backend.(Socket) -> Unit) : AutoCloseable {
+internal class Backend(val id: String, private val act: Backend.(Socket) -> Unit) : AutoCloseable {
     private val listener = ServerSocket(0, 100, InetAddress.getLoopbackAddress())
     val requests = AtomicInteger()
+    val heads = CopyOnWriteArrayList<String>()
 
     init {
         thread(isDaemon = true) {
@@ -88,6 +89,7 @@
         val input = socket.getInputStream().buffered()
         val head = StringBuilder()
         while (!head.endsWith("\r\n\r\n")) head.append(input.read().takeIf { it >= 0 }?.toChar() ?: return)
+        heads += head.toString()
         requests.incrementAndGet()
         act(socket)
     }
@@ -113,7 +115,11 @@
 }
 
 /** A forwarder in front of [backends], and another VM whose received messages are recorded. */
-private class ForwarderFixture(private val backends: List<Backend>, kind: RouteKind) : AutoCloseable {
+internal class ForwarderFixture(
+    private val backends: List<Backend>,
+    kind: RouteKind,
+    isResumable: Boolean = false,
+) : AutoCloseable {
     val received = CopyOnWriteArrayList<PeerRequest>()
     val settled = CopyOnWriteArrayList<Long>()
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
@@ -139,7 +145,7 @@
     }
     private val network = TcpNetwork()
     private val crashes = CrashDetector(fleet, control, scope, { setOf(options.vm, OTHER_VM) }, ::accepts, now)
-    private val forwarder = RequestForwarder(
+    val forwarder = RequestForwarder(
         HEADERS, state, control, quota, fleet, HttpConnectionPool(network), crashes, GatewayMetrics(), scope, now,
     )
     private val route = GatewayRoute(
@@ -150,10 +156,10 @@
         services = listOf(WeightedService("desk", 1)),
         timeoutMillis = 5_000,
         targetLatencyMillis = 1_000,
-        maximumAttempts = 1,
+        maximumAttempts = if (isResumable) 2 else 1,
         priority = 0,
         isOpen = false,
-        isResumable = false,
+        isResumable = isResumable,
     )
 
     suspend fun open() = control.decide {
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/SseEventBufferTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/SseEventBufferTest.kt
@@ -33,4 +33,24 @@
         buffer.lastEventId shouldBe "7"
         buffer.isWithinEvent shouldBe false
     }
+
+    test("line ends and whole comment lines after the last event are not inside an event, any other bytes are") {
+        fun isWithinEvent(text: String) =
+            SseEventBuffer().apply { append(text.encodeToByteArray()) }.isWithinEvent
+        listOf("", "\n", "\r", "\r\n", "\n\n", ": comment\n", ": comment\r\n").forEach {
+            isWithinEvent("data: x\n\n$it") shouldBe false
+            isWithinEvent("data: x\r\n\r\n$it") shouldBe false
+        }
+        listOf("d", "data: y", "data: y\n", "id: 2\r\n", ": comm", ": comment\nid: 2\n").forEach {
+            isWithinEvent("data: x\n\n$it") shouldBe true
+        }
+    }
+
+    test("events that end in bare carriage returns are recognized") {
+        val buffer = SseEventBuffer()
+        val text = "id: 7\rdata: x\r\rid: 8\rdata: y\r\r"
+        buffer.append(text.encodeToByteArray())?.decodeToString() shouldBe text
+        buffer.lastEventId shouldBe "8"
+        buffer.isWithinEvent shouldBe false
+    }
 })
--- /dev/null
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/StreamEndTest.kt
@@ -0,0 +1,178 @@
+package org.lentilquay.daemon.gateway
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldEndWith
+import io.kotest.matchers.string.shouldNotContain
+import io.kotest.matchers.string.shouldNotEndWith
+import io.kotest.matchers.string.shouldStartWith
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import org.lentilquay.state.gateway.RouteKind
+import org.lentilquay.transport.TcpNetwork
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.atomic.AtomicInteger
+
+private const val FIRST = "id: 1\ndata: one\n\n"
+private const val SECOND = "id: 2\ndata: two\n\n"
+private const val HALF = "id: 2\ndata: tw"
+private const val LAST_CHUNK = "\r\n0\r\n\r\n"
+
+/** Time in which the bytes that were sent before the end of an answer are passed on. */
+private const val PAUSE_MILLIS = 150L
+
+private enum class Framing { LENGTH, CHUNKED, UNTIL_CLOSE }
+
+private fun Socket.send(text: String) = getOutputStream().run {
+    write(text.encodeToByteArray())
+    flush()
+}
+
+private fun Socket.sendHead(id: String, headers: String) =
+    send("HTTP/1.1 200 OK\r\nRequest: $id\r\nProof: p\r\n$headers\r\n")
+
+private fun chunk(text: String) = "${text.length.toString(16)}\r\n$text\r\n"
+
+/** Sends [parts] as one whole answer in [framing], with a pause between two parts. */
+private fun Socket.answer(id: String, framing: Framing, vararg parts: String) {
+    sendHead(
+        id,
+        when (framing) {
+            Framing.LENGTH -> "Content-Length: ${parts.sumOf { it.length }}\r\n"
+            Framing.CHUNKED -> "Transfer-Encoding: chunked\r\n"
+            Framing.UNTIL_CLOSE -> ""
+        },
+    )
+    parts.forEach {
+        send(if (framing == Framing.CHUNKED) chunk(it) else it)
+        Thread.sleep(PAUSE_MILLIS)
+    }
+    if (framing == Framing.CHUNKED) send("0\r\n\r\n")
+    if (framing == Framing.UNTIL_CLOSE) shutdownOutput()
+}
+
+/** Sends one request over a socket and returns the bytes that the caller receives until the connection closes. */
+private suspend fun ForwarderFixture.askOverSocket(id: String): String {
+    val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    val port = ServerSocket(0).use { it.localPort }
+    GatewayListener(TcpNetwork(), forwarder, { null }, { false }, scope) { System.nanoTime() / 1_000_000 }
+        .start("127.0.0.1:$port")
+    try {
+        return Socket("127.0.0.1", port).use { socket ->
+            socket.soTimeout = 6_000
+            socket.send(
+                "POST /orders HTTP/1.1\r\nHost: h\r\nRequest: $id\r\nKey: secret\r\nPatience: 4000\r\n" +
+                    "Connection: close\r\nContent-Length: 2\r\n\r\nhi",
+            )
+            socket.getInputStream().readAllBytes().decodeToString()
+        }
+    } finally {
+        scope.cancel()
+    }
+}
+
+private suspend fun asked(kind: RouteKind, act: Backend.(Socket) -> Unit): String =
+    ForwarderFixture(listOf(Backend("s1", act)), kind).use { fixture ->
+        fixture.open()
+        fixture.askOverSocket("r1")
+    }
+
+/** The body of a chunked answer, without the chunk sizes; it may lack its end. */
+private fun bodyOf(answer: String): String =
+    answer.substringAfter("\r\n\r\n").replace(Regex("(?:^|\r\n)[0-9a-f]+\r\n"), "").removeSuffix("\r\n")
+
+/** Guards against answers that broke off at the backend server and look complete to the caller. */
+class StreamEndTest : FunSpec({
+    Framing.entries.forEach { framing ->
+        test("a stream that ends inside an event is cut for its caller, framing $framing") {
+            val answer = asked(RouteKind.STREAM) { it.answer("r1", framing, FIRST, HALF) }
+            answer shouldStartWith "HTTP/1.1 200"
+            bodyOf(answer) shouldBe FIRST
+            answer shouldNotEndWith LAST_CHUNK
+        }
+
+        test("a stream that ends inside its first event is no success for its caller, framing $framing") {
+            asked(RouteKind.STREAM) { it.answer("r1", framing, HALF) } shouldStartWith "HTTP/1.1 502"
+        }
+
+        test("a resumable stream that ends inside an event goes on at another server, framing $framing") {
+            val sent = AtomicInteger()
+            val act: Backend.(Socket) -> Unit = { socket ->
+                if (sent.getAndIncrement() == 0) {
+                    socket.answer("r1", framing, FIRST, HALF)
+                } else {
+                    socket.answer("r1", framing, SECOND)
+                }
+            }
+            val backends = listOf(Backend("s1", act), Backend("s2", act))
+            ForwarderFixture(backends, RouteKind.STREAM, isResumable = true).use { fixture ->
+                fixture.open()
+                val answer = fixture.askOverSocket("r1")
+                bodyOf(answer) shouldBe FIRST + SECOND
+                answer shouldEndWith LAST_CHUNK
+                val heads = backends.flatMap { it.heads }
+                heads shouldHaveSize 2
+                heads.single { "Last-Event-Id: 1\r\n" in it }
+            }
+        }
+    }
+
+    listOf(
+        "an event" to FIRST,
+        "an empty line" to "$FIRST\n",
+        "a bare carriage return" to "$FIRST\r",
+        "CRLF line ends" to FIRST.replace("\n", "\r\n"),
+        "a bare CRLF" to FIRST.replace("\n", "\r\n") + "\r\n",
+        "a comment line" to "$FIRST: done\n",
+        "a comment line with CRLF" to FIRST.replace("\n", "\r\n") + ": done\r\n",
+    ).forEach { (name, body) ->
+        test("a stream that ends with its connection after $name is complete and is passed on whole") {
+            val answer = asked(RouteKind.STREAM) { it.answer("r1", Framing.UNTIL_CLOSE, body) }
+            bodyOf(answer.removeSuffix(LAST_CHUNK)) shouldBe body.removeSuffix("\r\n")
+            answer shouldEndWith LAST_CHUNK
+        }
+    }
+
+    test("the connection of an answer that ended with it is not reused") {
+        val backend = Backend("s1") { it.answer(if (requests.get() == 1) "r1" else "r2", Framing.UNTIL_CLOSE, FIRST) }
+        ForwarderFixture(listOf(backend), RouteKind.STREAM).use { fixture ->
+            fixture.open()
+            fixture.askOverSocket("r1") shouldEndWith LAST_CHUNK
+            fixture.askOverSocket("r2") shouldEndWith LAST_CHUNK
+            backend.requests.get() shouldBe 2
+        }
+    }
+
+    test("a stream without a length that is reset after a whole event is cut for its caller") {
+        val answer = asked(RouteKind.STREAM) { socket ->
+            socket.sendHead("r1", "")
+            socket.send(FIRST)
+            Thread.sleep(PAUSE_MILLIS)
+            reset(socket)
+        }
+        bodyOf(answer) shouldBe FIRST
+        answer shouldNotEndWith LAST_CHUNK
+    }
+
+    test("a buffered answer without a length is whole when its connection closes and lost when it is reset") {
+        asked(RouteKind.RUN_ONCE) { it.answer("r1", Framing.UNTIL_CLOSE, "whole ", "answer") }.let { answer ->
+            answer shouldStartWith "HTTP/1.1 200"
+            answer shouldContain "Content-Length: 12\r\n"
+            answer shouldEndWith "whole answer"
+        }
+        asked(RouteKind.RUN_ONCE) { socket ->
+            socket.sendHead("r1", "")
+            socket.send("half ")
+            Thread.sleep(PAUSE_MILLIS)
+            reset(socket)
+        }.let { answer ->
+            answer shouldStartWith "HTTP/1.1 502"
+            answer shouldNotContain "half"
+        }
+    }
+})
