Treat a stream that ends inside an event as broken off

Callers got a part of an event and a last chunk, so that an answer that the backend server broke off looked whole, and a resumable stream was not resumed. Cause: at the end of a body, the remainder after the last whole event was passed on and the answer ended as complete.

The end of a body inside an event now takes the path of a connection that fails: the part is dropped, the stream goes on at another server after the last whole event or is cut without a last chunk, and before the first event the outcome is unknown (502). Line ends and whole comment lines after the last event belong to none, so they are passed on and the answer is complete.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptRunner.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptRunner.kt
@@ -4,6 +4,7 @@
 package org.lentilquay.daemon.gateway
 
 import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.io.EOFException
 import org.lentilquay.coordination.gateway.ServerOutcome
 import org.lentilquay.state.gateway.RouteKind
 import org.lentilquay.transport.describe
@@ -176,7 +177,11 @@
         val read = runSuspendCatching {
             var chunk = nextChunk(routed, answer)
             while (chunk != null && !buffer.isTooLong) {
-                val bytes = chunk.bytes ?: return endOfStream(routed, answer, writer, buffer)
+                val bytes = chunk.bytes
+                if (bytes == null) {
+                    if (buffer.isWithinEvent) throw EOFException("the stream ended inside an event")
+                    return endOfStream(routed, answer, writer, buffer)
+                }
                 buffer.append(bytes)?.let { passOn(answer, writer, it) }
                 chunk = nextChunk(routed, answer)
             }
@@ -207,7 +212,7 @@
         buffer: SseEventBuffer,
     ): AttemptOutcome {
         answer.releaseConnection()
-        if (buffer.isWithinEvent) passOn(answer, writer, buffer.remainder())
+        buffer.remainder().takeIf { it.isNotEmpty() }?.let { passOn(answer, writer, it) }
         if (!writer.isStarted) writer.startChunked(answer.status, forwardedHeaders(answer))
         writer.endChunked()
         val firstMillis = writer.startedAt?.let { it - routed.request.arrivedAt }
