--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/RequestForwarderTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/RequestForwarderTest.kt
@@ -43,6 +43,7 @@
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
@@ -74,7 +75,9 @@
 internal class Backend(val id: String, private val act: Backend.(Socket) -> Unit) : AutoCloseable {
     private val listener = ServerSocket(0, 100, InetAddress.getLoopbackAddress())
     val requests = AtomicInteger()
-    val heads = CopyOnWriteArrayList<String>()
+
+    /** The head of the request on each connection. */
+    val heads = ConcurrentHashMap<Socket, String>()
 
     init {
         thread(isDaemon = true) {
@@ -89,7 +92,7 @@
         val input = socket.getInputStream().buffered()
         val head = StringBuilder()
         while (!head.endsWith("\r\n\r\n")) head.append(input.read().takeIf { it >= 0 }?.toChar() ?: return)
-        heads += head.toString()
+        heads[socket] = head.toString()
         requests.incrementAndGet()
         act(socket)
     }
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/StreamEndTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/StreamEndTest.kt
@@ -115,7 +115,7 @@
                 val answer = fixture.askOverSocket("r1")
                 bodyOf(answer) shouldBe FIRST + SECOND
                 answer shouldEndWith LAST_CHUNK
-                val heads = backends.flatMap { it.heads }
+                val heads = backends.flatMap { it.heads.values }
                 heads shouldHaveSize 2
                 heads.single { "Last-Event-Id: 1\r\n" in it }
             }
