Bound the head of a response and the number of informational ones

Callers would see requests far past their deadline, and a thread of the process would be busy meanwhile: 256 KiB of header lines took 19.6 s. Cause: Ktor's parser bounds a line (8 KiB) but not the number of lines, its map of headers takes quadratic time, and while bytes arrive it does not suspend, so that no timeout interrupts it. The client without a pool read informational responses up to its timeout.

The lines of a head are collected up to 32 KiB or 256 lines and then parsed by Ktor. Sound heads repeat request headers, which callers keep below 16 KiB. A longer head, or a fourth informational response, is a lost response: the outcome is unknown and the connection is closed at once.

--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/HttpConnectionPool.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/HttpConnectionPool.kt
@@ -9,7 +9,6 @@
 package org.lentilquay.transport.http
 
 import io.ktor.http.cio.ParserException
-import io.ktor.http.cio.parseResponse
 import io.ktor.utils.io.availableForRead
 import io.ktor.utils.io.writeFully
 import kotlinx.coroutines.withTimeoutOrNull
@@ -164,9 +163,7 @@
         options: ExchangeOptions,
     ): PooledExchange {
         repeat(MAXIMUM_STRAY_RESPONSES + 1) {
-            val response = parseResponse(pooled.connection.input)
-                ?: throw IOException("connection closed without a response")
-            response.use {
+            readResponseHead(pooled.connection.input).use {
                 if (it.status >= FIRST_FINAL_STATUS) {
                     val headers = headersOf(it)
                     val body =
--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/UnpooledHttpClient.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/UnpooledHttpClient.kt
@@ -15,7 +15,6 @@
 package org.lentilquay.transport.http
 
 import io.ktor.http.cio.Response
-import io.ktor.http.cio.parseResponse
 import io.ktor.utils.io.writeFully
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.IOException
@@ -26,6 +25,9 @@
 
 private const val FIRST_FINAL_STATUS = 200
 
+/** After this many responses with a status below 200, the connection counts as broken. */
+private const val MAXIMUM_INFORMATIONAL_RESPONSES = 3
+
 /** A request; [target] is the path and query, already encoded. */
 internal class HttpRequest(
     val method: String,
@@ -88,12 +90,12 @@
     }
 
     private suspend fun receive(connection: TcpConnection, request: HttpRequest): UnpooledExchange {
-        while (true) {
-            val response = parseResponse(connection.input) ?: throw IOException("connection closed without a response")
-            response.use {
+        repeat(MAXIMUM_INFORMATIONAL_RESPONSES + 1) {
+            readResponseHead(connection.input).use {
                 if (it.status >= FIRST_FINAL_STATUS) return responseOf(it, connection, request)
             }
         }
+        throw IOException("no final response after $MAXIMUM_INFORMATIONAL_RESPONSES informational ones")
     }
 
     private fun responseOf(response: Response, connection: TcpConnection, request: HttpRequest): UnpooledExchange {
