Bound the trailers of a chunked body

Callers would wait until their deadline for an answer that ends in trailers without end, and a thread would read them meanwhile. Cause: trailer lines were skipped without a limit on their number. After 64 of them the body is now lost, and its connection is closed; the trailers of sound servers are few.

--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/BodyReader.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/BodyReader.kt
@@ -13,6 +13,9 @@
 
 /** Maximum length of a chunk size line, which may have extensions, and of a trailer line. */
 private const val MAXIMUM_CHUNK_LINE_BYTES = 4_096L
+
+/** Maximum number of trailer lines; they are dropped. */
+private const val MAXIMUM_TRAILER_LINES = 64
 private const val READ_BUFFER_BYTES = 8_192
 private const val HEXADECIMAL = 16
 private const val LINE_FEED = '\n'.code.toByte()
@@ -91,13 +94,18 @@
         remaining = size.takeIf { it.isNotEmpty() && it[0].isLetterOrDigit() }?.toLongOrNull(HEXADECIMAL)
             ?: throw IOException("chunk size is not a hexadecimal number")
         if (remaining == 0L) {
-            do {
-                val trailer = chunkLine()
-            } while (trailer.isNotEmpty())
+            skipTrailers()
             isComplete = true
         }
     }
 
+    private suspend fun skipTrailers() {
+        var lines = 0
+        while (chunkLine().isNotEmpty()) {
+            if (++lines > MAXIMUM_TRAILER_LINES) throw IOException("more than $MAXIMUM_TRAILER_LINES trailers")
+        }
+    }
+
     private suspend fun chunkLine(): String =
         input.readLineStrict(MAXIMUM_CHUNK_LINE_BYTES) ?: throw EOFException("connection closed between chunks")
 }
