Limit the length of a response by the kind of call

Callers would see the process end for want of memory: each call to an engine or to the table service buffered up to 64 MiB, with a heap of 160 MB. A longer response is lost, so that the outcome of an order or a transaction counts as unknown, and the connection is closed.

--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/PooledHttpClient.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/PooledHttpClient.kt
@@ -6,7 +6,8 @@
 
 import org.lentilquay.transport.TcpNetwork
 
-private const val MAXIMUM_RESPONSE_BYTES = 64 shl 20
+/** Maximum length of a response body for calls that set none. */
+private const val DEFAULT_MAXIMUM_BYTES = 128 shl 10
 private const val NANOS_PER_MILLI = 1_000_000L
 private const val EMPTY_BODY = ""
 
@@ -25,12 +26,13 @@
     data class Lost(val reason: String) : HttpCallResult
 }
 
-/** A request; [target] is the path and query, already encoded. */
+/** A request; [target] is the path and query, already encoded. A longer body than [maximumBytes] is a lost response. */
 class HttpCall(
     val method: String,
     val target: String,
     val headers: List<Pair<String, String>> = emptyList(),
     val body: String = EMPTY_BODY,
+    val maximumBytes: Int = DEFAULT_MAXIMUM_BYTES,
 )
 
 /** Calls HTTP servers at addresses of the form `ip:port`. Thread-safe. */
@@ -47,7 +49,7 @@
             is PooledExchange.Lost -> HttpCallResult.Lost(exchange.reason)
             is PooledExchange.Answered -> exchange.answer.use { answer ->
                 val remainingMillis = timeoutMillis - (System.nanoTime() - startedAt) / NANOS_PER_MILLI
-                when (val body = readFully(answer.body, MAXIMUM_RESPONSE_BYTES, remainingMillis)) {
+                when (val body = readFully(answer.body, call.maximumBytes, remainingMillis)) {
                     is BodyReadResult.Complete -> {
                         answer.releaseConnection()
                         HttpCallResult.Response(answer.status, answer.headers, body.bytes)
