Do not wait for the end of the body of a refusal

Cause: the body was read without a time limit, and up to 8 MiB of it were kept. It is now read for at most 100 ms, not past the deadline, and up to 16 KiB, and nothing of it is kept; if it has not ended by then, the connection is closed. The refusal counts as before, because the head states that the request did not run.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptRunner.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptRunner.kt
@@ -28,6 +28,12 @@
 /** Time without an event after which a resumable stream is resumed at another backend server. */
 private const val STREAM_STALL_MILLIS = 1_500L
 
+/** The body of a refusal is read no further than this; it has one line. */
+private const val MAXIMUM_REFUSAL_BYTES = 16 shl 10
+
+/** Time for the body of a refusal, which normally arrives with its head. */
+private const val REFUSAL_BODY_MILLIS = 100L
+
 /** Longest response body that is buffered until it is complete. */
 private const val MAXIMUM_BUFFERED_BYTES = 8 shl 20
 
@@ -115,7 +121,7 @@
         val hasRefused = answer.status == MISDIRECTED_STATUS || answer.header(headerNames.notRun) != null
         val isSuccess = answer.status in FIRST_SUCCESS_STATUS until FIRST_REDIRECT_STATUS
         return when {
-            hasRefused && !isSuccess -> refused(target, answer)
+            hasRefused && !isSuccess -> refused(routed, target, answer)
             answer.header(headerNames.signature) == null || answer.header(headerNames.requestId) != routed.id ->
                 lost("response ${answer.status} lacks a server signature or the id of this request")
             isSuccess && routed.route.kind == RouteKind.STREAM -> passOnStream(routed, answer, writer, resumeAfter)
@@ -127,10 +133,11 @@
 
     private fun lost(reason: String) = AttemptOutcome(AttemptResult.Failed(reason), ServerOutcome.LOST)
 
-    private suspend fun refused(target: AttemptTarget, answer: PooledResponse): AttemptOutcome {
+    private suspend fun refused(routed: RoutedRequest, target: AttemptTarget, answer: PooledResponse): AttemptOutcome {
         val other = answer.header(headerNames.serverId)
         val isOther = answer.status == MISDIRECTED_STATUS && other != null && other != target.server.id.text
-        runSuspendCatching { if (readBody(answer, MAXIMUM_BUFFERED_BYTES) != null) answer.releaseConnection() }
+        val maximumWait = minOf(routed.deadlineAt - now(), REFUSAL_BODY_MILLIS)
+        runSuspendCatching { withTimeoutOrNull(maximumWait) { skipRefusalBody(answer) } }
         val reason = if (isOther) "another server process has the address" else "status ${answer.status}"
         val outcome = when {
             isOther -> ServerOutcome.UNREACHABLE
@@ -141,6 +148,17 @@
         return AttemptOutcome(AttemptResult.NotRun(reason, hasArrived = true), outcome, isAdapterMissing)
     }
 
+    /** Reads the body of a refusal, so that its connection can be reused; after a long one, it is closed. */
+    private suspend fun skipRefusalBody(answer: PooledResponse) {
+        var size = 0
+        var part = answer.body.next()
+        while (part != null && size <= MAXIMUM_REFUSAL_BYTES) {
+            size += part.size
+            part = answer.body.next()
+        }
+        if (part == null) answer.releaseConnection()
+    }
+
     private suspend fun passOnBuffered(
         routed: RoutedRequest,
         answer: PooledResponse,
