Bound the memory of all buffered answers together

Callers would see the process end for want of memory: each buffered answer took up to 8 MiB, and twice as much while it grew, without a limit on all of them. An answer may now have 4 MiB, and what answers have beyond 32 KiB each shares 16 MiB; an answer that does not fit is lost, its outcome is unknown, and its connection is closed. Ordinary answers have about 1 KB and are not counted, so long ones do not make them fail. An error response beyond 32 KiB is no longer kept for the case that the retries fail as well.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptRunner.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptRunner.kt
@@ -35,7 +35,7 @@
 private const val REFUSAL_BODY_MILLIS = 100L
 
 /** Longest response body that is buffered until it is complete. */
-private const val MAXIMUM_BUFFERED_BYTES = 8 shl 20
+private const val MAXIMUM_BUFFERED_BYTES = 4 shl 20
 
 /** The result of one attempt for the request, and its outcome for the health of the server. */
 internal data class AttemptOutcome(
@@ -51,6 +51,8 @@
     /** Called when the server has sent the head of a response. */
     private val onResponse: (AttemptTarget) -> Unit,
 ) {
+    private val bodies = BodyBudget()
+
     /**
      * Sends the request of [routed] to [target]. With [mayRetry], another attempt may follow, so an error response is
      * returned and not passed on. [resumeAfter] is the id of the last event of a stream that is resumed; the events
@@ -127,7 +129,7 @@
             isSuccess && routed.route.kind == RouteKind.STREAM -> passOnStream(routed, answer, writer, resumeAfter)
             resumeAfter != null ->
                 AttemptOutcome(AttemptResult.BrokenStream("status ${answer.status}", resumeAfter), ServerOutcome.FAILED)
-            else -> passOnBuffered(routed, answer, writer, mayRetry)
+            else -> bodies.Reservation().use { passOnBuffered(routed, answer, writer, mayRetry, it) }
         }
     }
 
@@ -164,9 +166,10 @@
         answer: PooledResponse,
         writer: ResponseWriter,
         mayRetry: Boolean,
+        memory: BodyBudget.Reservation,
     ): AttemptOutcome {
         val read = runSuspendCatching {
-            withTimeoutOrNull(routed.deadlineAt - now()) { readBody(answer, MAXIMUM_BUFFERED_BYTES) }
+            withTimeoutOrNull(routed.deadlineAt - now()) { readBody(answer, memory) }
         }
         val body = read.getOrNull()
         if (body == null) {
@@ -178,7 +181,9 @@
         val outcome = if (isFailure) ServerOutcome.FAILED else ServerOutcome.ANSWERED
         val headers = forwardedHeaders(answer)
         if (isFailure && mayRetry) {
-            val failure = BufferedResponse(answer.status, headers, body)
+            // A long body is not kept beyond its reservation.
+            val failure =
+                BufferedResponse(answer.status, headers, body).takeIf { body.size <= UNCOUNTED_BODY_BYTES }
             return AttemptOutcome(AttemptResult.Failed("status ${answer.status}", failure), outcome)
         }
         writer.respond(answer.status, headers, body)
@@ -240,11 +245,13 @@
     private fun forwardedHeaders(answer: PooledResponse) =
         answer.headers.filter { it.first.lowercase() !in HOP_BY_HOP_HEADERS }
 
-    private suspend fun readBody(answer: PooledResponse, maximumBytes: Int): ByteArray? {
+    /** The whole body, or null if it is longer than its limit or than the memory that is left for all bodies. */
+    private suspend fun readBody(answer: PooledResponse, memory: BodyBudget.Reservation): ByteArray? {
         val collected = ByteArrayOutputStream()
         while (true) {
             collected.write(answer.body.next() ?: return collected.toByteArray())
-            if (collected.size() > maximumBytes) return null
+            val size = collected.size()
+            if (size > MAXIMUM_BUFFERED_BYTES || !memory.tryGrowTo(size)) return null
         }
     }
 }
