Limit an event of a stream to 128 KiB

Callers would see the process end for want of memory: each stream kept up to 1 MiB of an event that does not end, for all streams at the same time. Events of sound servers have a few KB at most. A longer one is a broken stream as before.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/SseEventBuffer.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/SseEventBuffer.kt
@@ -12,8 +12,8 @@
 private const val COLON = ':'.code.toByte()
 private const val ID_FIELD = "id:"
 
-/** A longer event ends the stream. */
-private const val MAXIMUM_EVENT_BYTES = 1 shl 20
+/** A longer event ends the stream. Sound events have a few KB at most, and many streams run at the same time. */
+private const val MAXIMUM_EVENT_BYTES = 128 shl 10
 
 internal class SseEventBuffer {
     private val incomplete = ByteArrayOutputStream()
