--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptRunner.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptRunner.kt
@@ -4,6 +4,7 @@
 package org.lentilquay.daemon.gateway
 
 import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.io.EOFException
 import org.lentilquay.coordination.gateway.ServerOutcome
 import org.lentilquay.state.gateway.RouteKind
 import org.lentilquay.transport.describe
@@ -27,8 +28,14 @@
 /** Time without an event after which a resumable stream is resumed at another backend server. */
 private const val STREAM_STALL_MILLIS = 1_500L
 
+/** The body of a refusal is read no further than this; it has one line. */
+private const val MAXIMUM_REFUSAL_BYTES = 16 shl 10
+
+/** Time for the body of a refusal, which normally arrives with its head. */
+private const val REFUSAL_BODY_MILLIS = 100L
+
 /** Longest response body that is buffered until it is complete. */
-private const val MAXIMUM_BUFFERED_BYTES = 8 shl 20
+private const val MAXIMUM_BUFFERED_BYTES = 4 shl 20
 
 /** Whether [status] is that of a successful response. */
 internal fun isSuccess(status: Int): Boolean = status in FIRST_SUCCESS_STATUS until FIRST_REDIRECT_STATUS
@@ -47,6 +54,8 @@
     /** Called when the server has sent the head of a response. */
     private val onResponse: (AttemptTarget) -> Unit,
 ) {
+    private val bodies = BodyBudget()
+
     /**
      * Sends the request of [routed] to [target]. With [mayRetry], another attempt may follow, so an error response is
      * returned and not passed on. [resumeAfter] is the id of the last event of a stream that is resumed; the events
@@ -123,23 +132,24 @@
         val isOwn = answer.header(headerNames.requestId) == routed.id
         val isSuccess = isSuccess(answer.status)
         return when {
-            isRefusal && isOwn && !isSuccess -> refused(target, answer)
+            isRefusal && isOwn && !isSuccess -> refused(routed, target, answer)
             answer.header(headerNames.signature) == null || !isOwn ->
                 lost("response ${answer.status} lacks a server signature or the id of this request")
             isSuccess && routed.route.kind == RouteKind.STREAM ->
                 passOnStream(routed, answer, writer, resumeAfter, onFirstEvent)
             resumeAfter != null ->
                 AttemptOutcome(AttemptResult.BrokenStream("status ${answer.status}", resumeAfter), ServerOutcome.FAILED)
-            else -> passOnBuffered(routed, answer, writer, mayRetry)
+            else -> bodies.Reservation().use { passOnBuffered(routed, answer, writer, mayRetry, it) }
         }
     }
 
     private fun lost(reason: String) = AttemptOutcome(AttemptResult.Failed(reason), ServerOutcome.LOST)
 
-    private suspend fun refused(target: AttemptTarget, answer: PooledResponse): AttemptOutcome {
+    private suspend fun refused(routed: RoutedRequest, target: AttemptTarget, answer: PooledResponse): AttemptOutcome {
         val other = answer.header(headerNames.serverId)
         val isOther = answer.status == MISDIRECTED_STATUS && other != null && other != target.server.id.text
-        runSuspendCatching { if (readBody(answer, MAXIMUM_BUFFERED_BYTES) != null) answer.releaseConnection() }
+        val maximumWait = minOf(routed.deadlineAt - now(), REFUSAL_BODY_MILLIS)
+        runSuspendCatching { withTimeoutOrNull(maximumWait) { skipRefusalBody(answer) } }
         val reason = if (isOther) "another server process has the address" else "status ${answer.status}"
         val outcome = when {
             isOther -> ServerOutcome.UNREACHABLE
@@ -150,14 +160,26 @@
         return AttemptOutcome(AttemptResult.NotRun(reason, hasArrived = true), outcome, isAdapterMissing)
     }
 
+    /** Reads the body of a refusal, so that its connection can be reused; after a long one, it is closed. */
+    private suspend fun skipRefusalBody(answer: PooledResponse) {
+        var size = 0
+        var part = answer.body.next()
+        while (part != null && size <= MAXIMUM_REFUSAL_BYTES) {
+            size += part.size
+            part = answer.body.next()
+        }
+        if (part == null) answer.releaseConnection()
+    }
+
     private suspend fun passOnBuffered(
         routed: RoutedRequest,
         answer: PooledResponse,
         writer: ResponseWriter,
         mayRetry: Boolean,
+        memory: BodyBudget.Reservation,
     ): AttemptOutcome {
         val read = runSuspendCatching {
-            withTimeoutOrNull(routed.deadlineAt - now()) { readBody(answer, MAXIMUM_BUFFERED_BYTES) }
+            withTimeoutOrNull(routed.deadlineAt - now()) { readBody(answer, memory) }
         }
         val body = read.getOrNull()
         if (body == null) {
@@ -169,7 +191,9 @@
         val outcome = if (isFailure) ServerOutcome.FAILED else ServerOutcome.ANSWERED
         val headers = forwardedHeaders(answer)
         if (isFailure && mayRetry) {
-            val failure = BufferedResponse(answer.status, headers, body)
+            // A long body is not kept beyond its reservation.
+            val failure =
+                BufferedResponse(answer.status, headers, body).takeIf { body.size <= UNCOUNTED_BODY_BYTES }
             return AttemptOutcome(AttemptResult.Failed("status ${answer.status}", failure), outcome)
         }
         writer.respond(answer.status, headers, body)
@@ -188,7 +212,11 @@
         val read = runSuspendCatching {
             var chunk = nextChunk(routed, answer)
             while (chunk != null && !buffer.isTooLong) {
-                val bytes = chunk.bytes ?: return endOfStream(routed, answer, writer, buffer)
+                val bytes = chunk.bytes
+                if (bytes == null) {
+                    if (buffer.isWithinEvent) throw EOFException("the stream ended inside an event")
+                    return endOfStream(routed, answer, writer, buffer)
+                }
                 buffer.append(bytes)?.let { events ->
                     if (!hasEvent) onFirstEvent()
                     hasEvent = true
@@ -223,7 +251,7 @@
         buffer: SseEventBuffer,
     ): AttemptOutcome {
         answer.releaseConnection()
-        if (buffer.isWithinEvent) passOn(answer, writer, buffer.remainder())
+        buffer.remainder().takeIf { it.isNotEmpty() }?.let { passOn(answer, writer, it) }
         if (!writer.isStarted) writer.startChunked(answer.status, forwardedHeaders(answer))
         writer.endChunked()
         val firstMillis = writer.startedAt?.let { it - routed.request.arrivedAt }
@@ -233,11 +261,13 @@
     private fun forwardedHeaders(answer: PooledResponse) =
         answer.headers.filter { it.first.lowercase() !in HOP_BY_HOP_HEADERS }
 
-    private suspend fun readBody(answer: PooledResponse, maximumBytes: Int): ByteArray? {
+    /** The whole body, or null if it is longer than its limit or than the memory that is left for all bodies. */
+    private suspend fun readBody(answer: PooledResponse, memory: BodyBudget.Reservation): ByteArray? {
         val collected = ByteArrayOutputStream()
         while (true) {
             collected.write(answer.body.next() ?: return collected.toByteArray())
-            if (collected.size() > maximumBytes) return null
+            val size = collected.size()
+            if (size > MAXIMUM_BUFFERED_BYTES || !memory.tryGrowTo(size)) return null
         }
     }
 }
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ForwarderFixture.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ForwarderFixture.kt
@@ -40,6 +40,7 @@
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
@@ -70,6 +71,9 @@
     private val listener = ServerSocket(0, 100, InetAddress.getLoopbackAddress())
     val requests = AtomicInteger()
 
+    /** The head of the request on each connection. */
+    val heads = ConcurrentHashMap<Socket, String>()
+
     init {
         thread(isDaemon = true) {
             while (!listener.isClosed) {
@@ -87,6 +91,7 @@
         val headers = lines.drop(1).map { it.substringBefore(':') to it.substringAfter(':').trim() }
         val request = CallerHead(lines.first().substringBefore(' '), lines.first().split(' ')[1], headers)
         input.readNBytes(request.header("Content-Length")?.toInt() ?: 0)
+        heads[socket] = head.toString()
         requests.incrementAndGet()
         act(socket, request)
     }
@@ -127,7 +132,11 @@
 }
 
 /** A forwarder in front of [backends], and another VM whose received messages are recorded. */
-internal class ForwarderFixture(private val backends: List<Backend>, kind: RouteKind) : AutoCloseable {
+internal class ForwarderFixture(
+    private val backends: List<Backend>,
+    kind: RouteKind,
+    isResumable: Boolean = false,
+) : AutoCloseable {
     val received = CopyOnWriteArrayList<PeerRequest>()
     val settled = CopyOnWriteArrayList<Long>()
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
@@ -153,7 +162,7 @@
     }
     private val network = TcpNetwork()
     private val crashes = CrashDetector(fleet, control, scope, { setOf(options.vm, OTHER_VM) }, ::accepts, now)
-    private val forwarder = RequestForwarder(
+    val forwarder = RequestForwarder(
         HEADERS, state, control, quota, fleet, HttpConnectionPool(network), crashes, GatewayMetrics(), scope, now,
     )
     private val route = GatewayRoute(
@@ -164,10 +173,10 @@
         services = listOf(WeightedService("desk", 1)),
         timeoutMillis = 5_000,
         targetLatencyMillis = 1_000,
-        maximumAttempts = 1,
+        maximumAttempts = if (isResumable) 2 else 1,
         priority = 0,
         isOpen = false,
-        isResumable = false,
+        isResumable = isResumable,
     )
 
     suspend fun open() = control.decide {
