--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/StreamEndTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/StreamEndTest.kt
@@ -109,7 +109,7 @@
                     socket.answer("r1", framing, SECOND)
                 }
             }
-            val backends = listOf(Backend("s1") { socket, _ -> act(socket) }, Backend("s2") { socket, _ -> act(socket) })
+            val backends = listOf("s1", "s2").map { id -> Backend(id) { socket, _ -> act(socket) } }
             ForwarderFixture(backends, RouteKind.STREAM, isResumable = true).use { fixture ->
                 fixture.open()
                 val answer = fixture.askOverSocket("r1")
