Publish quarantined prompt parts in the member records

Callers saw 502 again after VMs had restarted: requests with a part that was already known to crash servers went on coming, and a VM that starts, or all VMs at once, knew nothing of it. Cause: the knowledge was kept in memory only. Class of fault: a decision that must outlive its process is not stored.

The member record, which is written every second and read by all VMs, carries the quarantines with the time of their latest crash and of the crash that decides: an answer to a request that was sent later clears the part. A VM adopts the quarantines of all records, also that of its own former process, which it reads before it writes its first. Parts that were cleared are published with the sending time of the answered request, so they do not come back from an older record. At most 16 of each are published. Records of earlier builds have no such field and decode as before.

Evidence: the test in EngineControlLoopTest failed while the record did not carry the quarantines (no suspects after a restart) and passes now. It also showed that cleared parts were not published once no evidence was left.

--- a/core/src/main/kotlin/org/lentilquay/coordination/suspects/PromptPartTracker.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/suspects/PromptPartTracker.kt
@@ -24,12 +24,26 @@
 /** Evaluations while nothing changed are at least this far apart; a quarantine is later by no more. */
 private const val EVALUATION_INTERVAL_MILLIS = 50L
 
-/** Requests with all of [parts] are refused; they explain [crashes] crashes on [servers], the last [latestCrashAt]. */
+/**
+ * A quarantine that differs by less is not adopted again. Processes convert times with errors of a few seconds, which
+ * would add up while they adopt a quarantine from each other, and it would never end.
+ */
+private const val ADOPTION_TOLERANCE_MILLIS = 60_000L
+
+/** Bounds the size of member records; the latest quarantines are kept. */
+private const val MAXIMUM_ADOPTED = 16
+
+/**
+ * Requests with all of [parts] are refused; they explain [crashes] crashes, the last one [latestCrashAt]. The [servers]
+ * are not known if the quarantine was adopted from another process.
+ */
 data class PartQuarantine(
     val parts: Set<String>,
     val crashes: Int,
     val servers: Set<ServerId>,
     val latestCrashAt: Long,
+    /** An answer to a request that was sent later clears its part, because too few crashes are later still. */
+    val decisiveCrashAt: Long = latestCrashAt,
 ) {
     fun remainingMillis(now: Long): Long = latestCrashAt + QUARANTINE_MILLIS - now
 }
@@ -58,8 +72,29 @@
     private var evaluated: List<PartQuarantine> = emptyList()
     private var evaluatedAt: Long? = null
 
-    /** Whether any crash is kept. */
-    val hasCrashes: Boolean get() = crashes.isNotEmpty()
+    /** Quarantines that other processes decided, by their parts. */
+    private val adopted = HashMap<Set<String>, PartQuarantine>()
+
+    /** The decisive crash of each part that is or was quarantined. */
+    private val decisive = PartTimes()
+
+    /** Whether any crash or quarantine is kept. */
+    val hasEvidence: Boolean get() = crashes.isNotEmpty() || adopted.isNotEmpty()
+
+    /** Quarantined parts that have been cleared, each with the sending time of the answered request. */
+    val cleared: Map<String, Long> get() = decisive.entries.mapNotNull { (part, crashAt) ->
+        answered[part]?.takeIf { it > crashAt }?.let { part to it }
+    }.toMap()
+
+    /** Adopts a quarantine that another process has decided, unless this VM knows that its parts are clear. */
+    fun adopt(quarantine: PartQuarantine, now: Long) {
+        val before = adopted[quarantine.parts]
+        if (before == null || quarantine.latestCrashAt - before.latestCrashAt > ADOPTION_TOLERANCE_MILLIS) {
+            adopted[quarantine.parts] = quarantine
+        }
+        expire(now)
+        while (adopted.size > MAXIMUM_ADOPTED) adopted.remove(adopted.values.minBy { it.latestCrashAt }.parts)
+    }
 
     /** Merges a crash of [server] at [at], in which requests with the parts in [requests] were lost. */
     fun merge(server: ServerId, incarnation: Long, at: Long, requests: List<Set<String>>) {
@@ -95,8 +130,8 @@
      */
     fun takeUnannounced(now: Long): Map<String, Long> {
         expire(now)
-        val parts = crashes.values.flatMap { crash -> crash.requests.flatten() }.groupingBy { it }.eachCount()
-        return parts.keys.mapNotNull { part ->
+        val parts = crashes.values.flatMapTo(HashSet()) { crash -> crash.requests.flatten() }
+        return parts.mapNotNull { part ->
             val sentAt = answered[part] ?: return@mapNotNull null
             val times = crashTimes(part).filter { it > (announced[part] ?: Long.MIN_VALUE) }
             val isNews = times.size >= ANNOUNCED_CRASHES && times.any { it < sentAt }
@@ -119,16 +154,25 @@
             evaluated = evaluate(now)
             evaluatedAt = now
         }
-        return evaluated
+        val remaining = adopted.values.map { it.copy(parts = unclearedParts(it)) }
+        val all = (evaluated + remaining).distinctBy { it.parts }
+        all.forEach { quarantine ->
+            quarantine.parts.forEach { decisive.merge(it, quarantine.decisiveCrashAt, ::maxOf) }
+        }
+        return all
     }
 
+    private fun unclearedParts(quarantine: PartQuarantine) =
+        quarantine.parts.filterTo(LinkedHashSet()) { !isCleared(it, quarantine.decisiveCrashAt) }
+
     private fun evaluate(now: Long): List<PartQuarantine> {
         val uncleared = crashes.map { (id, crash) ->
             val requests = crash.requests.map { parts -> parts.filterTo(LinkedHashSet()) { !isCleared(it, crash.at) } }
             AttributedCrash(id.server, crash.at, requests.filter { it.isNotEmpty() })
         }
         return attributeCrashes(uncleared, evaluated.map { it.parts }, now).map {
-            PartQuarantine(it.parts, it.crashes.size, it.servers, it.crashes.last().at)
+            val decisive = it.crashes[it.crashes.size - QUARANTINE_PART_CRASHES]
+            PartQuarantine(it.parts, it.crashes.size, it.servers, it.crashes.last().at, decisive.at)
         }
     }
 
@@ -136,5 +180,6 @@
 
     private fun expire(now: Long) {
         if (crashes.values.removeIf { now - it.at >= QUARANTINE_MILLIS }) evaluatedAt = null
+        adopted.values.removeIf { it.remainingMillis(now) <= 0 || unclearedParts(it).isEmpty() }
     }
 }
--- a/core/src/main/kotlin/org/lentilquay/state/gateway/MemberRecord.kt
+++ b/core/src/main/kotlin/org/lentilquay/state/gateway/MemberRecord.kt
@@ -50,6 +50,7 @@
     @SerialName("e") val engines: List<EngineRecord> = emptyList(),
     /** A time of the table service's clock, in milliseconds; the lease of this record began no later. */
     @SerialName("t") val tableMillis: Long = 0,
+    @SerialName("q") val quarantines: QuarantineRecord = QuarantineRecord(),
 )
 
 /** The controller of an engine. The fencing number [fence] rises with each change of controller. */
--- a/core/src/test/kotlin/org/lentilquay/coordination/suspects/PromptPartTrackerTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/suspects/PromptPartTrackerTest.kt
@@ -144,7 +144,7 @@
         List(5) { Lost("e$it", 0, "p") }.forEach { quick.apply(it) }
         quick.quarantine(parts("p"), 999).shouldBeNull()
         quick.quarantine(parts("p"), 1_050) shouldBe
-            PartQuarantine(setOf("p"), 5, List(5) { ServerId("e$it") }.toSet(), 0)
+            PartQuarantine(setOf("p"), 5, List(5) { ServerId("e$it") }.toSet(), 0, 0)
     }
 
     test("parts that tie in five crashes are quarantined 2 s after the fifth; a sixth crash of one frees the other") {
@@ -188,6 +188,31 @@
         tracker.takeUnannounced(2).shouldBeEmpty()
     }
 
+    test("an adopted quarantine lasts as long as that of its origin, however often it is adopted") {
+        val tracker = PromptPartTracker()
+        val origin = PartQuarantine(parts("p"), 4, emptySet(), latestCrashAt = 1_000, decisiveCrashAt = 500)
+        repeat(100) { tracker.adopt(origin.copy(latestCrashAt = 1_000 + it * 20L), 2_000L + it) }
+        tracker.quarantine(parts("s p"), 3_000)?.remainingMillis(1_000) shouldBe QUARANTINE_MILLIS
+        tracker.quarantine(parts("s"), 3_000).shouldBeNull()
+        tracker.quarantine(parts("p"), 1_000 + QUARANTINE_MILLIS).shouldBeNull()
+    }
+
+    test("a quarantine whose part was answered since is not adopted, and other VMs learn when it was") {
+        val tracker = PromptPartTracker()
+        val stale = PartQuarantine(parts("p"), 4, emptySet(), latestCrashAt = 1_000, decisiveCrashAt = 500)
+        tracker.adopt(stale, 1_100)
+        tracker.quarantine(parts("p"), 1_200).shouldNotBeNull()
+        tracker.cleared.shouldBeEmpty()
+        tracker.adopt(stale.copy(parts = parts("q r")), 1_100)
+        tracker.quarantine(parts("q r"), 1_200).shouldNotBeNull()
+        tracker.answered(parts("p"), sentAt = 501)
+        repeat(2) {
+            tracker.quarantine(parts("p"), 1_300).shouldBeNull()
+            tracker.cleared shouldBe mapOf("p" to 501L)
+            tracker.adopt(stale, 1_400)
+        }
+    }
+
     test("of very many crashes the latest are kept") {
         val tracker = PromptPartTracker()
         repeat(500) { tracker.apply(Lost("e$it", it.toLong(), "s a$it b$it", "t c$it")) }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CrashDetector.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CrashDetector.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import org.lentilquay.coordination.gateway.TableTime
 import org.lentilquay.coordination.suspects.SuspectTracker
 import org.lentilquay.coordination.suspects.SuspectVerdict
 import org.lentilquay.daemon.control.PeerCaller
@@ -17,6 +18,7 @@
 import org.lentilquay.protocol.PeerRequest
 import org.lentilquay.state.ServerId
 import org.lentilquay.state.VmId
+import org.lentilquay.state.gateway.QuarantineRecord
 import org.lentilquay.state.gateway.RegisteredServer
 
 private val log = KotlinLogging.logger {}
@@ -37,18 +39,27 @@
 /** Stands for the server in a notice that reports no crash. */
 private val NO_SERVER = ServerId("none")
 
+/** The part of a VM that has quarantines to publish in its member record. Call on the control thread. */
+interface QuarantineExchange {
+    /** The quarantines in force; [at] relates the clock of the table service to that of this VM. */
+    fun published(at: TableTime): QuarantineRecord
+
+    /** Adopts the quarantines of another process, or of the former one on this VM, which were read [at] that time. */
+    fun adopt(record: QuarantineRecord, at: TableTime)
+}
+
 /** Why a request is not run, and for how long. */
 class RequestQuarantine(val reason: String, val remainingMillis: Long)
 
 class CrashDetector(
-    private val fleet: PeerCaller,
+    private val fleet: () -> PeerCaller,
     private val control: ControlThread,
     private val scope: CoroutineScope,
     private val members: () -> Set<VmId>,
     /** Whether a connection to an address is accepted. */
     private val accepts: suspend (String) -> Boolean,
     private val now: () -> Long,
-) {
+) : QuarantineExchange {
     private class LostRequests(val at: Long) {
         val fingerprints = LinkedHashSet<String>()
         val attempts = ArrayList<AttemptProgress>()
@@ -119,10 +130,17 @@
     suspend fun record(notice: PeerRequest.SuspectNotice) = control.decide {
         suspects.merge(notice, now())
         promptParts.record(notice)
-        hasSuspects = suspects.size > 0 || promptParts.hasCrashes
+        hasSuspects = suspects.size > 0 || promptParts.hasEvidence
         announceCleared()
     }
 
+    override fun published(at: TableTime): QuarantineRecord = promptParts.published(at)
+
+    override fun adopt(record: QuarantineRecord, at: TableTime) {
+        promptParts.adopt(record, at)
+        hasSuspects = suspects.size > 0 || promptParts.hasEvidence
+    }
+
     /** Tells the other VMs of suspect parts that are clear; they may not have seen the answers. */
     private fun announceCleared() {
         val cleared = promptParts.takeUnannounced()
@@ -155,7 +173,7 @@
         control.decide { notifyOthers(notice) }
     }
 
-    private fun notifyOthers(notice: PeerRequest.SuspectNotice) = (members() - fleet.own).forEach { vm ->
-        scope.launch { fleet.call(vm, notice, NOTICE_TIMEOUT_MILLIS) }
+    private fun notifyOthers(notice: PeerRequest.SuspectNotice) = (members() - fleet().own).forEach { vm ->
+        scope.launch { fleet().call(vm, notice, NOTICE_TIMEOUT_MILLIS) }
     }
 }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
@@ -52,6 +52,7 @@
     private val control: ControlThread,
     private val scope: CoroutineScope,
     private val now: () -> Long,
+    private val quarantines: QuarantineExchange,
 ) {
     private val engines = HashMap<ServerId, ControlledEngine>()
     private var renewal = 0L
@@ -99,7 +100,7 @@
     private suspend fun renew(): Boolean {
         val (from, difference) = leaseBasis ?: return false
         val expectedVersion = recordVersion ?: readRecordVersion() ?: return false
-        val record = control.decide { ownRecord(from.millis) }
+        val record = control.decide { ownRecord(from) }
         // A transaction without an answer may still take effect later; the condition keeps it from replacing a newer
         // renewal, which would let the lease look expired to other VMs while it is valid here.
         val put = TableOperation.Put(memberKey(options.vm), tolerantJson.encodeToString(record), expectedVersion)
@@ -131,14 +132,15 @@
     /** The version of this VM's member record, 0 if there is none; null if the table service does not answer. */
     private suspend fun readRecordVersion(): Long? = table.readRecord<MemberRecord>(memberKey(options.vm))?.version
 
-    private fun ownRecord(tableMillis: Long) = MemberRecord(
+    private fun ownRecord(from: TableTime) = MemberRecord(
         address = options.peerAddress,
         domain = options.domain,
         incarnation = incarnation,
         renewal = ++renewal,
         isLeaving = isLeaving,
         engines = if (isLeaving) emptyList() else engines.values.map { it.state() },
-        tableMillis = tableMillis,
+        tableMillis = from.millis,
+        quarantines = quarantines.published(from),
     )
 
     private suspend fun readRecords() {
@@ -150,6 +152,10 @@
         control.decide {
             state.lease.updateMembers(reading.members, reading.tableMillis)
             state.membersChanged(state.lease.liveMembers, state.lease.overdueMembers)
+            // The records of departed VMs and of the former process on this VM count as well.
+            val at = TableTime(reading.tableMillis, askedAt)
+            reading.members.filterNot { (vm, row) -> vm == options.vm && row.record.incarnation == incarnation }
+                .forEach { (_, row) -> quarantines.adopt(row.record.quarantines, at) }
         }
     }
 
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
@@ -87,6 +87,7 @@
     private val table = InstrumentedTable(ports.table, ports.watch, metrics)
     private lateinit var fleet: TcpPeerCaller
     private val sharedWatches = SharedWatchSource(state.readers, table, ports.clock, { fleet }, control, timer::now)
+    private val crashes = CrashDetector({ fleet }, control, scope, { state.members.keys }, ::accepts, timer::now)
     private val engineControl = EngineControlLoop(
         options,
         incarnation,
@@ -98,6 +99,7 @@
         control,
         scope,
         timer::now,
+        crashes,
     )
     private val operatorWatch = watchLoop(WatchedTableName.OPERATOR) { rows ->
         control.decide {
@@ -108,7 +110,6 @@
     private val serverWatch = watchLoop(WatchedTableName.SERVERS) { rows ->
         control.decide { state.serversChanged(ports.decoder.servers(rows.rows), rows.version) }
     }
-    private lateinit var crashes: CrashDetector
     private var callers: GatewayListener? = null
 
     @Volatile
@@ -124,7 +125,6 @@
         val identity = PeerIdentity(options.vm, incarnation)
         fleet = TcpPeerCaller(options.vm, PeerClient(identity, secret)) { state.members[it]?.address }
         val quota = FleetQuota(state.buckets, fleet, control, scope, TOKEN_TRANSFER_TIMEOUT_MILLIS, timer::now)
-        crashes = CrashDetector(fleet, control, scope, { state.members.keys }, ::accepts, timer::now)
         fleet.localHandler = PeerHandler { from, request -> answer(quota, from, request) }
         startPeerServer(options.peerAddress, identity, secret, fleet.localHandler)
         val forwarder = RequestForwarder(
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/EngineControlLoopTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/EngineControlLoopTest.kt
@@ -2,11 +2,15 @@
 
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.longs.shouldBeInRange
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
 import org.lentilquay.coordination.gateway.EngineOrder
 import org.lentilquay.coordination.gateway.EngineReport
 import org.lentilquay.coordination.gateway.ORDER_LEASE_MILLIS
@@ -14,6 +18,7 @@
 import org.lentilquay.daemon.control.decodeOrNull
 import org.lentilquay.daemon.control.tolerantJson
 import org.lentilquay.daemon.timer.ControlThread
+import org.lentilquay.protocol.PeerRequest
 import org.lentilquay.protocol.TableItem
 import org.lentilquay.protocol.TableOperation
 import org.lentilquay.state.Incarnation
@@ -44,6 +49,9 @@
 private val OTHER = VmId("vm-3")
 private val ENGINE = ServerId("e1")
 
+/** Parts of requests that were answered and had been sent just now. */
+private val CLEARED = mapOf("5a" to 0L, "bad" to 0L)
+
 /** Time in which a VM that may take control of an engine has done so. */
 private const val TAKEOVER_ATTEMPT_MILLIS = 300L
 
@@ -109,16 +117,22 @@
 }
 
 /** The loop of one VM, and a table with the records of another VM that was lost while it controlled an engine. */
-private class LoopFixture(private val own: VmId = OWN, val table: InMemoryTable = InMemoryTable()) : AutoCloseable {
+private class LoopFixture(
+    private val own: VmId = OWN,
+    val table: InMemoryTable = InMemoryTable(),
+    private val incarnation: Incarnation = Incarnation(1),
+) : AutoCloseable {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val control = ControlThread()
     private val now = { System.nanoTime() / 1_000_000 }
     private val options = gatewayOptions(own, controllerChangePauseMillis = PAUSE_MILLIS)
-    private val state = GatewayState(options, Incarnation(1), now)
+    private val state = GatewayState(options, incarnation, now)
     private val relay = SharedWatchSource(state.readers, NoWatch, table, { NoFleet }, control, now)
     private val records = MemberRecordReader(table, table, relay)
-    private val loop =
-        EngineControlLoop(options, Incarnation(1), state, table, table, records, SilentEngines, control, scope, now)
+    val crashes = CrashDetector({ NoFleet }, control, scope, { emptySet() }, { false }, now)
+    private val loop = EngineControlLoop(
+        options, incarnation, state, table, table, records, SilentEngines, control, scope, now, crashes,
+    )
 
     /** Writes the records of the lost VM, and makes the engine known to the loop. */
     suspend fun open() {
@@ -252,4 +266,38 @@
             }
         }
     }
+
+    suspend fun LoopFixture.crash(server: Int, fingerprint: String, parts: Set<String>) {
+        val notice = PeerRequest.SuspectNotice(ServerId("s$server"), 1, listOf(fingerprint), 2_000, listOf(parts))
+        crashes.record(notice)
+    }
+
+    // Requests with a quarantined part went on coming when all VMs were restarted, and crashed servers anew.
+    test("a quarantined prompt part stays so when all VMs restart at once, and a cleared one does not come back") {
+        val table = InMemoryTable()
+        LoopFixture(table = table).use { former ->
+            repeat(3) { former.crash(it, "f$it", setOf("5a", "bad")) }
+            former.crashes.quarantine("f", setOf("5a", "bad")).shouldNotBeNull()
+            repeat(2) { former.exchange() }
+        }
+        LoopFixture(table = table, incarnation = Incarnation(2)).use { restarted ->
+            restarted.exchange()
+            restarted.crashes.hasSuspects shouldBe true
+            restarted.crashes.quarantine("f", setOf("5a", "bad"))?.remainingMillis.shouldNotBeNull()
+                .shouldBeInRange(590_000L..598_500L)
+            restarted.crashes.quarantine("f", setOf("5a")).shouldBeNull()
+            LoopFixture(OTHER, table).use { other ->
+                other.exchange()
+                other.crashes.quarantine("f", setOf("5a", "bad", "c")).shouldNotBeNull()
+                val news = PeerRequest.SuspectNotice(ServerId("none"), 0, emptyList(), clearedAgeMillis = CLEARED)
+                other.crashes.record(news)
+                other.crashes.quarantine("f", setOf("5a", "bad")).shouldBeNull()
+                delay(1.seconds)
+                other.exchange()
+                other.crashes.quarantine("f", setOf("5a", "bad")).shouldBeNull()
+            }
+            restarted.exchange()
+            restarted.crashes.quarantine("f", setOf("5a", "bad")).shouldBeNull()
+        }
+    }
 })
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ForwarderFixture.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ForwarderFixture.kt
@@ -152,7 +152,7 @@
         }
     }
     private val network = TcpNetwork()
-    private val crashes = CrashDetector(fleet, control, scope, { setOf(options.vm, OTHER_VM) }, ::accepts, now)
+    private val crashes = CrashDetector({ fleet }, control, scope, { setOf(options.vm, OTHER_VM) }, ::accepts, now)
     private val forwarder = RequestForwarder(
         HEADERS, state, control, quota, fleet, HttpConnectionPool(network), crashes, GatewayMetrics(), scope, now,
     )
