Publish quarantined requests in the member records

Callers of other requests saw 502 after a restart of the VMs, because a request that was already known to crash servers was sent on again until it had crashed three more.

The fingerprints of at most 16 quarantined requests are in the member record, each with the time at which its quarantine ends, and VMs adopt them from all records. The first time is kept, because processes that adopt from each other convert times with small errors, which would add up.

Evidence: the second restart test in EngineControlLoopTest failed before (expected a quarantine, was null) and passes now.

--- a/core/src/main/kotlin/org/lentilquay/coordination/suspects/SuspectTracker.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/suspects/SuspectTracker.kt
@@ -20,6 +20,9 @@
 /** Bounds memory to about 1.5 MB; a fingerprint of a crash takes about 150 bytes. */
 private const val MAXIMUM_FINGERPRINTS = 10_000
 
+/** Bounds the quarantines that are adopted from other processes; the latest are kept. */
+private const val MAXIMUM_ADOPTED = 64
+
 /** Whether a request is suspected of crashing servers. */
 sealed interface SuspectVerdict {
     data object Clear : SuspectVerdict
@@ -40,6 +43,12 @@
     // In order of arrival, so that the oldest is the first.
     private val crashes = LinkedHashMap<CrashId, Crash>()
 
+    /** Quarantines that other processes decided: when they end, by the fingerprint of the request. */
+    private val adopted = HashMap<String, Long>()
+
+    /** Whether any crash or quarantine is kept. */
+    val hasEvidence: Boolean get() = crashes.isNotEmpty() || adopted.isNotEmpty()
+
     /** The number of fingerprints kept, counted once per crash. */
     val size: Int get() = crashes.values.sumOf { it.fingerprints.size }
 
@@ -60,13 +69,35 @@
         return isNew
     }
 
+    /**
+     * Adopts a quarantine that another process has decided. The time of the first adoption is kept: processes that
+     * adopt from each other convert times with small errors, which would add up.
+     */
+    fun adopt(fingerprint: String, until: Long, now: Long) {
+        adopted.putIfAbsent(fingerprint, until)
+        expire(now)
+        while (adopted.size > MAXIMUM_ADOPTED) adopted.remove(adopted.minBy { it.value }.key)
+    }
+
+    /** When the quarantines end, by the fingerprint of the request. */
+    fun quarantines(now: Long): Map<String, Long> {
+        expire(now)
+        val counts = crashes.values.flatMap { it.fingerprints }.groupingBy { it }.eachCount()
+        return adopted + counts.filterValues { it >= quarantineCrashes }.keys.mapNotNull { fingerprint ->
+            (verdict(fingerprint, now) as? SuspectVerdict.Quarantined)?.let { fingerprint to now + it.remainingMillis }
+        }
+    }
+
     /** The verdict on the request with [fingerprint]. */
     fun verdict(fingerprint: String, now: Long): SuspectVerdict {
         expire(now)
         val counted = crashes.filter { (id, crash) -> fingerprint in crash.fingerprints && !isFaulty(id.server) }
         val until = counted.values.maxOfOrNull { it.at }?.plus(QUARANTINE_MILLIS)
         // A request whose copies crashed two servers at the same time counts once for each server.
+        val adoptedUntil = adopted[fingerprint]
         return when {
+            adoptedUntil != null && counted.size < quarantineCrashes ->
+                SuspectVerdict.Quarantined(counted.size, adoptedUntil - now)
             until == null -> SuspectVerdict.Clear
             counted.size < quarantineCrashes -> SuspectVerdict.Suspect(counted.size)
             else -> SuspectVerdict.Quarantined(counted.size, until - now)
@@ -92,5 +123,6 @@
 
     private fun expire(now: Long) {
         crashes.values.removeIf { now - it.at >= QUARANTINE_MILLIS }
+        adopted.values.removeIf { it <= now }
     }
 }
--- a/core/src/main/kotlin/org/lentilquay/state/gateway/QuarantineRecord.kt
+++ b/core/src/main/kotlin/org/lentilquay/state/gateway/QuarantineRecord.kt
@@ -24,4 +24,6 @@
     @SerialName("p") val parts: List<PartQuarantineRecord> = emptyList(),
     /** Parts that were quarantined, and when the request was sent whose answer cleared them. */
     @SerialName("c") val cleared: Map<String, Long> = emptyMap(),
+    /** When the quarantines of whole requests end, by their fingerprints. */
+    @SerialName("f") val requests: Map<String, Long> = emptyMap(),
 )
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CrashDetector.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CrashDetector.kt
@@ -130,15 +130,22 @@
     suspend fun record(notice: PeerRequest.SuspectNotice) = control.decide {
         suspects.merge(notice, now())
         promptParts.record(notice)
-        hasSuspects = suspects.size > 0 || promptParts.hasEvidence
+        hasSuspects = suspects.hasEvidence || promptParts.hasEvidence
         announceCleared()
     }
 
-    override fun published(at: TableTime): QuarantineRecord = promptParts.published(at)
+    override fun published(at: TableTime): QuarantineRecord {
+        val latest = suspects.quarantines(now()).entries.sortedByDescending { it.value }.take(MAXIMUM_PUBLISHED)
+        val requests = latest.associate { it.key to it.value + at.millis - at.sentAt }
+        return promptParts.published(at).copy(requests = requests)
+    }
 
     override fun adopt(record: QuarantineRecord, at: TableTime) {
         promptParts.adopt(record, at)
-        hasSuspects = suspects.size > 0 || promptParts.hasEvidence
+        record.requests.forEach { (fingerprint, until) ->
+            suspects.adopt(fingerprint, until - at.millis + at.sentAt, now())
+        }
+        hasSuspects = suspects.hasEvidence || promptParts.hasEvidence
     }
 
     /** Tells the other VMs of suspect parts that are clear; they may not have seen the answers. */
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/PromptPartQuarantine.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/PromptPartQuarantine.kt
@@ -23,7 +23,7 @@
 private const val MAXIMUM_NOTICE_REQUESTS = 64
 
 /** Quarantines, and cleared parts, in one member record, which all VMs read every second. */
-private const val MAXIMUM_PUBLISHED = 16
+internal const val MAXIMUM_PUBLISHED: Int = 16
 
 private val PART_ID = Regex("[0-9a-f]{1,32}")
 
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/EngineControlLoopTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/EngineControlLoopTest.kt
@@ -300,4 +300,18 @@
             restarted.crashes.quarantine("f", setOf("5a", "bad")).shouldBeNull()
         }
     }
+
+    test("a quarantined request stays so when all VMs restart at once") {
+        val table = InMemoryTable()
+        LoopFixture(table = table).use { former ->
+            repeat(3) { former.crash(it, "same", emptySet()) }
+            former.crashes.quarantine("same", emptySet()).shouldNotBeNull()
+            repeat(2) { former.exchange() }
+        }
+        LoopFixture(table = table, incarnation = Incarnation(2)).use { restarted ->
+            restarted.exchange()
+            restarted.crashes.quarantine("same", emptySet()).shouldNotBeNull()
+            restarted.crashes.quarantine("other", emptySet()).shouldBeNull()
+        }
+    }
 })
