--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ForwarderFixture.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ForwarderFixture.kt
@@ -161,7 +161,7 @@
         }
     }
     private val network = TcpNetwork()
-    private val crashes = CrashDetector(fleet, control, scope, { setOf(options.vm, OTHER_VM) }, ::accepts, now)
+    private val crashes = CrashDetector({ fleet }, control, scope, { setOf(options.vm, OTHER_VM) }, ::accepts, now)
     val forwarder = RequestForwarder(
         HEADERS, state, control, quota, fleet, HttpConnectionPool(network), crashes, GatewayMetrics(), scope, now,
     )
