Keep requests from servers that say they leave or pause

Cause: only the registration told that a server leaves, up to some seconds late and for some servers not at all, and a refusal with Retry-After had no effect beyond a short back-off. Change: ServerNotices keeps both by server process; the selection leaves such servers out and tells when the first of them takes requests again. Member records carry the servers that a VM saw leaving.

--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/ServerSelection.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/ServerSelection.kt
@@ -51,8 +51,11 @@
         val needsReservation: Boolean = false,
     ) : ServerChoice
 
-    /** No server of the service can take the request now. */
-    data class Unavailable(val reason: String) : ServerChoice
+    /**
+     * No server of the service can take the request now. [reopensAt] is when the first of them takes requests again, if
+     * all of them have asked for a pause.
+     */
+    data class Unavailable(val reason: String, val reopensAt: Long? = null) : ServerChoice
 }
 
 /** An engine whose cost exceeds this fraction of its batch slots is busy; its adapters are loaded elsewhere too. */
@@ -75,6 +78,7 @@
     private val domain: DomainId,
     private val health: ServerHealth,
     private val cold: ColdStartLimit,
+    private val notices: ServerNotices = ServerNotices(),
 ) {
     /** [version] is null if the server did not hold the adapter. */
     private class Observation(val version: Long?, val at: Long)
@@ -110,6 +114,7 @@
         }
         servers = changed
         health.retain(changed.keys)
+        notices.retain(changed)
         refresh()
     }
 
@@ -142,6 +147,10 @@
             .groupBy({ it.first }, { it.second })
             .mapValues { (_, held) -> held.toMap() }
         observations.values.removeIf { now - it.at > OBSERVATION_MILLIS }
+        changed.filterKeys { it != own }.values.forEach { record ->
+            record.leavingServers.forEach { (server, startedAt) -> notices.recordPublishedLeaving(server, startedAt) }
+        }
+        notices.retain(servers)
     }
 
     /** The controller of [server] by the member records, or null if there is none. */
@@ -167,9 +176,16 @@
         observations[adapter to server] = Observation(version, now)
     }
 
+    /** Whether [server] may get requests by its own answers, which may be newer than the choice of it. */
+    fun isOpen(server: RegisteredServer, now: Long): Boolean = notices.isOpen(server, now)
+
     fun choose(request: ServerRequirements, now: Long): ServerChoice {
-        val open = openServers(request.service).filter { it.id !in request.excluded }
-        if (open.isEmpty()) return ServerChoice.Unavailable("no backend server of the service takes requests")
+        val candidates = openServers(request.service).filter { it.id !in request.excluded }
+        val open = candidates.filter { notices.isOpen(it, now) }
+        if (open.isEmpty()) {
+            val reopensAt = notices.reopensAt(candidates, now)
+            return ServerChoice.Unavailable("no backend server of the service takes requests", reopensAt)
+        }
         val eligible = if (request.model == null) open else open.filter { request.model in modelsOf(it) }
         if (eligible.isEmpty()) return ServerChoice.Unavailable("no engine that takes requests holds the base model")
         val chosen =
--- a/core/src/main/kotlin/org/lentilquay/state/gateway/MemberRecord.kt
+++ b/core/src/main/kotlin/org/lentilquay/state/gateway/MemberRecord.kt
@@ -51,6 +51,11 @@
     /** A time of the table service's clock, in milliseconds; the lease of this record began no later. */
     @SerialName("t") val tableMillis: Long = 0,
     @SerialName("q") val quarantines: QuarantineRecord = QuarantineRecord(),
+    /**
+     * Backend servers whose answers to this VM said that they are leaving, with the start times of their processes in
+     * milliseconds since the epoch.
+     */
+    @SerialName("g") val leavingServers: Map<ServerId, Long?> = emptyMap(),
 )
 
 /** The controller of an engine. The fencing number [fence] rises with each change of controller. */
