Answer requests that arrive while a planned stop begins, and bound stalled callers

Cause: a stop closed every connection without a request at once, also one that was accepted just before and whose request was on its way, and closing the listener reset connections that waited to be accepted. A body that arrives a byte at a time and a caller that takes no data held a connection, and a place at a server, without end. An unexpected exception closed the connection without an answer. Change: a stop closes connections after 0.4 s without a request, the listener closes after 50 ms without a new connection (0.5 s at most), and the stop ends when no connection is open. Bodies have 60 s and writes 10 s. Unexpected exceptions are logged and answered with 500.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
@@ -4,6 +4,7 @@
  */
 package org.lentilquay.daemon.gateway
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.ktor.http.cio.ParserException
 import io.ktor.http.cio.parseRequest
 import io.ktor.utils.io.ByteWriteChannel
@@ -14,14 +15,18 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.io.IOException
+import org.lentilquay.daemon.logs.warning
 import org.lentilquay.state.ErrorKind
 import org.lentilquay.state.Failure
 import org.lentilquay.state.gateway.CallerLimits
 import org.lentilquay.transport.TcpConnection
+import org.lentilquay.transport.describe
 import org.lentilquay.transport.http.BodyReader
 import org.lentilquay.transport.runSuspendCatching
 import java.io.ByteArrayOutputStream
 
+private val log = KotlinLogging.logger {}
 private const val HEXADECIMAL_RADIX = 16
 private val LINE_END = "\r\n".encodeToByteArray()
 private val LAST_CHUNK = "0\r\n\r\n".encodeToByteArray()
@@ -29,6 +34,15 @@
 /** Time that a caller has to receive the last response before the connection is closed. */
 private const val LINGER_MILLIS = 1_000L
 
+/** How long a connection must have been idle before a planned stop closes it. */
+private const val IDLE_BEFORE_STOP_MILLIS = 400L
+
+/** Longest time for which a caller may send the body of a request. */
+private const val MAXIMUM_BODY_MILLIS = 60_000L
+
+/** Longest time for which a caller may keep a write of its response waiting. */
+private const val MAXIMUM_WRITE_MILLIS = 10_000L
+
 /** Limits that apply until the first configuration has been read. */
 @Suppress("MagicNumber") // The numbers are named by the parameters.
 private val DEFAULT_LIMITS =
@@ -46,6 +60,7 @@
 internal class ResponseWriter(
     private val output: ByteWriteChannel,
     private val now: () -> Long,
+    private val maximumWriteMillis: Long = MAXIMUM_WRITE_MILLIS,
     private val mayKeepAlive: () -> Boolean,
 ) {
     /** When a chunked response was started, in milliseconds; null if there was none. */
@@ -69,8 +84,7 @@
         val isKeptAlive = mayKeepAlive()
         val head = head(status, headers + ("Content-Length" to body.size.toString()), isKeptAlive)
         isStarted = true
-        output.writeFully(head + body)
-        output.flush()
+        write(head, body)
         isEnded = true
         isReusable = isKeptAlive
     }
@@ -79,26 +93,28 @@
     suspend fun startChunked(status: Int, headers: List<Pair<String, String>>) {
         isStarted = true
         startedAt = now()
-        output.writeFully(head(status, headers + ("Transfer-Encoding" to "chunked"), isKeptAlive = true))
-        output.flush()
+        write(head(status, headers + ("Transfer-Encoding" to "chunked"), isKeptAlive = true))
     }
 
     /** Writes one chunk of a chunked response. */
-    suspend fun writeChunk(bytes: ByteArray, length: Int = bytes.size) {
-        output.writeFully("${length.toString(HEXADECIMAL_RADIX)}\r\n".encodeToByteArray())
-        output.writeFully(bytes, 0, length)
-        output.writeFully(LINE_END)
-        output.flush()
-    }
+    suspend fun writeChunk(bytes: ByteArray) =
+        write("${bytes.size.toString(HEXADECIMAL_RADIX)}\r\n".encodeToByteArray(), bytes, LINE_END)
 
     /** Ends a chunked response. */
     suspend fun endChunked() {
-        output.writeFully(LAST_CHUNK)
-        output.flush()
+        write(LAST_CHUNK)
         isEnded = true
         isReusable = mayKeepAlive()
     }
 
+    /** Writes [parts]. A caller that takes no data would otherwise keep its request at the backend server for ever. */
+    private suspend fun write(vararg parts: ByteArray) {
+        withTimeoutOrNull(maximumWriteMillis) {
+            parts.forEach { output.writeFully(it) }
+            output.flush()
+        } ?: throw IOException("the caller took no data for $maximumWriteMillis ms")
+    }
+
     private fun head(status: Int, headers: List<Pair<String, String>>, isKeptAlive: Boolean): ByteArray = buildString {
         append("HTTP/1.1 ").append(status).append(' ').append(reason(status)).append("\r\n")
         headers.forEach { (name, value) -> append(name).append(": ").append(value).append("\r\n") }
@@ -115,6 +131,7 @@
     private val limits: () -> CallerLimits?,
     private val isStopping: () -> Boolean,
     private val now: () -> Long,
+    private val maximumBodyMillis: Long = MAXIMUM_BODY_MILLIS,
 ) {
     /** Whether a request is being read or handled. */
     @Volatile
@@ -124,18 +141,27 @@
     /** Whether the last response was written completely. */
     private var isAnswered = false
 
+    /** When the connection was accepted, or the last response on it was written. */
+    @Volatile
+    private var idleSince = now()
+
     suspend fun serve() = connection.use {
         while (serveNext()) Unit
         if (isAnswered) connection.finish(LINGER_MILLIS)
     }
 
-    /** Closes the connection unless a request is being handled or has begun to arrive. */
+    /**
+     * Closes the connection if no request is being handled and none has begun to arrive. A connection that was accepted
+     * or used just now stays open, because the next request may be under way.
+     */
     fun closeIfIdle() {
-        if (!isBusy && connection.input.availableForRead == 0) connection.close()
+        val isIdle = !isBusy && now() - idleSince >= IDLE_BEFORE_STOP_MILLIS
+        if (isIdle && connection.input.availableForRead == 0) connection.close()
     }
 
     private suspend fun serveNext(): Boolean {
         val current = limits() ?: DEFAULT_LIMITS
+        idleSince = now()
         isBusy = false
         val hasRequest = runSuspendCatching {
             withTimeoutOrNull(current.idleTimeoutMillis) { connection.input.awaitContent() } ?: false
@@ -153,7 +179,14 @@
                 is HeadResult.Read -> answer(result, current, writer)
             }
         }.getOrElse { failure ->
-            if (failure is ParserException && !writer.isStarted) refuse(writer, malformed()) else false
+            when {
+                writer.isStarted || failure is IOException -> false
+                failure is ParserException -> refuse(writer, malformed())
+                else -> {
+                    log.warning("request failed unexpectedly", "reason" to describe(failure), cause = failure)
+                    refuse(writer, Failure(ErrorKind.INTERNAL, "the request failed with an internal error"))
+                }
+            }
         }
     }
 
@@ -164,7 +197,7 @@
             connection.output.writeFully("HTTP/1.1 100 Continue\r\n\r\n".encodeToByteArray())
             connection.output.flush()
         }
-        val body = readBody(BodyReader(connection.input, head.framing), limits.bodyBytes)
+        val body = readBody(BodyReader(connection.input, head.framing), limits)
             ?: return refuse(
                 writer,
                 Failure(ErrorKind.BODY_TOO_LARGE, "the body is longer than ${limits.bodyBytes} bytes"),
@@ -174,16 +207,22 @@
         return writer.isReusable && !head.head.isClosing
     }
 
-    private suspend fun readBody(reader: BodyReader, maximumBytes: Int): ByteArray? {
-        val first = reader.next() ?: return ByteArray(0)
-        val collected = ByteArrayOutputStream(first.size)
-        var part: ByteArray? = first
-        while (part != null) {
-            collected.write(part)
-            if (collected.size() > maximumBytes) return null
-            part = reader.next()
-        }
-        return collected.toByteArray()
+    /** The whole body, or null if it is too long. Throws an [IOException] if the caller does not send it in time. */
+    private suspend fun readBody(reader: BodyReader, limits: CallerLimits): ByteArray? {
+        val collected = ByteArrayOutputStream()
+        withTimeoutOrNull(maximumBodyMillis) {
+            var part = nextPart(reader, limits)
+            while (part != null && collected.size() <= limits.bodyBytes) {
+                collected.write(part)
+                part = nextPart(reader, limits)
+            }
+        } ?: throw IOException("the body did not arrive within $maximumBodyMillis ms")
+        return if (collected.size() > limits.bodyBytes) null else collected.toByteArray()
+    }
+
+    private suspend fun nextPart(reader: BodyReader, limits: CallerLimits): ByteArray? {
+        val read = withTimeoutOrNull(limits.idleTimeoutMillis) { Result.success(reader.next()) }
+        return (read ?: throw IOException("no byte of the body within ${limits.idleTimeoutMillis} ms")).getOrThrow()
     }
 
     /** Runs [block], and cancels it when the caller closes the connection. */
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
@@ -147,7 +147,7 @@
         callers.stopAccepting()
         while (timer.now() - startedAt < options.maximumStopMillis) {
             callers.closeIdle()
-            if (callers.busyConnections == 0) break
+            if (callers.openConnections == 0) break
             delay(STOP_POLL_MILLIS)
         }
         // Engines are released last, because the other VMs need this controller to load adapters. The next process on
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayListener.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayListener.kt
@@ -17,6 +17,12 @@
 /** Delay after a failed accept, for example when there are no free file descriptors. */
 private const val ACCEPT_RETRY_MILLIS = 50L
 
+/** While connections arrive at shorter intervals, the listener stays open, because closing it resets waiting ones. */
+private const val QUIET_MILLIS = 50L
+
+/** Longest time for which the listener waits for such an interval. */
+private const val MAXIMUM_QUIET_WAIT_MILLIS = 500L
+
 internal class GatewayListener(
     private val network: TcpNetwork,
     private val handler: CallerHandler,
@@ -31,6 +37,12 @@
     /** Number of connections on which a request is being handled. */
     val busyConnections: Int get() = connections.count { it.isBusy }
 
+    /** Number of open connections. */
+    val openConnections: Int get() = connections.size
+
+    @Volatile
+    private var acceptedAt = now()
+
     /** Starts to listen on [address], which has the form `ip:port`. */
     suspend fun start(address: String) {
         val target = requireNotNull(ipAddressOf(address)) { "$address is not of the form ip:port" }
@@ -38,12 +50,14 @@
         scope.launch { accept(listening) }
     }
 
-    /** Stops accepting connections; open ones stay open. */
-    fun stopAccepting() {
+    /** Stops accepting connections, once no more are waiting to be accepted; open ones stay open. */
+    suspend fun stopAccepting() {
+        val until = now() + MAXIMUM_QUIET_WAIT_MILLIS
+        while (now() < until && now() - acceptedAt < QUIET_MILLIS) delay(QUIET_MILLIS)
         socket?.close()
     }
 
-    /** Closes the connections on which no request is being handled. */
+    /** Closes the connections on which no request has come for some time. */
     fun closeIdle() = connections.forEach { it.closeIfIdle() }
 
     private suspend fun accept(listening: ServerSocket) {
@@ -53,6 +67,7 @@
                 delay(ACCEPT_RETRY_MILLIS)
                 continue
             }
+            acceptedAt = now()
             val caller = CallerConnection(connection, handler, limits, isStopping, now)
             connections += caller
             scope.launch {
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/CallerConnectionTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/CallerConnectionTest.kt
@@ -1,17 +1,23 @@
 package org.lentilquay.daemon.gateway
 
 import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.string.shouldEndWith
 import io.kotest.matchers.string.shouldNotEndWith
+import io.ktor.utils.io.ByteChannel
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
+import kotlinx.io.IOException
 import org.lentilquay.transport.TcpNetwork
+import org.lentilquay.transport.http.IpAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.atomic.AtomicInteger
@@ -37,6 +43,25 @@
     socket.getInputStream().readAllBytes().decodeToString()
 }
 
+/** Serves one connection with a limit on the time for a body. */
+private suspend fun withConnection(maximumBodyMillis: Long, use: suspend (Socket, Job) -> Unit) {
+    val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    val network = TcpNetwork()
+    val port = freePort()
+    val listener = network.listen(IpAddress("127.0.0.1", port))
+    val now = { System.nanoTime() / 1_000_000 }
+    try {
+        Socket("127.0.0.1", port).use { caller ->
+            val accepted = network.accept(listener)
+            val connection = CallerConnection(accepted, { _, _ -> }, { null }, { false }, now, maximumBodyMillis)
+            use(caller, scope.launch { connection.serve() })
+        }
+    } finally {
+        scope.cancel()
+        listener.close()
+    }
+}
+
 /**
  * Guards against responses that are lost when a connection closes, and against work that continues after its caller has
  * disconnected.
@@ -80,6 +105,18 @@
         }
     }
 
+    // One unexpected error must not end the process or leave its caller without an answer.
+    test("a request that fails unexpectedly is answered with status 500, and the next connection is served") {
+        val requests = AtomicInteger()
+        serving({ _, writer ->
+            if (requests.incrementAndGet() == 1) error("unexpected")
+            writer.respond(200, emptyList(), ByteArray(0))
+        }) { port ->
+            exchange(port, "GET / HTTP/1.1\nHost: h\nConnection: close\n\n") shouldContain "500 Internal"
+            exchange(port, "GET / HTTP/1.1\nHost: h\nConnection: close\n\n") shouldContain "200 OK"
+        }
+    }
+
     test("handling is cancelled when the caller closes the connection") {
         val started = AtomicInteger()
         val cancelled = AtomicInteger()
@@ -98,4 +135,24 @@
             eventually(5.seconds) { cancelled.get() shouldBe 1 }
         }
     }
+
+    // A caller that sends a byte now and then kept its connection busy for ever, also during a planned stop.
+    test("a body that arrives a byte at a time without end is given up") {
+        withConnection(maximumBodyMillis = 400) { caller, served ->
+            val head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9999\r\n\r\n"
+            caller.getOutputStream().write(head.encodeToByteArray())
+            repeat(20) {
+                runCatching { caller.getOutputStream().write('x'.code) }
+                Thread.sleep(50)
+            }
+            eventually(5.seconds) { served.isCompleted shouldBe true }
+        }
+    }
+
+    // Such a caller held its place at the backend server, because the stream was read no further.
+    test("a response is given up when its caller takes no data") {
+        val output = ByteChannel()
+        val writer = ResponseWriter(output, { 0 }, maximumWriteMillis = 200) { true }
+        shouldThrow<IOException> { repeat(100) { writer.writeChunk(ByteArray(100_000)) } }
+    }
 })
