Ask for the control lease again right before an order is written

Cause: the lease was checked before the order was sent; a controller that was paused, or delayed while it opened the connection, wrote the order after its lease had ended. Change: the permission is asked again once the connection is open; without it the order is not sent.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ControlledEngine.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ControlledEngine.kt
@@ -186,7 +186,8 @@
         val expected = control.decide { controller.expectedOrders }
         var outcome = OrderOutcome.UNKNOWN
         try {
-            outcome = client.send(server, order, OrderEnvelope(vm, fence, expected))
+            outcome =
+                client.send(server, order, OrderEnvelope(vm, fence, expected)) { control.decide { mayOrder() } }
         } finally {
             control.decide { controller.orderEnded(order, outcome, now()) }
         }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayPorts.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayPorts.kt
@@ -72,7 +72,16 @@
 interface EngineControlClient {
     suspend fun report(server: RegisteredServer): ReadResult<EngineReport>
 
-    suspend fun send(server: RegisteredServer, order: EngineOrder, envelope: OrderEnvelope): OrderOutcome
+    /**
+     * Sends [order] to [server]. Opening a connection takes time, so [mayWrite] is asked again right before the order
+     * is written; if it refuses, the outcome is [OrderOutcome.NOT_SENT].
+     */
+    suspend fun send(
+        server: RegisteredServer,
+        order: EngineOrder,
+        envelope: OrderEnvelope,
+        mayWrite: suspend () -> Boolean,
+    ): OrderOutcome
 }
 
 /**
--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/HttpConnectionPool.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/HttpConnectionPool.kt
@@ -87,6 +87,8 @@
     val maximumIdleMillis: Long = Long.MAX_VALUE,
     /** The connections on which earlier attempts were sent; they are not used again for this request. */
     val usedConnections: UsedConnections? = null,
+    /** Asked when the connection is open; the request is not written unless it is still allowed. */
+    val mayWrite: suspend () -> Boolean = { true },
 )
 
 internal class HttpConnectionPool(private val network: TcpNetwork) {
@@ -110,6 +112,7 @@
         options.usedConnections?.add(pooled.connection)
         var exchange: PooledExchange? = null
         try {
+            if (!options.mayWrite()) return PooledExchange.NotWritten("the permission to send it has expired")
             exchange = withTimeoutOrNull(options.headerMillis) { exchange(address, pooled, head, request, options) }
         } finally {
             if (exchange !is PooledExchange.Answered) pooled.connection.close()
--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/PooledHttpClient.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/PooledHttpClient.kt
@@ -39,11 +39,19 @@
 class PooledHttpClient(private val connectMillis: Long) {
     private val connections = HttpConnectionPool(TcpNetwork())
 
-    /** Sends [call] to [address] and reads the whole response within [timeoutMillis]. */
-    suspend fun call(address: String, call: HttpCall, timeoutMillis: Long): HttpCallResult {
+    /**
+     * Sends [call] to [address] and reads the whole response within [timeoutMillis]. The call is written only if
+     * [mayWrite] still allows it once the connection is open.
+     */
+    suspend fun call(
+        address: String,
+        call: HttpCall,
+        timeoutMillis: Long,
+        mayWrite: suspend () -> Boolean = { true },
+    ): HttpCallResult {
         val startedAt = System.nanoTime()
         val request = HttpRequest(call.method, call.target, call.headers, call.body.encodeToByteArray())
-        val options = ExchangeOptions(minOf(connectMillis, timeoutMillis), timeoutMillis)
+        val options = ExchangeOptions(minOf(connectMillis, timeoutMillis), timeoutMillis, mayWrite = mayWrite)
         return when (val exchange = connections.send(address, address, request, options)) {
             is PooledExchange.NotWritten -> HttpCallResult.NotWritten(exchange.reason)
             is PooledExchange.Lost -> HttpCallResult.Lost(exchange.reason)
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/EngineControlLoopTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/EngineControlLoopTest.kt
@@ -122,8 +122,12 @@
 private object SilentEngines : EngineControlClient {
     override suspend fun report(server: RegisteredServer): ReadResult<EngineReport> = ReadResult.Unavailable("silent")
 
-    override suspend fun send(server: RegisteredServer, order: EngineOrder, envelope: OrderEnvelope): OrderOutcome =
-        OrderOutcome.NOT_SENT
+    override suspend fun send(
+        server: RegisteredServer,
+        order: EngineOrder,
+        envelope: OrderEnvelope,
+        mayWrite: suspend () -> Boolean,
+    ): OrderOutcome = OrderOutcome.NOT_SENT
 }
 
 /** The loop of one VM, and a table with the records of another VM that was lost while it controlled an engine. */
