Judge streams by their events, and follow notices of servers in the gateway

Cause: the time limit of a stream counted from the last byte, so a server that sent a byte now and then was never left before the deadline; a slow stream that could not go elsewhere was cut after 1.5 s; a stream without any event was passed on as complete. Answers with notices of their server were not read. Change: StreamRelay counts the time since the last event by one watchdog in place of a timer for each chunk, and leaves a slow stream only when another attempt is allowed. The heads of answers are read for notices of leaving and pauses (60 s at most; 1 s if the value cannot be read). While all servers pause beyond the time of a request, it is refused at once with the end of the pause.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptRunner.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptRunner.kt
@@ -4,7 +4,6 @@
 package org.lentilquay.daemon.gateway
 
 import kotlinx.coroutines.withTimeoutOrNull
-import kotlinx.io.EOFException
 import org.lentilquay.coordination.gateway.ServerOutcome
 import org.lentilquay.state.gateway.RouteKind
 import org.lentilquay.transport.describe
@@ -25,9 +24,6 @@
 /** A backend server in the same region accepts a connection within a few milliseconds. */
 private const val CONNECT_TIMEOUT_MILLIS = 400L
 
-/** Time without an event after which a resumable stream is resumed at another backend server. */
-private const val STREAM_STALL_MILLIS = 1_500L
-
 /** The body of a refusal is read no further than this; it has one line. */
 private const val MAXIMUM_REFUSAL_BYTES = 16 shl 10
 
@@ -51,24 +47,21 @@
     private val headerNames: HeaderNames,
     private val servers: HttpConnectionPool,
     private val now: () -> Long,
-    /** Called when the server has sent the head of a response. */
-    private val onResponse: (AttemptTarget) -> Unit,
+    /** Called when the server has sent the head of a response, with what that says of the server. */
+    private val onResponse: (AttemptTarget, AnswerNotice?) -> Unit,
 ) {
     private val bodies = BodyBudget()
 
     /**
      * Sends the request of [routed] to [target]. With [mayRetry], another attempt may follow, so an error response is
-     * returned and not passed on. [resumeAfter] is the id of the last event of a stream that is resumed; the events
-     * after it continue the response that was started. [onFirstEvent] is called when the server has sent the first
-     * event of a stream.
+     * returned and not passed on. The events of a stream that is resumed continue the response that was started.
      */
     suspend fun run(
         routed: RoutedRequest,
         target: AttemptTarget,
         writer: ResponseWriter,
         mayRetry: Boolean,
-        resumeAfter: String?,
-        onFirstEvent: () -> Unit,
+        progress: StreamProgress,
     ): AttemptOutcome {
         val remaining = routed.deadlineAt - now()
         val maximumWait = if (mayRetry) minOf(remaining, retryWaitMillis(routed)) else remaining
@@ -83,7 +76,7 @@
         val message = HttpRequest(
             routed.request.head.method,
             routed.request.head.target,
-            headers(routed, target, remaining, resumeAfter),
+            headers(routed, target, remaining, progress.resumeAfter),
             routed.request.body,
         )
         return when (val exchange = servers.send(target.server.address, host, message, options)) {
@@ -91,7 +84,7 @@
                 AttemptOutcome(AttemptResult.NotRun(exchange.reason, hasArrived = false), ServerOutcome.UNREACHABLE)
             is PooledExchange.Lost -> lost(exchange.reason)
             is PooledExchange.Answered ->
-                exchange.answer.use { process(routed, target, it, writer, mayRetry, resumeAfter, onFirstEvent) }
+                exchange.answer.use { process(routed, target, it, writer, mayRetry, progress) }
         }
     }
 
@@ -123,31 +116,37 @@
         answer: PooledResponse,
         writer: ResponseWriter,
         mayRetry: Boolean,
-        resumeAfter: String?,
-        onFirstEvent: () -> Unit,
+        progress: StreamProgress,
     ): AttemptOutcome {
-        onResponse(target)
         val isRefusal = answer.status == MISDIRECTED_STATUS || answer.header(headerNames.notRun) != null
         // A server may repeat the refusal of another request, so one without the id says nothing about this request.
         val isOwn = answer.header(headerNames.requestId) == routed.id
         val isSuccess = isSuccess(answer.status)
+        onResponse(target, if (isOwn && !isFromOther(target, answer)) noticeOf(answer, headerNames) else null)
         return when {
             isRefusal && isOwn && !isSuccess -> refused(routed, target, answer)
             answer.header(headerNames.signature) == null || !isOwn ->
                 lost("response ${answer.status} lacks a server signature or the id of this request")
             isSuccess && routed.route.kind == RouteKind.STREAM ->
-                passOnStream(routed, answer, writer, resumeAfter, onFirstEvent)
-            resumeAfter != null ->
-                AttemptOutcome(AttemptResult.BrokenStream("status ${answer.status}", resumeAfter), ServerOutcome.FAILED)
+                StreamRelay(routed, answer, writer, forwardedHeaders(answer), progress, now).passOn()
+            progress.resumeAfter != null -> AttemptOutcome(
+                AttemptResult.BrokenStream("status ${answer.status}", progress.resumeAfter),
+                ServerOutcome.FAILED,
+            )
             else -> bodies.Reservation().use { passOnBuffered(routed, answer, writer, mayRetry, it) }
         }
     }
 
     private fun lost(reason: String) = AttemptOutcome(AttemptResult.Failed(reason), ServerOutcome.LOST)
 
-    private suspend fun refused(routed: RoutedRequest, target: AttemptTarget, answer: PooledResponse): AttemptOutcome {
+    /** Whether [answer] is that of another server process, which has taken over the address of [target]. */
+    private fun isFromOther(target: AttemptTarget, answer: PooledResponse): Boolean {
         val other = answer.header(headerNames.serverId)
-        val isOther = answer.status == MISDIRECTED_STATUS && other != null && other != target.server.id.text
+        return answer.status == MISDIRECTED_STATUS && other != null && other != target.server.id.text
+    }
+
+    private suspend fun refused(routed: RoutedRequest, target: AttemptTarget, answer: PooledResponse): AttemptOutcome {
+        val isOther = isFromOther(target, answer)
         val maximumWait = minOf(routed.deadlineAt - now(), REFUSAL_BODY_MILLIS)
         runSuspendCatching { withTimeoutOrNull(maximumWait) { skipRefusalBody(answer) } }
         val reason = if (isOther) "another server process has the address" else "status ${answer.status}"
@@ -200,64 +199,6 @@
         return AttemptOutcome(AttemptResult.Delivered(answer.status), outcome)
     }
 
-    private suspend fun passOnStream(
-        routed: RoutedRequest,
-        answer: PooledResponse,
-        writer: ResponseWriter,
-        resumeAfter: String?,
-        onFirstEvent: () -> Unit,
-    ): AttemptOutcome {
-        val buffer = SseEventBuffer()
-        var hasEvent = false
-        val read = runSuspendCatching {
-            var chunk = nextChunk(routed, answer)
-            while (chunk != null && !buffer.isTooLong) {
-                val bytes = chunk.bytes
-                if (bytes == null) {
-                    if (buffer.isWithinEvent) throw EOFException("the stream ended inside an event")
-                    return endOfStream(routed, answer, writer, buffer)
-                }
-                buffer.append(bytes)?.let { events ->
-                    if (!hasEvent) onFirstEvent()
-                    hasEvent = true
-                    passOn(answer, writer, events)
-                }
-                chunk = nextChunk(routed, answer)
-            }
-        }
-        val reason = read.exceptionOrNull()?.let { describe(it) } ?: "no event in time, or one that is too long"
-        if (!writer.isStarted) return lost(reason)
-        return AttemptOutcome(AttemptResult.BrokenStream(reason, buffer.lastEventId ?: resumeAfter), ServerOutcome.LOST)
-    }
-
-    /** The next bytes of a stream; [bytes] is null at its end. */
-    private class StreamChunk(val bytes: ByteArray?)
-
-    private suspend fun nextChunk(routed: RoutedRequest, answer: PooledResponse): StreamChunk? {
-        val remaining = routed.deadlineAt - now()
-        val maximumWait = if (routed.route.isResumable) minOf(remaining, STREAM_STALL_MILLIS) else remaining
-        return withTimeoutOrNull(maximumWait) { StreamChunk(answer.body.next()) }
-    }
-
-    private suspend fun passOn(answer: PooledResponse, writer: ResponseWriter, events: ByteArray) {
-        if (!writer.isStarted) writer.startChunked(answer.status, forwardedHeaders(answer))
-        writer.writeChunk(events)
-    }
-
-    private suspend fun endOfStream(
-        routed: RoutedRequest,
-        answer: PooledResponse,
-        writer: ResponseWriter,
-        buffer: SseEventBuffer,
-    ): AttemptOutcome {
-        answer.releaseConnection()
-        buffer.remainder().takeIf { it.isNotEmpty() }?.let { passOn(answer, writer, it) }
-        if (!writer.isStarted) writer.startChunked(answer.status, forwardedHeaders(answer))
-        writer.endChunked()
-        val firstMillis = writer.startedAt?.let { it - routed.request.arrivedAt }
-        return AttemptOutcome(AttemptResult.Delivered(answer.status, firstMillis), ServerOutcome.ANSWERED)
-    }
-
     private fun forwardedHeaders(answer: PooledResponse) =
         answer.headers.filter { it.first.lowercase() !in HOP_BY_HOP_HEADERS }
 
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
@@ -170,6 +170,7 @@
         engines = if (isLeaving) emptyList() else engines.values.map { it.state() },
         tableMillis = from.millis,
         quarantines = quarantines.published(from),
+        leavingServers = state.notices.observedLeaving,
     )
 
     private suspend fun readRecords() {
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayPorts.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayPorts.kt
@@ -109,6 +109,8 @@
     /** Set on a response if the backend server did not run the request. */
     val notRun: String,
     val serverId: String,
+    /** Set to 1 on all answers of a backend server that is about to stop. */
+    val leaving: String,
     val expectedVersion: String,
     /** Priority at an engine; lower numbers are admitted first. */
     val priority: String,
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayState.kt
@@ -10,6 +10,7 @@
 import org.lentilquay.coordination.gateway.RetryBudget
 import org.lentilquay.coordination.gateway.RouteTable
 import org.lentilquay.coordination.gateway.ServerHealth
+import org.lentilquay.coordination.gateway.ServerNotices
 import org.lentilquay.coordination.gateway.ServerSelection
 import org.lentilquay.coordination.gateway.TableReaders
 import org.lentilquay.coordination.quota.TeamBuckets
@@ -34,7 +35,8 @@
 class GatewayState(options: GatewayOptions, incarnation: Incarnation, private val now: () -> Long) {
     private val coldStarts = ColdStartLimit(options.vm)
     val health = ServerHealth()
-    val selection = ServerSelection(options.vm, options.domain, health, coldStarts)
+    val notices = ServerNotices()
+    val selection = ServerSelection(options.vm, options.domain, health, coldStarts, notices)
     val retries = RetryBudget(options.retries)
     val lease = ControlLease(options.vm, incarnation, options.controllerChangePauseMillis)
     val transfers = TransferPlanner(options.vm)
@@ -89,6 +91,23 @@
         selection.serversChanged(changed, now())
     }
 
+    /** Applies what an answer of [server] said of the server itself. */
+    fun serverNoticed(server: RegisteredServer, notice: AnswerNotice) {
+        if (notice.isLeaving && notices.recordLeaving(server)) {
+            log.event("backend server is leaving", "server" to server.id, "by" to "answer")
+        }
+        val pause = notice.pause ?: return
+        if (notices.recordRefusal(server, pause.millis, now())) {
+            log.event(
+                "backend server asked for a pause",
+                "server" to server.id,
+                "millis" to pause.millis,
+                "value" to pause.value,
+                "isReadable" to pause.isReadable,
+            )
+        }
+    }
+
     private fun logRates(changed: GatewayConfiguration, before: GatewayConfiguration?) {
         val teams = changed.teams.values.map { it.team }.filter { it != before?.teams?.get(it.id)?.team }
         teams.forEach { team ->
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarder.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarder.kt
@@ -73,8 +73,11 @@
 ) : CallerHandler {
     private val startedAt = now()
     private val picker = ServerPicker(headerNames, state, control, fleet, scope, now)
-    private val runner = AttemptRunner(headerNames, servers, now) { target ->
-        scope.launch(control.dispatcher) { state.health.answerStarted(target.server.id, target.attempt) }
+    private val runner = AttemptRunner(headerNames, servers, now) { target, notice ->
+        scope.launch(control.dispatcher) {
+            state.health.answerStarted(target.server.id, target.attempt)
+            notice?.let { state.serverNoticed(target.server, it) }
+        }
     }
 
     override suspend fun handle(request: CallerRequest, writer: ResponseWriter) {
@@ -149,7 +152,8 @@
         val (model, adapter) = named?.let { modelOf(it) } ?: (null to null)
         val deadlineAt = request.arrivedAt + maximumWait - RESPONSE_MARGIN_MILLIS
         val parts = sharedPromptParts(head.header(headerNames.promptParts))
-        return RoutedRequest(request, id, route, service, access, model, adapter, deadlineAt, parts)
+        val isResumed = head.header(headerNames.lastEventId) != null
+        return RoutedRequest(request, id, route, service, access, model, adapter, deadlineAt, parts, isResumed)
     }
 
     /**
@@ -211,6 +215,9 @@
         /** Attempts after which the request may have run. */
         private var runs = 0
         private var sends = 0
+
+        /** Whether a retry was taken from the budget and not used yet. */
+        private var hasReservedRetry = false
         private var resumeAfter: String? = null
 
         /** The last error response of a backend server, which the caller gets if no attempt succeeds. */
@@ -230,7 +237,8 @@
             quarantineOf(routed)?.let { return fail(it.reason, it.remainingMillis) }
             val target = when (val found = picker.pick(routed, excluded, withoutAdapter, trace)) {
                 is Outcome.Success -> found.value
-                is Outcome.Failed -> return fail(found.failure.message)
+                is Outcome.Failed ->
+                    return fail(found.failure.message, found.failure.retryAfterMillis ?: NO_SLOT_RETRY_AFTER_MILLIS)
             }
             val outcome = attempt(target)
             return when (val result = outcome.result) {
@@ -277,9 +285,10 @@
             )
             try {
                 val mayRetry = routed.route.mayRunAgain && runs + 1 < routed.route.maximumAttempts
+                val stream = StreamProgress(resumeAfter, { crashes.firstEvent(progress) }) { mayRetry && tryMove() }
                 // The request may have become quarantined while it waited for a server.
                 outcome = quarantineOf(routed)?.let { notSent(it.reason) }
-                    ?: runner.run(routed, target, writer, mayRetry, resumeAfter) { crashes.firstEvent(progress) }
+                    ?: runner.run(routed, target, writer, mayRetry, stream)
             } finally {
                 // Also after a cancellation: the server may have run the request, so its tokens count as used.
                 if (outcome.result !is AttemptResult.NotRun) runs++
@@ -295,7 +304,17 @@
         private fun canRunAgain() =
             routed.route.mayRunAgain && runs < routed.route.maximumAttempts && sends++ < MAXIMUM_SENDS
 
-        private suspend fun tryRetry(): Boolean = control.decide { state.retries.tryAcquire(routed.service, now()) }
+        /** Reserves a retry for a stream that is about to be left. */
+        private suspend fun tryMove(): Boolean {
+            hasReservedRetry = hasReservedRetry || tryRetry()
+            return hasReservedRetry
+        }
+
+        private suspend fun tryRetry(): Boolean {
+            val isReserved = hasReservedRetry
+            hasReservedRetry = false
+            return isReserved || control.decide { state.retries.tryAcquire(routed.service, now()) }
+        }
 
         private suspend fun fail(reason: String, retryAfterMillis: Long = NO_SLOT_RETRY_AFTER_MILLIS): Int {
             if (writer.isStarted) throw IOException("the stream broke off: $reason")
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RoutedRequest.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RoutedRequest.kt
@@ -26,6 +26,8 @@
     val deadlineAt: Long,
     /** The parts of the prompt that other requests may share. */
     val promptParts: Set<String> = emptySet(),
+    /** Whether the caller itself asks for the rest of a stream that broke off. */
+    val isResumedByCaller: Boolean = false,
 ) {
     /** The connections to backend servers on which the request was sent. */
     val usedConnections = UsedConnections()
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ServerPicker.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ServerPicker.kt
@@ -15,6 +15,7 @@
 import org.lentilquay.protocol.AdapterUnavailableReason
 import org.lentilquay.protocol.PeerAnswer
 import org.lentilquay.protocol.PeerRequest
+import org.lentilquay.state.Failure
 import org.lentilquay.state.Outcome
 import org.lentilquay.state.ServerId
 import org.lentilquay.state.VmId
@@ -73,14 +74,11 @@
         var mayQueue = false
         while (true) {
             when (val choice = choose(routed, excluded, rejected)) {
-                is ServerChoice.Send -> when (reserve(routed, choice, mayQueue, trace)) {
-                    SlotReservation.GRANTED ->
-                        return Outcome.Success(startAttempt(routed, choice, isReserved = true))
-                    SlotReservation.UNKNOWN ->
-                        return Outcome.Success(startAttempt(routed, choice, isReserved = false))
-                    SlotReservation.FULL -> rejected += choice.server.id
-                    // The selection has recorded that the adapter is missing there, so the next choice differs.
-                    SlotReservation.ADAPTER_MISSING -> Unit
+                is ServerChoice.Send -> {
+                    val reservation = reserve(routed, choice, mayQueue, trace)
+                    sendAfterReservation(routed, choice, reservation)?.let { return Outcome.Success(it) }
+                    // After a missing adapter the next choice differs, because the selection has recorded it.
+                    if (reservation != SlotReservation.ADAPTER_MISSING) rejected += choice.server.id
                 }
                 is ServerChoice.Load -> {
                     val answer = load(routed, choice, mayQueue, withoutAdapter, trace)
@@ -88,10 +86,9 @@
                     rejected += choice.server.id
                 }
                 is ServerChoice.Unavailable -> {
-                    if (now() > minOf(routed.targetAt, routed.deadlineAt)) {
-                        return Outcome.Failed(notRunFailure(choice.reason, NO_SLOT_RETRY_AFTER_MILLIS))
-                    }
-                    if (mayQueue || rejected.size == excluded.size) delay(FULL_RETRY_MILLIS)
+                    val isBlocked = rejected.size == excluded.size
+                    refusal(routed, choice, isBlocked)?.let { return Outcome.Failed(it) }
+                    if (mayQueue || isBlocked) delay(FULL_RETRY_MILLIS)
                     mayQueue = true
                     rejected.clear()
                     rejected += excluded
@@ -100,6 +97,20 @@
         }
     }
 
+    /**
+     * The refusal of a request that waited as long as it may. If it [isBlocked] because all servers have asked for a
+     * pause that lasts longer, it is refused at once, with the end of the pause as the time to come back.
+     */
+    private fun refusal(routed: RoutedRequest, choice: ServerChoice.Unavailable, isBlocked: Boolean): Failure? {
+        val waitsUntil = minOf(routed.targetAt, routed.deadlineAt)
+        val reopensAt = choice.reopensAt?.takeIf { isBlocked && it > waitsUntil }
+        return when {
+            reopensAt != null -> notRunFailure("all backend servers of the service pause", reopensAt - now())
+            now() > waitsUntil -> notRunFailure(choice.reason, NO_SLOT_RETRY_AFTER_MILLIS)
+            else -> null
+        }
+    }
+
     private suspend fun choose(routed: RoutedRequest, excluded: Set<ServerId>, rejected: Set<ServerId>): ServerChoice {
         if (rejected.size - excluded.size >= ENGINES_PER_ROUND) return ServerChoice.Unavailable("engines are full")
         val requirements = ServerRequirements(routed.service, routed.model, routed.adapter, rejected)
@@ -140,6 +151,27 @@
         return answer
     }
 
+    /** Starts the attempt of a request after its [reservation]; null if that was refused or the server closed since. */
+    private suspend fun sendAfterReservation(
+        routed: RoutedRequest,
+        choice: ServerChoice.Send,
+        reservation: SlotReservation,
+    ): AttemptTarget? {
+        val isReserved = when (reservation) {
+            SlotReservation.GRANTED -> true
+            SlotReservation.UNKNOWN -> false
+            SlotReservation.FULL, SlotReservation.ADAPTER_MISSING -> return null
+        }
+        val controller = choice.reservationController.takeIf { isReserved }
+        return startAttempt(routed, choice, isReserved) ?: releaseSlot(routed, choice.server.id, controller)
+    }
+
+    /** Releases the slot that [controller] has reserved, if there is one. */
+    private fun releaseSlot(routed: RoutedRequest, server: ServerId, controller: VmId?): AttemptTarget? {
+        if (controller != null) release(controller, reservationRequest(routed, server, mayQueue = false))
+        return null
+    }
+
     /**
      * Starts the attempt of a request after the [answer] to its load; null if the adapter is not loaded, or if the
      * engine is cold and takes no more requests for now.
@@ -155,9 +187,9 @@
             state.selection.recordAdapter(routed.adapter!!, server.id, version, now())
             state.selection.acquireIfCold(server, now())
         }
-        if (isAcquired) return startAttempt(routed, ServerChoice.Send(server, version), choice.needsReservation)
-        if (choice.needsReservation) release(choice.controller, reservationRequest(routed, server.id, mayQueue = false))
-        return null
+        val started =
+            if (isAcquired) startAttempt(routed, ServerChoice.Send(server, version), choice.needsReservation) else null
+        return started ?: releaseSlot(routed, server.id, choice.controller.takeIf { choice.needsReservation })
     }
 
     private enum class SlotReservation { GRANTED, FULL, ADAPTER_MISSING, UNKNOWN }
@@ -224,14 +256,16 @@
 
     /**
      * Records the start of an attempt at the server of [choice]. Unless a slot [isReserved] with its controller, the
-     * controller is notified of the use of the adapter.
+     * controller is notified of the use of the adapter. Null if an answer has said since the choice that the server
+     * takes no more requests.
      */
     private suspend fun startAttempt(
         routed: RoutedRequest,
         choice: ServerChoice.Send,
         isReserved: Boolean,
-    ): AttemptTarget =
+    ): AttemptTarget? =
         control.decide {
+            if (!state.selection.isOpen(choice.server, now())) return@decide null
             val overdueAt = now() + routed.route.targetLatencyMillis * 2
             val isVersioned = routed.adapter != null && routed.adapter in state.operator.adapterVersions
             if (!isReserved) routed.adapter?.let { notifyUse(routed, choice.server.id, it, millisLeft(routed)) }
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ForwarderFixture.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ForwarderFixture.kt
@@ -60,6 +60,7 @@
     expectedServer = "Server",
     notRun = "Not-Run",
     serverId = "Server-Id",
+    leaving = "Leaving",
     expectedVersion = "Version",
     priority = "Priority",
     promptParts = "Parts",
@@ -136,6 +137,7 @@
     private val backends: List<Backend>,
     kind: RouteKind,
     isResumable: Boolean = false,
+    maximumAttempts: Int = if (isResumable) 2 else 1,
 ) : AutoCloseable {
     val received = CopyOnWriteArrayList<PeerRequest>()
     val settled = CopyOnWriteArrayList<Long>()
@@ -173,7 +175,7 @@
         services = listOf(WeightedService("desk", 1)),
         timeoutMillis = 5_000,
         targetLatencyMillis = 1_000,
-        maximumAttempts = if (isResumable) 2 else 1,
+        maximumAttempts = maximumAttempts,
         priority = 0,
         isOpen = false,
         isResumable = isResumable,
@@ -197,6 +199,10 @@
         state.serversChanged(backends.filter { !it.isCrashed }.map { it.registered() }.associateBy { it.id }, 2)
     }
 
+    /** Whether [backend] gets no requests because of its own answers. */
+    suspend fun isClosed(backend: Backend): Boolean =
+        control.decide { !state.selection.isOpen(backend.registered(), now()) }
+
     /** Sends one request, with [promptParts] if there are any, and returns the response as the caller receives it. */
     suspend fun ask(id: String, body: String, promptParts: String? = null): String {
         val output = ByteChannel(autoFlush = true)
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/RepeatedRefusalTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/RepeatedRefusalTest.kt
@@ -23,7 +23,7 @@
 private fun Socket.succeed(id: String) = answer(200, "done", "Proof: p\nRequest: $id\n")
 
 private class RunnerFixture(private val server: KeepAliveServer) {
-    private val runner = AttemptRunner(HEADERS, HttpConnectionPool(TcpNetwork()), now) { }
+    private val runner = AttemptRunner(HEADERS, HttpConnectionPool(TcpNetwork()), now) { _, _ -> }
     private val route = GatewayRoute(
         name = "desk",
         host = "h",
@@ -51,7 +51,8 @@
             attempt = 1,
         )
         val writer = ResponseWriter(ByteChannel(autoFlush = true), now) { true }
-        return runner.run(request, target, writer, mayRetry = false, resumeAfter = null, onFirstEvent = {}).result
+        val progress = StreamProgress(resumeAfter = null, onFirstEvent = {}, tryMove = { false })
+        return runner.run(request, target, writer, mayRetry = false, progress).result
     }
 }
 
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ServerPickerTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ServerPickerTest.kt
@@ -70,7 +70,7 @@
         }
     }
     private val headers =
-        HeaderNames("r", "d", "m", "t", "l", "k", "team", "s", "e", "n", "i", "v", "p", "pp", emptySet())
+        HeaderNames("r", "d", "m", "t", "l", "k", "team", "s", "e", "n", "i", "g", "v", "p", "pp", emptySet())
     private val picker = ServerPicker(headers, state, control, fleet, scope, now)
 
     init {
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/StreamEndTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/StreamEndTest.kt
@@ -8,73 +8,13 @@
 import io.kotest.matchers.string.shouldNotContain
 import io.kotest.matchers.string.shouldNotEndWith
 import io.kotest.matchers.string.shouldStartWith
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
-import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.cancel
 import org.lentilquay.state.gateway.RouteKind
-import org.lentilquay.transport.TcpNetwork
-import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.atomic.AtomicInteger
 
 private const val FIRST = "id: 1\ndata: one\n\n"
 private const val SECOND = "id: 2\ndata: two\n\n"
 private const val HALF = "id: 2\ndata: tw"
-private const val LAST_CHUNK = "\r\n0\r\n\r\n"
-
-/** Time in which the bytes that were sent before the end of an answer are passed on. */
-private const val PAUSE_MILLIS = 150L
-
-private enum class Framing { LENGTH, CHUNKED, UNTIL_CLOSE }
-
-private fun Socket.send(text: String) = getOutputStream().run {
-    write(text.encodeToByteArray())
-    flush()
-}
-
-private fun Socket.sendHead(id: String, headers: String) =
-    send("HTTP/1.1 200 OK\r\nRequest: $id\r\nProof: p\r\n$headers\r\n")
-
-private fun chunk(text: String) = "${text.length.toString(16)}\r\n$text\r\n"
-
-/** Sends [parts] as one whole answer in [framing], with a pause between two parts. */
-private fun Socket.answer(id: String, framing: Framing, vararg parts: String) {
-    sendHead(
-        id,
-        when (framing) {
-            Framing.LENGTH -> "Content-Length: ${parts.sumOf { it.length }}\r\n"
-            Framing.CHUNKED -> "Transfer-Encoding: chunked\r\n"
-            Framing.UNTIL_CLOSE -> ""
-        },
-    )
-    parts.forEach {
-        send(if (framing == Framing.CHUNKED) chunk(it) else it)
-        Thread.sleep(PAUSE_MILLIS)
-    }
-    if (framing == Framing.CHUNKED) send("0\r\n\r\n")
-    if (framing == Framing.UNTIL_CLOSE) shutdownOutput()
-}
-
-/** Sends one request over a socket and returns the bytes that the caller receives until the connection closes. */
-private suspend fun ForwarderFixture.askOverSocket(id: String): String {
-    val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    val port = ServerSocket(0).use { it.localPort }
-    GatewayListener(TcpNetwork(), forwarder, { null }, { false }, scope) { System.nanoTime() / 1_000_000 }
-        .start("127.0.0.1:$port")
-    try {
-        return Socket("127.0.0.1", port).use { socket ->
-            socket.soTimeout = 6_000
-            socket.send(
-                "POST /orders HTTP/1.1\r\nHost: h\r\nRequest: $id\r\nKey: secret\r\nPatience: 4000\r\n" +
-                    "Connection: close\r\nContent-Length: 2\r\n\r\nhi",
-            )
-            socket.getInputStream().readAllBytes().decodeToString()
-        }
-    } finally {
-        scope.cancel()
-    }
-}
 
 private suspend fun asked(kind: RouteKind, act: Backend.(Socket) -> Unit): String =
     ForwarderFixture(listOf(Backend("s1") { socket, _ -> act(socket) }), kind).use { fixture ->
@@ -82,10 +22,6 @@
         fixture.askOverSocket("r1")
     }
 
-/** The body of a chunked answer, without the chunk sizes; it may lack its end. */
-private fun bodyOf(answer: String): String =
-    answer.substringAfter("\r\n\r\n").replace(Regex("(?:^|\r\n)[0-9a-f]+\r\n"), "").removeSuffix("\r\n")
-
 /** Guards against answers that broke off at the backend server and look complete to the caller. */
 class StreamEndTest : FunSpec({
     Framing.entries.forEach { framing ->
@@ -154,7 +90,7 @@
         val answer = asked(RouteKind.STREAM) { socket ->
             socket.sendHead("r1", "")
             socket.send(FIRST)
-            Thread.sleep(PAUSE_MILLIS)
+            Thread.sleep(ANSWER_PAUSE_MILLIS)
             reset(socket)
         }
         bodyOf(answer) shouldBe FIRST
@@ -170,7 +106,7 @@
         asked(RouteKind.RUN_ONCE) { socket ->
             socket.sendHead("r1", "")
             socket.send("half ")
-            Thread.sleep(PAUSE_MILLIS)
+            Thread.sleep(ANSWER_PAUSE_MILLIS)
             reset(socket)
         }.let { answer ->
             answer shouldStartWith "HTTP/1.1 502"
