Tell owners at once of servers that leave or pause, and let the stand-ins play both

Cause: in the product's own path, the owner of a server learned from the next load report only that the server leaves, and a refusal with Retry-After paused grants for a fixed time. Change: the VM that reads an answer tells the owner (peer message server-notice); the owner grants nothing to a process that said that it is leaving, until it starts again, and nothing before the end of a pause. Both doors read the heads with the same function. Stand-ins send X-Leaving and Retry-After. Result: ServerAllocatorTest (2 new tests), InferenceRunTest, ModelEngineTest.

--- a/core/src/main/kotlin/org/lentilquay/coordination/allocation/ServerAllocator.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/allocation/ServerAllocator.kt
@@ -74,6 +74,16 @@
         return finish(now)
     }
 
+    /**
+     * An answer of the process [serverIncarnation] said that the server [isLeaving], or that it takes no requests for
+     * [pauseMillis].
+     */
+    fun noticed(serverIncarnation: Long, isLeaving: Boolean, pauseMillis: Long, now: Long): List<AllocatorEffect> {
+        parts.observeIncarnation(serverIncarnation, now)
+        if (serverIncarnation == process.incarnation) process.noticed(isLeaving, pauseMillis, now)
+        return finish(now)
+    }
+
     /** Ends the reservation of [requestId] or removes it from the queue. Idempotent. */
     fun release(
         requestId: String,
--- a/core/src/main/kotlin/org/lentilquay/coordination/allocation/internal/ServerProcess.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/allocation/internal/ServerProcess.kt
@@ -16,8 +16,6 @@
         private set
     var isKnownWarm: Boolean = false
         private set
-    var isLeaving: Boolean = false
-        private set
     var hasReport: Boolean = false
         private set
     private var reportedSlots: Int? = null
@@ -27,6 +25,11 @@
     /** Time of the last sign of a cold start. */
     private var coldSignAt: Long = Long.MIN_VALUE
     private var pausedUntil: Long = Long.MIN_VALUE
+    private var reportsLeaving = false
+
+    /** Whether an answer said that the process is leaving; reports from before that may still arrive. */
+    private var hasSaidLeaving = false
+    val isLeaving: Boolean get() = reportsLeaving || hasSaidLeaving
 
     val slotLimit: Int get() = reportedSlots ?: server.adapterSlots
     val coldLimit: Int get() = server.coldInFlight
@@ -42,7 +45,8 @@
         incarnation = observed
         if (known == null) return false
         suspectColdStart(now)
-        isLeaving = false
+        reportsLeaving = false
+        hasSaidLeaving = false
         hasReport = false
         lastReportEngineTime = Long.MIN_VALUE
         return true
@@ -58,7 +62,7 @@
         lastReportEngineTime = report.asOfMillis
         if (report.slots > 0) reportedSlots = report.slots
         if (report.maximumInFlight > 0) reportedMaximum = report.maximumInFlight
-        isLeaving = report.state == EngineState.LEAVING
+        reportsLeaving = report.state == EngineState.LEAVING
         val isAfterColdSign =
             if (takenAt != null) takenAt > coldSignAt else coldSignAt == Long.MIN_VALUE || now - coldSignAt > maximumLag
         when (report.state) {
@@ -75,7 +79,13 @@
 
     /** Pauses grants after the server answered that it is overloaded. */
     fun pause(now: Long) {
-        pausedUntil = now + policy.overloadPauseMillis
+        pausedUntil = maxOf(pausedUntil, now + policy.overloadPauseMillis)
+    }
+
+    /** Applies what an answer of this process said of the server. */
+    fun noticed(isLeaving: Boolean, pauseMillis: Long, now: Long) {
+        hasSaidLeaving = hasSaidLeaving || isLeaving
+        pausedUntil = maxOf(pausedUntil, now + pauseMillis)
     }
 
     fun isPaused(now: Long): Boolean = now < pausedUntil
--- a/core/src/main/kotlin/org/lentilquay/protocol/EngineMessages.kt
+++ b/core/src/main/kotlin/org/lentilquay/protocol/EngineMessages.kt
@@ -14,6 +14,9 @@
     const val INCARNATION: String = "X-Incarnation"
     const val FENCING_TOKEN: String = "X-Fencing-Token"
     const val ENGINE_TIME: String = "X-Engine-Time-Ms"
+
+    /** Set to 1 on all answers of a server that is about to stop. */
+    const val LEAVING: String = "X-Leaving"
 }
 
 /** Body of `POST /v1/load_lora_adapter`. */
--- a/core/src/main/kotlin/org/lentilquay/protocol/PeerMessages.kt
+++ b/core/src/main/kotlin/org/lentilquay/protocol/PeerMessages.kt
@@ -152,6 +152,17 @@
     @SerialName("progress")
     data class Progress(val requestId: String, val server: ServerId, val serverIncarnation: Long) : PeerRequest
 
+    /** Notice to the owner of what an answer said of [server]: that it is leaving, or takes no requests for a time. */
+    @Serializable
+    @SerialName("server-notice")
+    data class ServerNotice(
+        val server: ServerId,
+        val serverIncarnation: Long,
+        val isLeaving: Boolean,
+        /** How long the server takes no requests, in milliseconds; 0 if it did not ask for a pause. */
+        val pauseMillis: Long = 0,
+    ) : PeerRequest
+
     /** A new owner requests the receiver's active requests on [server]; [fence] is the new fencing number. */
     @Serializable
     @SerialName("active-runs")
--- a/core/src/test/kotlin/org/lentilquay/coordination/allocation/ServerAllocatorTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/allocation/ServerAllocatorTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.matchers.collections.shouldContain
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import org.lentilquay.protocol.ActiveRun
 import org.lentilquay.protocol.EngineState
@@ -197,6 +198,32 @@
         fixture.release("plain").grants() shouldContainExactly listOf("copy")
     }
 
+    // A report from before may still arrive; only a new process of the server takes work again.
+    test("a server whose answer said that it is leaving grants nothing until it starts again") {
+        val fixture = AllocatorFixture().settled()
+        fixture.allocator.noticed(1, isLeaving = true, pauseMillis = 0, fixture.now)
+        fixture.reserve("first") shouldNotBe granted
+        fixture.now += 10
+        fixture.report(state = EngineState.WARM)
+        fixture.reserve("second") shouldNotBe granted
+        fixture.now += 10
+        fixture.report(state = EngineState.WARM, incarnation = 2)
+        fixture.allocator.noticed(1, isLeaving = true, pauseMillis = 0, fixture.now)
+        fixture.now += 10_000
+        fixture.claim()
+        fixture.report(state = EngineState.WARM, incarnation = 2)
+        fixture.reserve("third") shouldBe granted
+    }
+
+    test("a server that asked for a pause grants nothing until its end") {
+        val fixture = AllocatorFixture().settled()
+        fixture.allocator.noticed(1, isLeaving = false, pauseMillis = 1_000, fixture.now)
+        fixture.reserve("first") shouldNotBe granted
+        fixture.allocator.release("first", RunOutcome.CANCELLED, null, fixture.now)
+        fixture.now += 1_000
+        fixture.reserve("second") shouldBe granted
+    }
+
     test("a queued request is removed 1.5 s after its last poll and refused at its deadline") {
         val fixture = AllocatorFixture().settled()
         fixture.occupy(3)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/control/FleetReservationClient.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/control/FleetReservationClient.kt
@@ -23,6 +23,7 @@
 import org.lentilquay.state.Outcome
 import org.lentilquay.state.ServerKind
 import org.lentilquay.state.failed
+import org.lentilquay.transport.http.AnswerNotice
 
 class FleetReservationClient(
     private val serverAvailability: ServerAvailability,
@@ -76,6 +77,16 @@
         scope.launch { owners.deliver(reservation.server, message) }
     }
 
+    override fun noticed(reservation: Reservation, incarnation: Long?, notice: AnswerNotice) {
+        val message = PeerRequest.ServerNotice(
+            reservation.server,
+            incarnation ?: NO_INCARNATION,
+            notice.isLeaving,
+            notice.pause?.millis ?: 0,
+        )
+        scope.launch { owners.deliver(reservation.server, message) }
+    }
+
     override fun release(reservation: Reservation, outcome: RunOutcome, incarnation: Long?) {
         ranking.ended(reservation.server)
         val message = PeerRequest.Release(reservation.attemptId, reservation.server, outcome, incarnation)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/control/PeerDispatcher.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/control/PeerDispatcher.kt
@@ -31,6 +31,9 @@
         is PeerRequest.Release -> update(request.server) {
             release(request.requestId, request.outcome, request.serverIncarnation, it)
         }
+        is PeerRequest.ServerNotice -> update(request.server) {
+            noticed(request.serverIncarnation, request.isLeaving, request.pauseMillis, it)
+        }
         is PeerRequest.ActiveRuns -> activeRuns(request)
         is PeerRequest.TakeTokens -> quota.transferTokens(from, request)
         else -> handleCoordination(from, request)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptRunner.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptRunner.kt
@@ -7,11 +7,13 @@
 import org.lentilquay.coordination.gateway.ServerOutcome
 import org.lentilquay.state.gateway.RouteKind
 import org.lentilquay.transport.describe
+import org.lentilquay.transport.http.AnswerNotice
 import org.lentilquay.transport.http.ExchangeOptions
 import org.lentilquay.transport.http.HttpConnectionPool
 import org.lentilquay.transport.http.HttpRequest
 import org.lentilquay.transport.http.PooledExchange
 import org.lentilquay.transport.http.PooledResponse
+import org.lentilquay.transport.http.answerNotice
 import org.lentilquay.transport.runSuspendCatching
 import java.io.ByteArrayOutputStream
 
@@ -122,7 +124,8 @@
         // A server may repeat the refusal of another request, so one without the id says nothing about this request.
         val isOwn = answer.header(headerNames.requestId) == routed.id
         val isSuccess = isSuccess(answer.status)
-        onResponse(target, if (isOwn && !isFromOther(target, answer)) noticeOf(answer, headerNames) else null)
+        val mayNotice = isOwn && !isFromOther(target, answer)
+        onResponse(target, if (mayNotice) answerNotice(answer.status, answer.headers, headerNames.leaving) else null)
         return when {
             isRefusal && isOwn && !isSuccess -> refused(routed, target, answer)
             answer.header(headerNames.signature) == null || !isOwn ->
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayState.kt
@@ -24,6 +24,7 @@
 import org.lentilquay.state.gateway.MemberRecord
 import org.lentilquay.state.gateway.OperatorState
 import org.lentilquay.state.gateway.RegisteredServer
+import org.lentilquay.transport.http.AnswerNotice
 
 private val log = KotlinLogging.logger {}
 
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/requests/InferenceRun.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/requests/InferenceRun.kt
@@ -196,8 +196,10 @@
         reservation: Reservation,
         answer: EngineRunResult,
         mayResume: Boolean,
-    ): Outcome<Attempt> =
-        when (answer) {
+    ): Outcome<Attempt> {
+        val head = answer.headOrNull()
+        head?.notice?.let { dependencies.reservations.noticed(reservation, head.incarnation, it) }
+        return when (answer) {
             is EngineRunResult.Accepted -> checkHead(reservation, answer, mayResume)
             is EngineRunResult.NotWritten ->
                 failAttempt(reservation, RetryReason.NOT_CONNECTED, "server not reached", null)
@@ -219,6 +221,15 @@
                 failAttempt(reservation, RetryReason.CONNECTION_LOST, "connection lost", null)
             }
         }
+    }
+
+    private fun EngineRunResult.headOrNull(): RunHead? = when (this) {
+        is EngineRunResult.Accepted -> head
+        is EngineRunResult.NotLoaded -> head
+        is EngineRunResult.Overloaded -> head
+        is EngineRunResult.WrongStatus -> head
+        is EngineRunResult.NotWritten, is EngineRunResult.LostBeforeHeaders -> null
+    }
 
     private fun checkHead(
         reservation: Reservation,
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/requests/ReservationClient.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/requests/ReservationClient.kt
@@ -11,6 +11,7 @@
 import org.lentilquay.state.Outcome
 import org.lentilquay.state.ServerId
 import org.lentilquay.state.TeamId
+import org.lentilquay.transport.http.AnswerNotice
 
 /** The backend servers on which a request can run. */
 sealed interface ReservationTarget {
@@ -59,6 +60,9 @@
     /** Reports that the server has started to answer. */
     fun progress(reservation: Reservation, incarnation: Long?)
 
+    /** Reports what the answer of the process [incarnation] said of the server. */
+    fun noticed(reservation: Reservation, incarnation: Long?, notice: AnswerNotice)
+
     /** Reports that the run ended with [outcome]. Sent in the background until the owner has received it. */
     fun release(reservation: Reservation, outcome: RunOutcome, incarnation: Long?)
 }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/requests/ServiceHandler.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/requests/ServiceHandler.kt
@@ -79,6 +79,7 @@
                     ServiceAttempt.NotRun(notReached(reservation, answer.reason), reservation.server)
                 is ServiceCallResult.LostAfterWriting -> ServiceAttempt.Unknown(answer.reason, reservation.server)
                 is ServiceCallResult.Answered -> {
+                    answer.notice?.let { reservations.noticed(reservation, answer.incarnation, it) }
                     reservations.progress(reservation, null)
                     readAnswer(answer, reservation)
                 }
--- a/daemon/src/main/kotlin/org/lentilquay/transport/engine/EngineClient.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/engine/EngineClient.kt
@@ -24,6 +24,7 @@
 import org.lentilquay.transport.http.HttpRequest
 import org.lentilquay.transport.http.UnpooledExchange
 import org.lentilquay.transport.http.UnpooledHttpClient
+import org.lentilquay.transport.http.answerNotice
 import org.lentilquay.transport.http.readFully
 
 private const val DEFAULT_CONNECT_MILLIS = 400L
@@ -188,6 +189,7 @@
     servedModel = answer.header(EngineHeaders.SERVED_MODEL),
     incarnation = answer.header(EngineHeaders.INCARNATION)?.toLongOrNull(),
     headers = answer.headers,
+    notice = answerNotice(answer.status, answer.headers, EngineHeaders.LEAVING),
 )
 
 /** The error code of an OpenAI-style body `{"error":{"code":...}}` or of a body with `code` at the top level. */
--- a/daemon/src/main/kotlin/org/lentilquay/transport/engine/EngineResults.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/engine/EngineResults.kt
@@ -7,6 +7,7 @@
 
 import org.lentilquay.protocol.CacheEvents
 import org.lentilquay.protocol.LoadReport
+import org.lentilquay.transport.http.AnswerNotice
 import org.lentilquay.transport.http.BodyReadResult
 
 /** The result of an order to an engine. Engine times are in milliseconds of the engine's own clock. */
@@ -45,6 +46,8 @@
     val servedModel: String?,
     val incarnation: Long?,
     val headers: List<Pair<String, String>>,
+    /** What the head says of the engine itself, or null. */
+    val notice: AnswerNotice? = null,
 )
 
 /** The result of starting a run on an engine. */
@@ -115,7 +118,15 @@
     data class LostAfterWriting(val reason: String) : ServiceCallResult
 
     /** The service responded. The caller must close [body], even after reading it to the end. */
-    class Answered(val status: Int, val headers: List<Pair<String, String>>, val body: ServiceBody) : ServiceCallResult
+    class Answered(
+        val status: Int,
+        val headers: List<Pair<String, String>>,
+        val body: ServiceBody,
+        /** The incarnation of the process that answered, or null if it sent none. */
+        val incarnation: Long? = null,
+        /** What the head says of the service itself, or null. */
+        val notice: AnswerNotice? = null,
+    ) : ServiceCallResult
 }
 
 /** The result of reading the next bytes of a service's response body. */
--- a/daemon/src/main/kotlin/org/lentilquay/transport/engine/ServiceClient.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/engine/ServiceClient.kt
@@ -5,11 +5,13 @@
 package org.lentilquay.transport.engine
 
 import kotlinx.coroutines.withTimeoutOrNull
+import org.lentilquay.protocol.EngineHeaders
 import org.lentilquay.transport.describe
 import org.lentilquay.transport.http.BodyReadResult
 import org.lentilquay.transport.http.HttpRequest
 import org.lentilquay.transport.http.UnpooledExchange
 import org.lentilquay.transport.http.UnpooledHttpClient
+import org.lentilquay.transport.http.answerNotice
 import org.lentilquay.transport.http.forwardedRequestHeaders
 import org.lentilquay.transport.http.readFully
 import org.lentilquay.transport.http.returnedResponseHeaders
@@ -54,6 +56,8 @@
                 exchange.status,
                 returnedResponseHeaders(exchange.headers),
                 ResponseBody(exchange, options.idleMillis),
+                exchange.header(EngineHeaders.INCARNATION)?.toLongOrNull(),
+                answerNotice(exchange.status, exchange.headers, EngineHeaders.LEAVING),
             )
         }
     }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AnswerNotice.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/AnswerNotice.kt
@@ -2,9 +2,7 @@
  * What the head of an answer says of the backend server itself: that it is about to stop, or for how long it takes no
  * further requests from this VM.
  */
-package org.lentilquay.daemon.gateway
-
-import org.lentilquay.transport.http.PooledResponse
+package org.lentilquay.transport.http
 
 private const val UNAVAILABLE_STATUS = 503
 private const val RETRY_AFTER = "Retry-After"
@@ -25,10 +23,14 @@
 
 data class AnswerNotice(val isLeaving: Boolean, val pause: RequestedPause?)
 
-/** The notice in the head of [answer], or null if it says nothing of its server. */
-internal fun noticeOf(answer: PooledResponse, headerNames: HeaderNames): AnswerNotice? {
-    val isLeaving = answer.header(headerNames.leaving)?.trim() == IS_LEAVING
-    val pause = if (answer.status == UNAVAILABLE_STATUS) answer.header(RETRY_AFTER)?.let(::requestedPause) else null
+/**
+ * The notice in the head of an answer with [status] and [headers], or null if it says nothing of its server. The header
+ * [leavingHeader] is 1 on all answers of a server that is leaving.
+ */
+internal fun answerNotice(status: Int, headers: List<Pair<String, String>>, leavingHeader: String): AnswerNotice? {
+    fun header(name: String) = headers.firstOrNull { it.first.equals(name, ignoreCase = true) }?.second
+    val isLeaving = header(leavingHeader)?.trim() == IS_LEAVING
+    val pause = if (status == UNAVAILABLE_STATUS) header(RETRY_AFTER)?.let(::requestedPause) else null
     return if (isLeaving || pause != null) AnswerNotice(isLeaving, pause) else null
 }
 
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ServerNoticeTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ServerNoticeTest.kt
@@ -8,6 +8,10 @@
 import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.string.shouldStartWith
 import org.lentilquay.state.gateway.RouteKind
+import org.lentilquay.transport.http.MAXIMUM_PAUSE_MILLIS
+import org.lentilquay.transport.http.RequestedPause
+import org.lentilquay.transport.http.UNREADABLE_PAUSE_MILLIS
+import org.lentilquay.transport.http.requestedPause
 import java.net.Socket
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.measureTimedValue
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/requests/InferenceRunTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/requests/InferenceRunTest.kt
@@ -25,6 +25,8 @@
 import org.lentilquay.state.ServerId
 import org.lentilquay.state.TeamId
 import org.lentilquay.transport.engine.EngineClient
+import org.lentilquay.transport.http.AnswerNotice
+import org.lentilquay.transport.http.RequestedPause
 import org.lentilquay.transport.http.ScriptedServer
 import org.lentilquay.transport.http.answer
 import org.lentilquay.transport.http.answering
@@ -39,6 +41,7 @@
 ) : ReservationClient {
     private var next = 0
     val outcomes = ArrayList<RunOutcome>()
+    val notices = ArrayList<Pair<ServerId, AnswerNotice>>()
 
     override suspend fun reserve(request: ReservationRequest): Outcome<Reservation> {
         val number = next++
@@ -57,6 +60,10 @@
 
     override fun progress(reservation: Reservation, incarnation: Long?) = Unit
 
+    override fun noticed(reservation: Reservation, incarnation: Long?, notice: AnswerNotice) {
+        notices += reservation.server to notice
+    }
+
     override fun release(reservation: Reservation, outcome: RunOutcome, incarnation: Long?) {
         outcomes += outcome
     }
@@ -73,6 +80,8 @@
 
     override fun progress(reservation: Reservation, incarnation: Long?) = Unit
 
+    override fun noticed(reservation: Reservation, incarnation: Long?, notice: AnswerNotice) = Unit
+
     override fun release(reservation: Reservation, outcome: RunOutcome, incarnation: Long?) = Unit
 }
 
@@ -161,6 +170,26 @@
         )
     }
 
+    // The owner learned that a server leaves from its next report only, and nothing of a pause.
+    test("what the answers say of their servers is reported to the owners") {
+        val servers = listOf(
+            answering(503, refusal("engine_overloaded"), "Retry-After: 2\n"),
+            answering(404, refusal("adapter_not_loaded"), "X-Leaving: 1\n"),
+            engine(),
+        )
+        val reservations = GrantingReservations(servers.map { it.address })
+        EngineClient().use { engines ->
+            val dependencies = InferenceDependencies(reservations, engines, NoCrashes) { 0 }
+            val call = ActiveCalls().begin(null)
+            InferenceRun(admitted(), dependencies, call, RequestMetricsRecorder(Metrics())).next()
+        }
+        servers.forEach { it.close() }
+        reservations.notices shouldContainExactly listOf(
+            ServerId("e0") to AnswerNotice(false, RequestedPause(2_000, "2", isReadable = true)),
+            ServerId("e1") to AnswerNotice(true, pause = null),
+        )
+    }
+
     // Guards against quarantining requests that only lost a connection, and against missing those that crash a server.
     mapOf(7L to 0, 6L to 1, null to 1).forEach { (granted, crashes) ->
         test("with incarnation $granted reserved and incarnation 7 answering, a lost run counts as $crashes crashes") {
--- a/standins/src/main/kotlin/org/lentilquay/standins/EngineOptions.kt
+++ b/standins/src/main/kotlin/org/lentilquay/standins/EngineOptions.kt
@@ -72,7 +72,10 @@
     @SerialName("lose_answers") val loseAnswers: Int? = null,
     /** Delay of requests and orders before they take effect. */
     @SerialName("delay_ms") val delayMillis: Long? = null,
+    /** Whether all answers say that the engine is leaving. */
     val leaving: Boolean? = null,
+    /** `Retry-After` of refusals for want of a place in the batch, as it is sent; empty for none. */
+    @SerialName("retry_after") val retryAfter: String? = null,
     @SerialName("report_lag_ms") val reportLagMillis: Long? = null,
 )
 
--- a/standins/src/main/kotlin/org/lentilquay/standins/ModelEngine.kt
+++ b/standins/src/main/kotlin/org/lentilquay/standins/ModelEngine.kt
@@ -5,6 +5,7 @@
 package org.lentilquay.standins
 
 import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.request.header
@@ -170,6 +171,8 @@
             }
             is Acceptance.Refused -> {
                 stamp(inference.id, inference.model, core.incarnation)
+                val isFull = acceptance.code == EngineErrorCodes.OVERLOADED
+                core.retryAfter?.takeIf { isFull }?.let { response.header(HttpHeaders.RetryAfter, it) }
                 refuse(acceptance.status, acceptance.code)
             }
             Acceptance.FellOver -> cutConnection()
@@ -205,6 +208,7 @@
         response.header(EngineHeaders.SERVED_MODEL, model)
         response.header(EngineHeaders.INCARNATION, incarnation.toString())
         response.header(EngineHeaders.ENGINE_TIME, core.engineTime.toString())
+        if (core.isLeaving) response.header(EngineHeaders.LEAVING, "1")
     }
 }
 
--- a/standins/src/main/kotlin/org/lentilquay/standins/PlainService.kt
+++ b/standins/src/main/kotlin/org/lentilquay/standins/PlainService.kt
@@ -6,6 +6,7 @@
 package org.lentilquay.standins
 
 import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.request.header
@@ -98,6 +99,7 @@
             delayMillis = control.delayMillis ?: switches.delayMillis,
             loseAnswers = control.loseAnswers ?: switches.loseAnswers,
             leaving = control.leaving ?: switches.leaving,
+            retryAfter = control.retryAfter ?: switches.retryAfter,
         )
     }
 
@@ -143,11 +145,16 @@
         request.header(EngineHeaders.REQUEST_ID)?.let { response.header(EngineHeaders.REQUEST_ID, it) }
         val (admission, endOfThis) = synchronized(this@RunningService) {
             response.header(EngineHeaders.INCARNATION, incarnations.current.toString())
+            if (switches.leaving == true) response.header(EngineHeaders.LEAVING, "1")
             admit() to end
         }
         when (admission) {
             Admission.FELL_OVER -> cutConnection()
-            Admission.OVERLOADED -> refuse(HttpStatusCode.ServiceUnavailable, EngineErrorCodes.OVERLOADED)
+            Admission.OVERLOADED -> {
+                val retryAfter = synchronized(this@RunningService) { switches.retryAfter }
+                retryAfter?.takeIf { it.isNotEmpty() }?.let { response.header(HttpHeaders.RetryAfter, it) }
+                refuse(HttpStatusCode.ServiceUnavailable, EngineErrorCodes.OVERLOADED)
+            }
             Admission.ADMITTED -> {
                 val reply = try {
                     work()
--- a/standins/src/main/kotlin/org/lentilquay/standins/ServiceOptions.kt
+++ b/standins/src/main/kotlin/org/lentilquay/standins/ServiceOptions.kt
@@ -29,7 +29,10 @@
     @SerialName("delay_ms") val delayMillis: Long? = null,
     /** Number of POST calls that take effect but whose connections are closed without a response. */
     @SerialName("lose_answers") val loseAnswers: Int? = null,
+    /** Whether all answers say that the service is leaving. */
     val leaving: Boolean? = null,
+    /** `Retry-After` of refusals because of too many calls, as it is sent; empty for none. */
+    @SerialName("retry_after") val retryAfter: String? = null,
 )
 
 /** One call that the service accepted; a POST call has taken effect. */
--- a/standins/src/main/kotlin/org/lentilquay/standins/internal/EngineCore.kt
+++ b/standins/src/main/kotlin/org/lentilquay/standins/internal/EngineCore.kt
@@ -59,6 +59,8 @@
     val incarnation: Long @Synchronized get() = incarnations.current
     val highestFence: Long @Synchronized get() = fence.highest
     val delayMillis: Long @Synchronized get() = switches.delayMillis ?: 0
+    val isLeaving: Boolean @Synchronized get() = switches.leaving == true
+    val retryAfter: String? @Synchronized get() = switches.retryAfter?.takeIf { it.isNotEmpty() }
     val engineTime: Long get() = monotonicMillis() + options.clockOffsetMillis
     val models: List<String> @Synchronized get() = listOf(options.baseModel) + slots.loaded
 
@@ -161,6 +163,7 @@
             loseAnswers = control.loseAnswers ?: switches.loseAnswers,
             delayMillis = control.delayMillis ?: switches.delayMillis,
             leaving = control.leaving ?: switches.leaving,
+            retryAfter = control.retryAfter ?: switches.retryAfter,
             reportLagMillis = control.reportLagMillis ?: switches.reportLagMillis,
         )
     }
--- a/standins/src/test/kotlin/org/lentilquay/standins/ModelEngineTest.kt
+++ b/standins/src/test/kotlin/org/lentilquay/standins/ModelEngineTest.kt
@@ -20,6 +20,7 @@
 import io.ktor.client.statement.HttpResponse
 import io.ktor.client.statement.bodyAsChannel
 import io.ktor.client.statement.bodyAsText
+import io.ktor.http.HttpStatusCode
 import io.ktor.utils.io.readLine
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
@@ -230,6 +231,17 @@
         }
     }
 
+    // Without these, tests of the daemon could not play servers that leave or refuse for a time.
+    test("a leaving engine says so in its answers, and a full one says when to return") {
+        modelEngine(warm.copy(maximumInFlight = 0, queueLimit = 0)).use { engine ->
+            engine.control(EngineControl(leaving = true, retryAfter = "0.5"))
+            val answer = engine.complete("base", "x")
+            answer.status shouldBe HttpStatusCode.ServiceUnavailable
+            answer.headers["X-Leaving"] shouldBe "1"
+            answer.headers["Retry-After"] shouldBe "0.5"
+        }
+    }
+
     test("reports show a change only after their lag") {
         modelEngine(warm.copy(reportLagMillis = 400)).use { engine ->
             suspend fun report() = client.get("http://127.0.0.1:${engine.port}/load").bodyAsText()
