--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/TableReaders.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/TableReaders.kt
@@ -11,8 +11,14 @@
 import org.lentilquay.state.DomainId
 import org.lentilquay.state.VmId
 
-/** Readers of one failure domain: two may fail at once, and in small fleets every VM is a reader. */
-const val READERS_PER_DOMAIN: Int = 3
+/**
+ * Readers of one failure domain. Each one costs some three calls a second; if both fail at once, the other VMs read the
+ * table service themselves until the members have changed.
+ */
+const val READERS_PER_DOMAIN: Int = 2
+
+/** In failure domains with at most this many VMs, each VM is a reader. */
+private const val SMALL_DOMAIN_MEMBERS = 3
 
 /** A reader that did not answer is not asked again for this long: about two renewals of its member record. */
 private const val FAILED_READER_MILLIS = 3_000L
@@ -31,7 +37,8 @@
     /** Selects the readers from the [members], given with their failure domains; this VM always counts as one. */
     fun membersChanged(members: Map<VmId, DomainId>) {
         val neighbours = (members.filterValues { it == domain }.keys + own).sorted()
-        readers = rendezvousRanking("readers of $domain", neighbours) { it.text }.take(READERS_PER_DOMAIN)
+        val count = if (neighbours.size <= SMALL_DOMAIN_MEMBERS) neighbours.size else READERS_PER_DOMAIN
+        readers = rendezvousRanking("readers of $domain", neighbours) { it.text }.take(count)
         hasFollowers = own in readers && neighbours.size > readers.size
         failedUntil.keys.retainAll(readers.toSet())
     }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
@@ -40,9 +40,6 @@
 /** Longest time for which a caller may send the body of a request. */
 private const val MAXIMUM_BODY_MILLIS = 60_000L
 
-/** Longest time for which a caller may keep a write of its response waiting. */
-private const val MAXIMUM_WRITE_MILLIS = 10_000L
-
 /** Limits that apply until the first configuration has been read. */
 @Suppress("MagicNumber") // The numbers are named by the parameters.
 private val DEFAULT_LIMITS =
@@ -60,9 +57,11 @@
 internal class ResponseWriter(
     private val output: ByteWriteChannel,
     private val now: () -> Long,
-    private val maximumWriteMillis: Long = MAXIMUM_WRITE_MILLIS,
     private val mayKeepAlive: () -> Boolean,
 ) {
+    @Volatile
+    private var writeStartedAt: Long? = null
+
     /** When a chunked response was started, in milliseconds; null if there was none. */
     var startedAt: Long? = null
         private set
@@ -84,7 +83,7 @@
         val isKeptAlive = mayKeepAlive()
         val head = head(status, headers + ("Content-Length" to body.size.toString()), isKeptAlive)
         isStarted = true
-        write(head, body)
+        write(head + body)
         isEnded = true
         isReusable = isKeptAlive
     }
@@ -98,7 +97,7 @@
 
     /** Writes one chunk of a chunked response. */
     suspend fun writeChunk(bytes: ByteArray) =
-        write("${bytes.size.toString(HEXADECIMAL_RADIX)}\r\n".encodeToByteArray(), bytes, LINE_END)
+        write("${bytes.size.toString(HEXADECIMAL_RADIX)}\r\n".encodeToByteArray() + bytes + LINE_END)
 
     /** Ends a chunked response. */
     suspend fun endChunked() {
@@ -107,12 +106,14 @@
         isReusable = mayKeepAlive()
     }
 
-    /** Writes [parts]. A caller that takes no data would otherwise keep its request at the backend server for ever. */
-    private suspend fun write(vararg parts: ByteArray) {
-        withTimeoutOrNull(maximumWriteMillis) {
-            parts.forEach { output.writeFully(it) }
-            output.flush()
-        } ?: throw IOException("the caller took no data for $maximumWriteMillis ms")
+    /** How long the present write has waited for the caller to take data; 0 if none is in progress. */
+    fun stalledMillis(): Long = writeStartedAt?.let { now() - it } ?: 0
+
+    private suspend fun write(bytes: ByteArray) {
+        writeStartedAt = now()
+        output.writeFully(bytes)
+        output.flush()
+        writeStartedAt = null
     }
 
     private fun head(status: Int, headers: List<Pair<String, String>>, isKeptAlive: Boolean): ByteArray = buildString {
@@ -141,6 +142,10 @@
     /** Whether the last response was written completely. */
     private var isAnswered = false
 
+    /** The writer of the response that is being handled. */
+    @Volatile
+    private var writer: ResponseWriter? = null
+
     /** When the connection was accepted, or the last response on it was written. */
     @Volatile
     private var idleSince = now()
@@ -159,6 +164,14 @@
         if (isIdle && connection.input.availableForRead == 0) connection.close()
     }
 
+    /**
+     * Closes the connection if its caller has taken no data for [maximumMillis], because the request would keep its
+     * place at the backend server. Call it periodically, which costs less than a timer for each write.
+     */
+    fun closeIfStalled(maximumMillis: Long) {
+        if ((writer?.stalledMillis() ?: 0) > maximumMillis) connection.close()
+    }
+
     private suspend fun serveNext(): Boolean {
         val current = limits() ?: DEFAULT_LIMITS
         idleSince = now()
@@ -168,7 +181,7 @@
         }.getOrDefault(false)
         if (!hasRequest) return false
         isBusy = true
-        val writer = ResponseWriter(connection.output, now) { !isStopping() }
+        val writer = ResponseWriter(connection.output, now) { !isStopping() }.also { this.writer = it }
         return runSuspendCatching {
             val result = withTimeoutOrNull(current.headerTimeoutMillis) {
                 parseRequest(connection.input)?.use { callerHead(it, current.headerBytes) }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
@@ -47,7 +47,7 @@
 /** Interval at which member records are exchanged and the quota seats may be reviewed. */
 private const val EXCHANGE_MILLIS = 1_000L
 
-/** Interval at which idle connections to backend servers are closed. */
+/** Interval at which idle connections to backend servers, and those of stalled callers, are closed. */
 private const val SWEEP_MILLIS = 1_000L
 
 /**
@@ -181,7 +181,12 @@
         scope.launch { operatorWatch.run() }
         scope.launch { serverWatch.run() }
         scope.launch(control.dispatcher) { everyTick("control of engines", TICK_MILLIS) { engineControl.tick() } }
-        scope.launch { everyTick("idle connections", SWEEP_MILLIS) { servers.sweep() } }
+        scope.launch {
+            everyTick("connections", SWEEP_MILLIS) {
+                servers.sweep()
+                callers?.closeStalled()
+            }
+        }
         val seats = QuotaSeatLoop(
             tracker = SeatTracker(SeatPlan(options.vm, incarnation) { UUID.randomUUID().toString() }),
             buckets = state.buckets,
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayListener.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayListener.kt
@@ -17,6 +17,9 @@
 /** Delay after a failed accept, for example when there are no free file descriptors. */
 private const val ACCEPT_RETRY_MILLIS = 50L
 
+/** Longest time for which a caller may keep a write of its response waiting. */
+private const val MAXIMUM_WRITE_MILLIS = 10_000L
+
 /** While connections arrive at shorter intervals, the listener stays open, because closing it resets waiting ones. */
 private const val QUIET_MILLIS = 50L
 
@@ -60,6 +63,10 @@
     /** Closes the connections on which no request has come for some time. */
     fun closeIdle() = connections.forEach { it.closeIfIdle() }
 
+    /** Closes the connections whose callers have taken no data for [maximumMillis]. Call it periodically. */
+    fun closeStalled(maximumMillis: Long = MAXIMUM_WRITE_MILLIS) =
+        connections.forEach { it.closeIfStalled(maximumMillis) }
+
     private suspend fun accept(listening: ServerSocket) {
         while (scope.isActive && !listening.isClosed) {
             val connection = runSuspendCatching { network.accept(listening) }.getOrNull()
