Rank the members once for each engine without a controller

Cause: each VM looked five times a second whether it was its turn to take an engine without a controller, and each look hashed and sorted all members: with 95 VMs and 37 engines some 17,500 hashes a second on each VM at every start and after every kill of all processes. Result: ControlLeaseTest, 37 rankings in place of 1,850 in 10 s.

--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/ControlLease.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/ControlLease.kt
@@ -14,7 +14,7 @@
  */
 package org.lentilquay.coordination.gateway
 
-import org.lentilquay.coordination.rendezvousRanking
+import org.lentilquay.coordination.rendezvousRank
 import org.lentilquay.state.Incarnation
 import org.lentilquay.state.ServerId
 import org.lentilquay.state.VmId
@@ -87,6 +87,10 @@
     private val incarnation: Incarnation,
     /** The pause that engines need between orders of two VMs. */
     private val pauseMillis: Long,
+    /** The position of this VM in the ranking of the given members for an engine. */
+    private val rankFor: (ServerId, Set<VmId>) -> Int = { server, members ->
+        rendezvousRank(server.text, members, own) { it.text }
+    },
 ) {
     /** [sinceMillis] is the table time at which this VM first read this version. */
     private class Member(val row: VersionedMemberRecord, val sinceMillis: Long)
@@ -128,6 +132,9 @@
     /** The live members that are not overdue. */
     private var candidates: Set<VmId> = emptySet()
 
+    /** The rank of this VM among the [candidates] for engines without a controller, which are looked at often. */
+    private val ranks = HashMap<ServerId, Int>()
+
     /** The number of members that did not leave in a planned stop, including those with expired leases. */
     val knownMembers: Int get() = members.values.count { !it.row.record.isLeaving }
 
@@ -164,7 +171,9 @@
         fencesOfOthers = (members - own).values.flatMap { it.row.record.engines }
             .groupingBy { it.server }
             .fold(0L) { highest, engine -> maxOf(highest, engine.fence) }
-        candidates = liveMembers.keys - overdueMembers
+        val present = liveMembers.keys - overdueMembers
+        if (present != candidates) ranks.clear()
+        candidates = present
     }
 
     /**
@@ -199,7 +208,7 @@
         val controller = recordedControllers[server]
             ?.takeIf { it.vm == own || now - it.readAt < TRUSTED_RECORD_MILLIS }?.vm
         if (controller != null && controller != own && !mayReplace(controller)) return false
-        val rank = rendezvousRanking(server.text, candidates) { it.text }.indexOf(own)
+        val rank = ranks.getOrPut(server) { rankFor(server, candidates) }
         return controller == own || now - since >= rank * candidateDelayMillis
     }
 
@@ -213,6 +222,7 @@
     fun retain(registered: Set<ServerId>) {
         vacantSince.keys.retainAll(registered)
         recordedControllers.keys.retainAll(registered)
+        ranks.keys.retainAll(registered)
     }
 
     /** Decides about [server] by its controller record, which was read just now; null means that there is none. */
--- a/core/src/test/kotlin/org/lentilquay/coordination/RendezvousRankingTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/RendezvousRankingTest.kt
@@ -37,6 +37,15 @@
         rendezvousFirst("key", emptyList<String>()) { it } shouldBe null
     }
 
+    test("rendezvousRank gives the position in the ranking, also for names outside of ASCII") {
+        val candidates = (1..20).map { "vm-$it" } + "vm-\u00e9" + "vm-\u20ac"
+        keys.take(50).forEach { key ->
+            val ranking = rendezvousRanking(key, candidates)
+            candidates.forEach { own -> rendezvousRank(key, candidates, own) { it } shouldBe ranking.indexOf(own) }
+        }
+        rendezvousRank("key", candidates, "vm-21") { it } shouldBe -1
+    }
+
     test("the hash has the fixed values that the protocol between VMs requires") {
         stableHash("") shouldBe FIXED_EMPTY
         stableHash("adapter-1") shouldBe FIXED_ADAPTER
--- a/core/src/test/kotlin/org/lentilquay/coordination/gateway/ControlLeaseTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/gateway/ControlLeaseTest.kt
@@ -139,6 +139,27 @@
         lease.isCandidate(SERVER, 6_000) shouldBe true
     }
 
+    // After a kill of all processes, 95 VMs looked for their turn at 37 vacant engines five times a second, and each
+    // look ranked all members: the work of the fleet grew with the square of its size.
+    test("a VM ranks the members once for each vacant engine until the members change") {
+        var rankings = 0
+        val lease = ControlLease(vm(1), Incarnation(2), PAUSE_MILLIS) { _, _ ->
+            rankings++
+            90
+        }
+        val members = List(95) { vm(it) to memberRow(5, 10_000) }.toMap()
+        val vacant = List(37) { ServerId("e$it") }
+        lease.updateMembers(members, 10_500)
+        repeat(50) { tick -> vacant.forEach { lease.isCandidate(it, tick * 200L) } }
+        rankings shouldBe vacant.size
+        lease.updateMembers(members.mapValues { memberRow(6, 11_000) }, 11_500)
+        vacant.forEach { lease.isCandidate(it, 10_000) }
+        rankings shouldBe vacant.size
+        lease.updateMembers(members.mapValues { memberRow(7, 12_000) } - vm(7), 12_500)
+        vacant.forEach { lease.isCandidate(it, 10_200) }
+        rankings shouldBe 2 * vacant.size
+    }
+
     // Guards against engines that stay without orders after their controller's lease expired for a moment.
     test("the VM in the controller record takes the engine back at once, whatever its rank") {
         val members = List(20) { vm(it) to memberRow(5, 10_000) }.toMap()
