--- a/core/src/main/kotlin/org/lentilquay/coordination/allocation/internal/ServerProcess.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/allocation/internal/ServerProcess.kt
@@ -27,9 +27,9 @@
     private var pausedUntil: Long = Long.MIN_VALUE
     private var reportsLeaving = false
 
-    /** Whether an answer said that the process is leaving; reports from before that may still arrive. */
-    private var hasSaidLeaving = false
-    val isLeaving: Boolean get() = reportsLeaving || hasSaidLeaving
+    /** When an answer said that the process is leaving; a report that was taken later may say that it stays. */
+    private var saidLeavingAt: Long? = null
+    val isLeaving: Boolean get() = reportsLeaving || saidLeavingAt != null
 
     val slotLimit: Int get() = reportedSlots ?: server.adapterSlots
     val coldLimit: Int get() = server.coldInFlight
@@ -46,7 +46,7 @@
         if (known == null) return false
         suspectColdStart(now)
         reportsLeaving = false
-        hasSaidLeaving = false
+        saidLeavingAt = null
         hasReport = false
         lastReportEngineTime = Long.MIN_VALUE
         return true
@@ -63,8 +63,8 @@
         if (report.slots > 0) reportedSlots = report.slots
         if (report.maximumInFlight > 0) reportedMaximum = report.maximumInFlight
         reportsLeaving = report.state == EngineState.LEAVING
-        val isAfterColdSign =
-            if (takenAt != null) takenAt > coldSignAt else coldSignAt == Long.MIN_VALUE || now - coldSignAt > maximumLag
+        if (saidLeavingAt?.let { isTakenAfter(it, takenAt, now) } == true) saidLeavingAt = null
+        val isAfterColdSign = coldSignAt == Long.MIN_VALUE || isTakenAfter(coldSignAt, takenAt, now)
         when (report.state) {
             EngineState.WARM -> if (isAfterColdSign) isKnownWarm = true
             EngineState.COLD -> isKnownWarm = false
@@ -72,6 +72,10 @@
         }
     }
 
+    /** Whether a report was taken after [since]. If [takenAt] is not known, it must have come later than its lag. */
+    private fun isTakenAfter(since: Long, takenAt: Long?, now: Long): Boolean =
+        if (takenAt != null) takenAt > since else now - since > maximumLag
+
     fun suspectColdStart(now: Long) {
         isKnownWarm = false
         coldSignAt = now
@@ -84,7 +88,7 @@
 
     /** Applies what an answer of this process said of the server. */
     fun noticed(isLeaving: Boolean, pauseMillis: Long, now: Long) {
-        hasSaidLeaving = hasSaidLeaving || isLeaving
+        if (isLeaving) saidLeavingAt = now
         pausedUntil = maxOf(pausedUntil, now + pauseMillis)
     }
 
