Show that a gateway that is stopped cuts streams of a silent but sound server

Cause: StreamRelay leaves the server of a resumable stream after 1.5 s without an event as soon as attempts and budget allow it, without a look whether another server takes the request; the started answer is then cut.

--- a/review/lab/World.java
+++ b/review/lab/World.java
@@ -52,6 +52,15 @@
 
     /** Starts a server that answers with {@code handler} and registers itself about every heartbeat. */
     ServerSocket server(String id, String zone, Http.Handler handler) throws IOException {
+        return server(id, zone, "ready", handler);
+    }
+
+    /** The same for a server that is draining. */
+    ServerSocket drainingServer(String id, String zone, Http.Handler handler) throws IOException {
+        return server(id, zone, "draining", handler);
+    }
+
+    private ServerSocket server(String id, String zone, String state, Http.Handler handler) throws IOException {
         ServerSocket listener = Http.serve("127.0.0.1", (request, socket, out) -> {
             if (!id.equals(request.header("Expect-Instance"))) {
                 Http.answer(out, 421, "Not-Executed: 1\r\nInstance-Id: " + id + "\r\n" + echo(request), new byte[0]);
@@ -60,7 +69,7 @@
             return handler.handle(request, socket, out);
         });
         entries.put(id, "{\"service\":\"" + SERVICE + "\",\"address\":\"127.0.0.1:" + listener.getLocalPort()
-            + "\",\"zone\":\"" + zone + "\",\"version\":\"v1\",\"slots\":64,\"state\":\"ready\",\"coldLeftMs\":0,\"born\":"
+            + "\",\"zone\":\"" + zone + "\",\"version\":\"v1\",\"slots\":64,\"state\":\"" + state + "\",\"coldLeftMs\":0,\"born\":"
             + born + ",\"sequence\":");
         beat(id);
         Http.thread(() -> {
