--- a/review/lab/BrokenOff.java
+++ b/review/lab/BrokenOff.java
@@ -88,9 +88,9 @@
             if (number == brokenAt) {
                 broken.add(id);
                 brokenOff.incrementAndGet();
-                out.write(part, 0, part.length / 2);
                 world.record.add("a server breaks off its answer to " + id + " in part " + number + " of " + parts);
                 socket.setSoLinger(true, 0); // Closing resets the channel.
+                out.write(part, 0, part.length / 2);
                 return false;
             }
             out.write(part);
--- a/review/lab/LongBodies.java
+++ b/review/lab/LongBodies.java
@@ -85,7 +85,7 @@
             String last = gateway.logText().lines().filter(it -> it.contains("OutOfMemoryError")).findFirst().orElse("");
             world.record.add(gateway.name + " ended by itself with status " + status + ". " + last);
             Thread.sleep(500);
-            gateway.start();
+            if (!isOver) gateway.start();
         }
     }
 
