Wait for the selector when the other side of a connection takes no data

What callers saw: while one caller took no data of its stream, whole requests of others on the same VM got neither an answer nor a refusal.

Cause: Ktor's socket writer (3.5.2) repeats a write that takes no bytes without waiting: its loop runs while the block has bytes, and asks the selector only afterwards. One connection with a full window keeps a thread busy until the other side reads again. The gateway gives input and output one thread (deploy/system.toml, io.parallelism=1), so all other connections stop. Any side that stops reading does this: a caller, a frozen backend server, another VM behind a cut.

A thread dump showed the writer in a write that returned 0, again and again.

Connections now write through a writer of our own, which waits for the selector. The HTTP server of the product's own interface (Ktor CIO) still has Ktor's writer.

--- a/daemon/src/main/kotlin/org/lentilquay/transport/TcpConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/TcpConnection.kt
@@ -5,9 +5,9 @@
  */
 package org.lentilquay.transport
 
+import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.cancel
@@ -16,9 +16,13 @@
 import kotlinx.io.IOException
 
 /** An open connection. Both channels have bounded buffers; [onClosed] runs once the socket is closed. */
-internal class TcpConnection(private val socket: Socket, onClosed: () -> Unit) : AutoCloseable {
+internal class TcpConnection(
+    private val socket: Socket,
+    selector: SelectorManager,
+    onClosed: () -> Unit,
+) : AutoCloseable {
     val input: ByteReadChannel = socket.openReadChannel()
-    val output: ByteWriteChannel = socket.openWriteChannel()
+    val output: ByteWriteChannel = openOutput(socket, selector)
 
     init {
         socket.socketContext.invokeOnCompletion { onClosed() }
--- a/daemon/src/main/kotlin/org/lentilquay/transport/TcpNetwork.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/TcpNetwork.kt
@@ -48,7 +48,7 @@
                 // would be sent again until it can, and an abandoned order could take effect many seconds later.
                 lingerSeconds = 0
             }
-            opened = TcpConnection(socket, wake::wake)
+            opened = TcpConnection(socket, selector, wake::wake)
         } != null
         if (!inTime) opened?.close()
         return opened.takeIf { inTime }
@@ -59,7 +59,7 @@
         aSocket(selector).tcp().bind(InetSocketAddress(address.ip, address.port)) { reuseAddress = true }
 
     /** Accepts the next connection of [listener], which [listen] returned. */
-    suspend fun accept(listener: ServerSocket): TcpConnection = TcpConnection(listener.accept(), wake::wake)
+    suspend fun accept(listener: ServerSocket): TcpConnection = TcpConnection(listener.accept(), selector, wake::wake)
 
     override fun close() = selector.close()
 }
--- /dev/null
+++ b/daemon/src/test/kotlin/org/lentilquay/transport/StalledConnectionTest.kt
@@ -0,0 +1,97 @@
+package org.lentilquay.transport
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.longs.shouldBeGreaterThan
+import io.kotest.matchers.longs.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import io.ktor.utils.io.writeFully
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import org.lentilquay.transport.http.IpAddress
+import java.lang.management.ManagementFactory
+import java.net.ServerSocket
+import java.net.Socket
+
+/** More than the socket buffers on both sides and the output channel take. */
+private const val LONG_BYTES = 32 shl 20
+private const val STALL_MILLIS = 1_500L
+
+/** A busy thread uses all of the time of the stall. */
+private const val MAXIMUM_BUSY_MILLIS = STALL_MILLIS / 3
+private const val NANOS_PER_MILLI = 1_000_000L
+
+/** The processor time of the threads that do input and output, in milliseconds. */
+private fun dispatcherMillis(): Long {
+    val threads = ManagementFactory.getThreadMXBean()
+    return threads.getThreadInfo(threads.allThreadIds).filterNotNull()
+        .filter { it.threadName.startsWith("DefaultDispatcher-worker") }
+        .sumOf { threads.getThreadCpuTime(it.threadId).coerceAtLeast(0) } / NANOS_PER_MILLI
+}
+
+private suspend fun connected(use: suspend (TcpConnection, Socket) -> Unit) =
+    ServerSocket(0).use { listener ->
+        TcpNetwork().use { network ->
+            val opened = checkNotNull(network.connect(IpAddress("127.0.0.1", listener.localPort), 1_000))
+            opened.use { connection ->
+                withContext(Dispatchers.IO) { listener.accept() }.use { use(connection, it) }
+            }
+        }
+    }
+
+/** Guards against a connection whose other side takes no data and that occupies a thread, and so stops all others. */
+class StalledConnectionTest : FunSpec({
+    test("a write for which the other side takes no data uses no processor time") {
+        connected { connection, _ ->
+            coroutineScope {
+                val writing = launch {
+                    runSuspendCatching {
+                        connection.output.writeFully(ByteArray(LONG_BYTES))
+                        connection.output.flush()
+                    }
+                }
+                delay(STALL_MILLIS)
+                val before = dispatcherMillis()
+                delay(STALL_MILLIS)
+                dispatcherMillis() - before shouldBeLessThan MAXIMUM_BUSY_MILLIS
+                connection.close()
+                writing.join()
+            }
+        }
+    }
+
+    test("all bytes arrive in order and then the end, once the other side takes data again") {
+        val sent = ByteArray(LONG_BYTES) { (it % 251).toByte() }
+        connected { connection, other ->
+            coroutineScope {
+                val received = async(Dispatchers.IO) {
+                    Thread.sleep(STALL_MILLIS)
+                    other.getInputStream().readNBytes(sent.size).also { other.getInputStream().read() shouldBe -1 }
+                }
+                connection.output.writeFully(sent)
+                connection.output.flushAndClose()
+                received.await().contentEquals(sent) shouldBe true
+            }
+        }
+    }
+
+    test("a write to a connection that was reset fails") {
+        connected { connection, other ->
+            other.setSoLinger(true, 0)
+            other.close()
+            var failures = 0L
+            repeat(20) {
+                val written = runSuspendCatching {
+                    connection.output.writeFully(ByteArray(1_000))
+                    connection.output.flush()
+                }
+                if (written.isFailure) failures++
+                delay(20)
+            }
+            failures shouldBeGreaterThan 0
+        }
+    }
+})
