Leave a silent server only once another one has a place for its stream

Cause: the watchdog of StreamRelay left the server as soon as attempts and retry budget allowed it, and looked for another server only afterwards. Three paths of the same cause: no other server takes requests, the other server refuses the stream though its registration says that it has room, and the time in which the caller takes no data counted as silence of the server.

A place at another server is now reserved first, and released if the stream goes on or ends meanwhile. A stream that has begun waits for a server and for a retry of the budget until its deadline, as its caller can no longer be refused; the server that it left may serve it again. The time of a write to the caller is left out.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
@@ -106,6 +106,9 @@
         isReusable = mayKeepAlive()
     }
 
+    /** Whether a write is in progress, which can wait for the caller to take data. */
+    val isWriting: Boolean get() = writeStartedAt != null
+
     /** How long the present write has waited for the caller to take data; 0 if none is in progress. */
     fun stalledMillis(): Long = writeStartedAt?.let { now() - it } ?: 0
 
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarder.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarder.kt
@@ -6,8 +6,10 @@
 package org.lentilquay.daemon.gateway
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
@@ -53,6 +55,9 @@
 private const val START_PHASE_MILLIS = 2_000L
 private const val START_POLL_MILLIS = 10L
 
+/** Delay before the servers are asked again to go on with a stream that has begun. */
+private const val RESUME_RETRY_MILLIS = 200L
+
 /** Waits for tokens from this length on are added to the trace; it is the time of two calls to another VM. */
 private const val TRACED_WAIT_MILLIS = 20L
 
@@ -218,6 +223,9 @@
 
         /** Whether a retry was taken from the budget and not used yet. */
         private var hasReservedRetry = false
+
+        /** The server that has reserved a place for a stream that leaves its server, or null. */
+        private var nextTarget: AttemptTarget? = null
         private var resumeAfter: String? = null
 
         /** The last error response of a backend server, which the caller gets if no attempt succeeds. */
@@ -227,7 +235,11 @@
         /** Makes attempts until the request is answered, and returns the status of the response. */
         suspend fun complete(): Int {
             var status: Int? = null
-            while (status == null) status = tryOnce()
+            try {
+                while (status == null) status = tryOnce()
+            } finally {
+                withContext(NonCancellable) { takeNextTarget()?.let { release(it) } }
+            }
             return status
         }
 
@@ -235,10 +247,9 @@
         private suspend fun tryOnce(): Int? {
             if (routed.deadlineAt - now() < MINIMUM_REMAINING_MILLIS) return fail("no time is left before the deadline")
             quarantineOf(routed)?.let { return fail(it.reason, it.remainingMillis) }
-            val target = when (val found = picker.pick(routed, excluded, withoutAdapter, trace)) {
+            val target = takeNextTarget() ?: when (val found = picker.pick(routed, excluded, withoutAdapter, trace)) {
                 is Outcome.Success -> found.value
-                is Outcome.Failed ->
-                    return fail(found.failure.message, found.failure.retryAfterMillis ?: NO_SLOT_RETRY_AFTER_MILLIS)
+                is Outcome.Failed -> return afterNoServer(found.failure)
             }
             val outcome = attempt(target)
             return when (val result = outcome.result) {
@@ -249,6 +260,15 @@
             }
         }
 
+        /** A stream that has begun waits for a server, because its caller can no longer be refused. */
+        private suspend fun afterNoServer(failure: Failure): Int? {
+            if (!writer.isStarted) return fail(failure.message, failure.retryAfterMillis ?: NO_SLOT_RETRY_AFTER_MILLIS)
+            // The servers that were left may take requests again, and no other one does.
+            excluded.clear()
+            delay(RESUME_RETRY_MILLIS)
+            return null
+        }
+
         private suspend fun afterRefusal(
             target: AttemptTarget,
             result: AttemptResult.NotRun,
@@ -257,7 +277,7 @@
             if (isAdapterMissing) withoutAdapter += target.server.id else excluded += target.server.id
             return when {
                 ++sends >= MAXIMUM_SENDS -> fail(result.reason)
-                result.hasArrived && !tryRetry() -> fail("${result.reason}, the retry budget is exhausted")
+                result.hasArrived && !awaitRetry() -> fail("${result.reason}, the retry budget is exhausted")
                 else -> null
             }
         }
@@ -285,7 +305,9 @@
             )
             try {
                 val mayRetry = routed.route.mayRunAgain && runs + 1 < routed.route.maximumAttempts
-                val stream = StreamProgress(resumeAfter, { crashes.firstEvent(progress) }) { mayRetry && tryMove() }
+                val stream = StreamProgress(resumeAfter, { crashes.firstEvent(progress) }) { isStalled ->
+                    mayRetry && tryMove(target.server.id, isStalled)
+                }
                 // The request may have become quarantined while it waited for a server.
                 outcome = quarantineOf(routed)?.let { notSent(it.reason) }
                     ?: runner.run(routed, target, writer, mayRetry, stream)
@@ -304,10 +326,39 @@
         private fun canRunAgain() =
             routed.route.mayRunAgain && runs < routed.route.maximumAttempts && sends++ < MAXIMUM_SENDS
 
-        /** Reserves a retry for a stream that is about to be left. */
-        private suspend fun tryMove(): Boolean {
+        /** Reserves a retry, and a place at another server, for a stream that is about to leave the server [left]. */
+        private suspend fun tryMove(left: ServerId, isStalled: () -> Boolean): Boolean {
             hasReservedRetry = hasReservedRetry || tryRetry()
-            return hasReservedRetry
+            if (!hasReservedRetry) return false
+            // In the scope of the forwarder, so that a place that is found after the end of the stream is released.
+            val search = scope.async { picker.pick(routed, excluded + left, withoutAdapter, RequestTrace(now)) }
+            val found = try {
+                (search.await() as? Outcome.Success)?.value
+            } catch (cancelled: CancellationException) {
+                scope.launch { (search.await() as? Outcome.Success)?.let { release(it.value) } }
+                throw cancelled
+            }
+            when {
+                found == null -> trace.addNote("stays at $left, no other server takes the stream")
+                isStalled() -> nextTarget = found
+                else -> release(found)
+            }
+            return nextTarget != null
+        }
+
+        private fun takeNextTarget(): AttemptTarget? = nextTarget.also { nextTarget = null }
+
+        /** Frees the place of an attempt that is not made. */
+        private suspend fun release(target: AttemptTarget) =
+            control.decide { picker.attemptEnded(routed, target, notSent("not needed")) }
+
+        /** Takes a retry from the budget. A stream that has begun waits for one, because its caller cannot be refused. */
+        private suspend fun awaitRetry(): Boolean {
+            while (!tryRetry()) {
+                if (!writer.isStarted || routed.deadlineAt - now() < MINIMUM_REMAINING_MILLIS) return false
+                delay(RESUME_RETRY_MILLIS)
+            }
+            return true
         }
 
         private suspend fun tryRetry(): Boolean {
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/StreamRelay.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/StreamRelay.kt
@@ -1,7 +1,8 @@
 /*
  * Passes the stream of a backend server on to the caller in whole events. A watchdog measures the time since the last
- * event, not since the last byte, so that a server which sends a byte now and then still counts as stalled. A slow
- * stream is left for another server only if the request may be sent there; otherwise it goes on.
+ * event, not since the last byte, so that a server which sends a byte now and then still counts as stalled. Time in which
+ * the caller takes no data does not count. A slow stream is left only once another server has reserved a place for it;
+ * otherwise it goes on, because a sound server may pause.
  */
 package org.lentilquay.daemon.gateway
 
@@ -26,8 +27,11 @@
     val resumeAfter: String?,
     /** Called when the server has sent the first event. */
     val onFirstEvent: () -> Unit,
-    /** Whether the stream may be left for another server; reserves that attempt. */
-    val tryMove: suspend () -> Boolean,
+    /**
+     * Whether the stream may be left for another server, where it reserves a place. The argument tells whether the
+     * stream is still stalled once that server is found.
+     */
+    val tryMove: suspend (isStalled: () -> Boolean) -> Boolean,
 )
 
 internal class StreamRelay(
@@ -63,20 +67,25 @@
     private suspend fun abandonWhenStalled() {
         var refusedAt = Long.MIN_VALUE
         while (abandonedFor == null) {
-            val stalledAt = maxOf(lastEventAt, refusedAt) + STREAM_STALL_MILLIS
-            val silentAt = lastEventAt + MAXIMUM_EVENT_GAP_MILLIS
+            val stalledAt = maxOf(lastProgressAt(), refusedAt) + STREAM_STALL_MILLIS
+            val silentAt = lastProgressAt() + MAXIMUM_EVENT_GAP_MILLIS
             val endsAt = minOf(routed.deadlineAt, silentAt)
             val dueAt = if (routed.route.isResumable) minOf(stalledAt, endsAt) else endsAt
             when {
                 now() < dueAt -> delay(dueAt - now())
                 now() >= endsAt -> abandonedFor = "no event in time"
-                progress.tryMove() -> abandonedFor = "no event for $STREAM_STALL_MILLIS ms"
+                progress.tryMove(::isStalled) -> abandonedFor = "no event for $STREAM_STALL_MILLIS ms"
                 else -> refusedAt = now()
             }
         }
         answer.close()
     }
 
+    /** When the server last made progress, as far as this VM can tell while its caller takes no data. */
+    private fun lastProgressAt(): Long = if (writer.isWriting) now() else lastEventAt
+
+    private fun isStalled(): Boolean = now() - lastProgressAt() >= STREAM_STALL_MILLIS
+
     /** Null if an event is too long. */
     private suspend fun relay(): AttemptOutcome? {
         while (!buffer.isTooLong) {
@@ -94,6 +103,7 @@
     private suspend fun passOn(events: ByteArray) {
         if (!writer.isStarted) writer.startChunked(answer.status, headers)
         writer.writeChunk(events)
+        lastEventAt = now()
     }
 
     private suspend fun end(): AttemptOutcome {
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ForwarderFixture.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ForwarderFixture.kt
@@ -194,6 +194,9 @@
         state.serversChanged(backends.map { it.registered() }.associateBy { it.id }, 1)
     }
 
+    /** Gives this VM the whole allowance of retries, as in a fleet of one; before that it has one retry. */
+    suspend fun allowRetries() = control.decide { state.retries.membersChanged(1) }
+
     /** Removes the crashed servers from the registered ones, as the platform does after some seconds. */
     suspend fun removeCrashed() = control.decide {
         state.serversChanged(backends.filter { !it.isCrashed }.map { it.registered() }.associateBy { it.id }, 2)
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ResumedStreamTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ResumedStreamTest.kt
@@ -20,6 +20,10 @@
 private const val LONG_PAUSE_MILLIS = 2_000L
 private const val DRIBBLE_MILLIS = 300L
 
+/** More bytes in all than the buffers of the connections between server and caller take. */
+private const val LONG_STREAM_EVENTS = 400
+private const val LONG_EVENT_BYTES = 50_000
+
 /** Sends the same stream through two servers; [first] acts on the first arrival and [second] on the others. */
 private suspend fun resumed(
     maximumAttempts: Int = 2,
@@ -97,6 +101,65 @@
         answer shouldEndWith LAST_CHUNK
     }
 
+    // The stream left its server, found no other one, and was cut although its server would have gone on (review/4).
+    test("a stream of a silent server stays there when no other server takes requests") {
+        val backend = Backend("s1") { socket, _ ->
+            socket.sendHead("r1", "Transfer-Encoding: chunked\r\n")
+            socket.send(chunk(FIRST))
+            Thread.sleep(LONG_PAUSE_MILLIS)
+            socket.send(chunk(SECOND) + "0\r\n\r\n")
+        }
+        ForwarderFixture(listOf(backend), RouteKind.STREAM, isResumable = true).use { fixture ->
+            fixture.open()
+            val answer = fixture.askOverSocket("r1")
+            bodyOf(answer.removeSuffix(LAST_CHUNK)) shouldBe (FIRST + SECOND).removeSuffix("\r\n")
+            answer shouldEndWith LAST_CHUNK
+        }
+        backend.requests.get() shouldBe 1
+    }
+
+    // The other server can refuse what it has room for by its registration; the first one is sound.
+    test("a stream that left a silent server and is refused elsewhere goes on at the first server") {
+        val arrivals = AtomicInteger()
+        val act: Backend.(Socket) -> Unit = { socket ->
+            when (arrivals.getAndIncrement()) {
+                0 -> {
+                    socket.sendHead("r1", "Transfer-Encoding: chunked\r\n")
+                    socket.send(chunk(FIRST))
+                    Thread.sleep(2 * LONG_PAUSE_MILLIS)
+                }
+                1 -> socket.error("HTTP/1.1 503 Full\r\nRequest: r1\r\nNot-Run: 1")
+                else -> socket.answer("r1", Framing.CHUNKED, SECOND)
+            }
+        }
+        val backends = listOf("s1", "s2").map { id -> Backend(id) { socket, _ -> act(socket) } }
+        ForwarderFixture(backends, RouteKind.STREAM, isResumable = true).use { fixture ->
+            fixture.open()
+            fixture.allowRetries()
+            val answer = fixture.askOverSocket("r1")
+            bodyOf(answer.removeSuffix(LAST_CHUNK)) shouldBe (FIRST + SECOND).removeSuffix("\r\n")
+            answer shouldEndWith LAST_CHUNK
+        }
+    }
+
+    // The time in which the caller took no data counted against the server, and the stream was moved.
+    test("a stream whose caller takes no data for a while stays at its sound server") {
+        val arrivals = AtomicInteger()
+        val backends = listOf("s1", "s2").map { id ->
+            Backend(id) { socket, _ ->
+                arrivals.incrementAndGet()
+                socket.sendHead("r1", "")
+                repeat(LONG_STREAM_EVENTS) { socket.send("id: $it\ndata: ${"x".repeat(LONG_EVENT_BYTES)}\n\n") }
+                socket.close()
+            }
+        }
+        ForwarderFixture(backends, RouteKind.STREAM, isResumable = true).use { fixture ->
+            fixture.open()
+            fixture.askOverSocket("r1", pauseMillis = LONG_PAUSE_MILLIS) shouldEndWith LAST_CHUNK
+        }
+        arrivals.get() shouldBe 1
+    }
+
     listOf("bytes of an event" to "x", "comment lines" to ": still here\n").forEach { (name, text) ->
         test("a stream that sends $name now and then but no event goes on at another server") {
             val (answer, time) = measureTimedValue {
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/SocketAnswers.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/SocketAnswers.kt
@@ -46,8 +46,11 @@
     if (framing == Framing.UNTIL_CLOSE) shutdownOutput()
 }
 
-/** Sends one request over a socket and returns the bytes that the caller receives until the connection closes. */
-internal suspend fun ForwarderFixture.askOverSocket(id: String): String {
+/**
+ * Sends one request over a socket and returns the bytes that the caller receives until the connection closes; the
+ * caller takes no data for [pauseMillis].
+ */
+internal suspend fun ForwarderFixture.askOverSocket(id: String, pauseMillis: Long = 0): String {
     val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     val port = ServerSocket(0).use { it.localPort }
     GatewayListener(TcpNetwork(), forwarder, { null }, { false }, scope) { System.nanoTime() / 1_000_000 }
@@ -59,6 +62,7 @@
                 "POST /orders HTTP/1.1\r\nHost: h\r\nRequest: $id\r\nKey: secret\r\nPatience: 4000\r\n" +
                     "Connection: close\r\nContent-Length: 2\r\n\r\nhi",
             )
+            Thread.sleep(pauseMillis)
             receiveAll(socket)
         }
     } finally {
