Bound the bytes that a connection buffers in each direction

What operators of similar systems saw: a faulty server sent bytes without end, and the machine that had called it ran out of memory. Here each answer has its limits (EndlessBytesTest), but Ktor receives up to 1 MiB for each connection whether anybody reads it or not, and keeps 1 MiB for each caller that takes no data; nothing bounds them over all connections. The heap of a gateway is 160 MB.

The input of a socket now has 64 KiB of its own, and a flush waits once 64 KiB of an accepted connection are pending, 1 MiB of one that was opened here, because a server may answer a long request before it has read it. Long messages are written in blocks.

--- a/daemon/src/main/kotlin/org/lentilquay/transport/TcpConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/TcpConnection.kt
@@ -7,7 +7,6 @@
 
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.openReadChannel
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.cancel
@@ -19,10 +18,11 @@
 internal class TcpConnection(
     private val socket: Socket,
     selector: SelectorManager,
+    maximumPendingBytes: Long,
     onClosed: () -> Unit,
 ) : AutoCloseable {
-    val input: ByteReadChannel = socket.openReadChannel()
-    val output: ByteWriteChannel = openOutput(socket, selector)
+    val input: ByteReadChannel = openInput(socket, selector)
+    val output: ByteWriteChannel = openOutput(socket, selector, maximumPendingBytes)
 
     init {
         socket.socketContext.invokeOnCompletion { onClosed() }
--- a/daemon/src/main/kotlin/org/lentilquay/transport/TcpNetwork.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/TcpNetwork.kt
@@ -31,6 +31,12 @@
 private const val WAKE_BUFFER_BYTES = 64
 private const val THREAD_IDLE_SECONDS = 5L
 
+/** Pending output of a connection opened here: a server may answer a long request before it has read it. */
+private const val OPENED_PENDING_BYTES = 1L shl 20
+
+/** Pending output of an accepted connection. Many callers can take no data at the same time. */
+private const val ACCEPTED_PENDING_BYTES = 64L shl 10
+
 /** A selector that connections are opened and accepted through. Closing it does not close open connections. */
 internal class TcpNetwork : AutoCloseable {
     private val selector = SelectorManager(selectorThread().asCoroutineDispatcher())
@@ -48,7 +54,7 @@
                 // would be sent again until it can, and an abandoned order could take effect many seconds later.
                 lingerSeconds = 0
             }
-            opened = TcpConnection(socket, selector, wake::wake)
+            opened = TcpConnection(socket, selector, OPENED_PENDING_BYTES, wake::wake)
         } != null
         if (!inTime) opened?.close()
         return opened.takeIf { inTime }
@@ -59,7 +65,8 @@
         aSocket(selector).tcp().bind(InetSocketAddress(address.ip, address.port)) { reuseAddress = true }
 
     /** Accepts the next connection of [listener], which [listen] returned. */
-    suspend fun accept(listener: ServerSocket): TcpConnection = TcpConnection(listener.accept(), selector, wake::wake)
+    suspend fun accept(listener: ServerSocket): TcpConnection =
+        TcpConnection(listener.accept(), selector, ACCEPTED_PENDING_BYTES, wake::wake)
 
     override fun close() = selector.close()
 }
--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/HttpConnectionPool.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/HttpConnectionPool.kt
@@ -11,13 +11,13 @@
 
 import io.ktor.http.cio.ParserException
 import io.ktor.utils.io.availableForRead
-import io.ktor.utils.io.writeFully
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.IOException
 import org.lentilquay.transport.TcpConnection
 import org.lentilquay.transport.TcpNetwork
 import org.lentilquay.transport.describe
 import org.lentilquay.transport.runSuspendCatching
+import org.lentilquay.transport.writeMessage
 import java.util.Collections
 import java.util.IdentityHashMap
 import java.util.concurrent.ConcurrentHashMap
@@ -176,8 +176,7 @@
         options: ExchangeOptions,
     ): PooledExchange {
         val written = runSuspendCatching {
-            pooled.connection.output.writeFully(if (request.body.isEmpty()) head else head + request.body)
-            pooled.connection.output.flush()
+            pooled.connection.output.writeMessage(head, request.body)
         }
         return runSuspendCatching { receive(address, pooled, request, options) }.getOrElse {
             PooledExchange.Lost(describe(written.exceptionOrNull() ?: it))
--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/UnpooledHttpClient.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/UnpooledHttpClient.kt
@@ -15,13 +15,13 @@
 package org.lentilquay.transport.http
 
 import io.ktor.http.cio.Response
-import io.ktor.utils.io.writeFully
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.IOException
 import org.lentilquay.transport.TcpConnection
 import org.lentilquay.transport.TcpNetwork
 import org.lentilquay.transport.describe
 import org.lentilquay.transport.runSuspendCatching
+import org.lentilquay.transport.writeMessage
 
 private const val FIRST_FINAL_STATUS = 200
 
@@ -80,8 +80,7 @@
 
     private suspend fun send(connection: TcpConnection, head: ByteArray, request: HttpRequest): UnpooledExchange {
         val written = runSuspendCatching {
-            connection.output.writeFully(head + request.body)
-            connection.output.flush()
+            connection.output.writeMessage(head, request.body)
         }
         // A server may reject a long body early: its response counts even if the request was not written completely.
         return runSuspendCatching { receive(connection, request) }.getOrElse {
