Bound the memory of long request bodies over all connections

Cause: CallerConnection.readBody kept each body in a buffer that doubles, copied it at its end and once more with its head when it was sent, and nothing bounded the bodies of all requests together. BodyBudget does so for answers only.

CallerConnectionTest also checks that a request which is cut anywhere in its head or body is not handled; that held before.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
@@ -22,13 +22,14 @@
 import org.lentilquay.state.gateway.CallerLimits
 import org.lentilquay.transport.TcpConnection
 import org.lentilquay.transport.describe
-import org.lentilquay.transport.http.BodyReader
 import org.lentilquay.transport.runSuspendCatching
-import java.io.ByteArrayOutputStream
+import org.lentilquay.transport.writeMessage
 
 private val log = KotlinLogging.logger {}
 private const val HEXADECIMAL_RADIX = 16
+private const val MILLIS_PER_SECOND = 1_000.0
 private val LINE_END = "\r\n".encodeToByteArray()
+private val NO_BYTES = ByteArray(0)
 private val LAST_CHUNK = "0\r\n\r\n".encodeToByteArray()
 
 /** Time that a caller has to receive the last response before the connection is closed. */
@@ -83,7 +84,7 @@
         val isKeptAlive = mayKeepAlive()
         val head = head(status, headers + ("Content-Length" to body.size.toString()), isKeptAlive)
         isStarted = true
-        write(head + body)
+        write(head, body)
         isEnded = true
         isReusable = isKeptAlive
     }
@@ -112,10 +113,9 @@
     /** How long the present write has waited for the caller to take data; 0 if none is in progress. */
     fun stalledMillis(): Long = writeStartedAt?.let { now() - it } ?: 0
 
-    private suspend fun write(bytes: ByteArray) {
+    private suspend fun write(bytes: ByteArray, more: ByteArray = NO_BYTES) {
         writeStartedAt = now()
-        output.writeFully(bytes)
-        output.flush()
+        output.writeMessage(bytes, more)
         writeStartedAt = null
     }
 
@@ -127,6 +127,13 @@
     }.encodeToByteArray()
 }
 
+/** The headers of a response that tells a caller of [failure]. */
+internal fun failureHeaders(failure: Failure): List<Pair<String, String>> = buildList {
+    add("Content-Type" to "text/plain")
+    val retryAfterMillis = failure.retryAfterMillis ?: return@buildList
+    add("Retry-After" to "%.3f".format(java.util.Locale.ROOT, retryAfterMillis / MILLIS_PER_SECOND))
+}
+
 private fun reason(status: Int) = io.ktor.http.HttpStatusCode.fromValue(status).description
 
 internal class CallerConnection(
@@ -135,6 +142,7 @@
     private val limits: () -> CallerLimits?,
     private val isStopping: () -> Boolean,
     private val now: () -> Long,
+    private val bodies: RequestBodyBudget = RequestBodyBudget(),
     private val maximumBodyMillis: Long = MAXIMUM_BODY_MILLIS,
 ) {
     /** Whether a request is being read or handled. */
@@ -213,34 +221,20 @@
             connection.output.writeFully("HTTP/1.1 100 Continue\r\n\r\n".encodeToByteArray())
             connection.output.flush()
         }
-        val body = readBody(BodyReader(connection.input, head.framing), limits)
-            ?: return refuse(
-                writer,
-                Failure(ErrorKind.BODY_TOO_LARGE, "the body is longer than ${limits.bodyBytes} bytes"),
-            )
-        cancelOnDisconnect { handler.handle(CallerRequest(head.head, body, arrivedAt), writer) }
+        bodies.Reservation().use { memory ->
+            val body = withTimeoutOrNull(maximumBodyMillis) {
+                readRequestBody(connection.input, head.framing, limits, memory)
+            } ?: throw IOException("the body did not arrive within $maximumBodyMillis ms")
+            when (body) {
+                is RequestBodyResult.Refused -> return refuse(writer, body.failure)
+                is RequestBodyResult.Read ->
+                    cancelOnDisconnect { handler.handle(CallerRequest(head.head, body.bytes, arrivedAt), writer) }
+            }
+        }
         isAnswered = writer.isEnded
         return writer.isReusable && !head.head.isClosing
     }
 
-    /** The whole body, or null if it is too long. Throws an [IOException] if the caller does not send it in time. */
-    private suspend fun readBody(reader: BodyReader, limits: CallerLimits): ByteArray? {
-        val collected = ByteArrayOutputStream()
-        withTimeoutOrNull(maximumBodyMillis) {
-            var part = nextPart(reader, limits)
-            while (part != null && collected.size() <= limits.bodyBytes) {
-                collected.write(part)
-                part = nextPart(reader, limits)
-            }
-        } ?: throw IOException("the body did not arrive within $maximumBodyMillis ms")
-        return if (collected.size() > limits.bodyBytes) null else collected.toByteArray()
-    }
-
-    private suspend fun nextPart(reader: BodyReader, limits: CallerLimits): ByteArray? {
-        val read = withTimeoutOrNull(limits.idleTimeoutMillis) { Result.success(reader.next()) }
-        return (read ?: throw IOException("no byte of the body within ${limits.idleTimeoutMillis} ms")).getOrThrow()
-    }
-
     /** Runs [block], and cancels it when the caller closes the connection. */
     private suspend fun cancelOnDisconnect(block: suspend () -> Unit) = coroutineScope {
         val work: Job = launch { block() }
@@ -254,11 +248,7 @@
 
     /** Rejects a malformed request. The connection is then closed, because the start of the next one is not known. */
     private suspend fun refuse(writer: ResponseWriter, failure: Failure): Boolean {
-        writer.respond(
-            failure.kind.status,
-            listOf("Content-Type" to "text/plain"),
-            failure.message.encodeToByteArray(),
-        )
+        writer.respond(failure.kind.status, failureHeaders(failure), failure.message.encodeToByteArray())
         isAnswered = true
         return false
     }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayListener.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayListener.kt
@@ -35,6 +35,7 @@
     private val now: () -> Long,
 ) {
     private val connections = ConcurrentHashMap.newKeySet<CallerConnection>()
+    private val bodies = RequestBodyBudget()
     private var socket: ServerSocket? = null
 
     /** Number of connections on which a request is being handled. */
@@ -75,7 +76,7 @@
                 continue
             }
             acceptedAt = now()
-            val caller = CallerConnection(connection, handler, limits, isStopping, now)
+            val caller = CallerConnection(connection, handler, limits, isStopping, now, bodies)
             connections += caller
             scope.launch {
                 try {
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarder.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarder.kt
@@ -32,7 +32,6 @@
 import kotlin.random.Random
 
 private val log = KotlinLogging.logger {}
-private const val MILLIS_PER_SECOND = 1_000.0
 
 /** A request with less time left before its deadline is not sent. */
 private const val MINIMUM_REMAINING_MILLIS = 15L
@@ -395,12 +394,7 @@
 
     private suspend fun refuse(writer: ResponseWriter, failure: Failure, trace: RequestTrace): Int {
         trace.addNote("${failure.kind.code}: ${failure.message}")
-        val headers = buildList {
-            add("Content-Type" to "text/plain")
-            val retryAfterMillis = failure.retryAfterMillis ?: return@buildList
-            add("Retry-After" to "%.3f".format(java.util.Locale.ROOT, retryAfterMillis / MILLIS_PER_SECOND))
-        }
-        writer.respond(failure.kind.status, headers, failure.message.encodeToByteArray())
+        writer.respond(failure.kind.status, failureHeaders(failure), failure.message.encodeToByteArray())
         return failure.kind.status
     }
 
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/CallerConnectionTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/CallerConnectionTest.kt
@@ -51,7 +51,7 @@
     try {
         Socket("127.0.0.1", port).use { caller ->
             val accepted = network.accept(listener)
-            val connection = CallerConnection(accepted, { _, _ -> }, { null }, { false }, now, maximumBodyMillis)
+            val connection = CallerConnection(accepted, { _, _ -> }, { null }, { false }, now, RequestBodyBudget(), maximumBodyMillis)
             use(caller, scope.launch { connection.serve() })
         }
     } finally {
@@ -134,6 +134,29 @@
         }
     }
 
+    // A request with a part of its head or body is not the one that its caller meant to send.
+    listOf(true, false).forEach { isReset ->
+        test("a request that is ${if (isReset) "reset" else "closed"} anywhere before its end is not handled") {
+            val handled = AtomicInteger()
+            val whole = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+            serving({ _, writer ->
+                handled.incrementAndGet()
+                writer.respond(200, emptyList(), ByteArray(0))
+            }) { port ->
+                whole.indices.forEach { end ->
+                    Socket("127.0.0.1", port).use { socket ->
+                        socket.getOutputStream().write(whole.take(end).encodeToByteArray())
+                        if (isReset) socket.setSoLinger(true, 0) else socket.shutdownOutput()
+                        if (!isReset) runCatching { socket.getInputStream().readAllBytes() }
+                    }
+                }
+                handled.get() shouldBe 0
+                exchange(port, whole.replace("\r\n\r\n3", "\r\nConnection: close\r\n\r\n3").replace("\r", ""))
+                handled.get() shouldBe 1
+            }
+        }
+    }
+
     // A caller that sends a byte now and then kept its connection busy for ever, also during a planned stop.
     test("a body that arrives a byte at a time without end is given up") {
         withConnection(maximumBodyMillis = 400) { caller, served ->
