Refuse requests that may outlast a planned stop, and answer the last ones

What operators of similar systems saw: in a planned stop, requests that came late in the grace period were passed on and cut at its end without an answer. It could happen here: a request on a kept connection, or on one accepted just before the listener closed, was taken until the last moment, and all requests in progress were cut when the process ended.

Once callers are no longer routed to the VM, a request whose deadline lies after the end of the stop is refused with 503 before it is passed on, to be sent again at once. 200 ms before the end the requests that are still in progress are answered: 503 if none of its attempts can have run, else 502. A stream that has begun is still cut, without its end.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
@@ -157,6 +157,10 @@
     @Volatile
     private var writer: ResponseWriter? = null
 
+    /** The handling of the present request. */
+    @Volatile
+    private var work: Job? = null
+
     /** When the connection was accepted, or the last response on it was written. */
     @Volatile
     private var idleSince = now()
@@ -183,6 +187,11 @@
         if ((writer?.stalledMillis() ?: 0) > maximumMillis) connection.close()
     }
 
+    /** Cancels the request that is being handled, because the time of a planned stop has passed. */
+    fun endRequest() {
+        work?.cancel(StopEndedException())
+    }
+
     private suspend fun serveNext(): Boolean {
         val current = limits() ?: DEFAULT_LIMITS
         idleSince = now()
@@ -237,12 +246,14 @@
 
     /** Runs [block], and cancels it when the caller closes the connection. */
     private suspend fun cancelOnDisconnect(block: suspend () -> Unit) = coroutineScope {
-        val work: Job = launch { block() }
+        val work = launch { block() }
+        this@CallerConnection.work = work
         val watch = launch {
             val isOpen = runSuspendCatching { connection.input.awaitContent() }.getOrDefault(false)
             if (!isOpen) work.cancel(CallerDisconnected())
         }
         work.join()
+        this@CallerConnection.work = null
         watch.cancel()
     }
 
@@ -258,3 +269,6 @@
 
 /** Cancels the handling of a request whose caller closed the connection. */
 internal class CallerDisconnected : CancellationException("the caller closed the connection")
+
+/** Cancels the handling of a request that is not answered when the time of a planned stop has passed. */
+internal class StopEndedException : CancellationException("the time of the planned stop has passed")
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
@@ -69,6 +69,9 @@
 private const val READINESS_DELAY_MILLIS = 2_500L
 private const val STOP_POLL_MILLIS = 50L
 
+/** Time at the end of a planned stop in which requests that are still in progress are answered with a failure. */
+private const val LAST_ANSWERS_MILLIS = 200L
+
 /** Timeout for publishing the member record that says that this VM leaves. */
 private const val LEAVE_TIMEOUT_MILLIS = 400L
 private const val READY_STATUS = 200
@@ -115,6 +118,10 @@
     @Volatile
     private var isStopping = false
 
+    /** When a planned stop ends the requests in progress; null until callers are no longer routed to this VM. */
+    @Volatile
+    private var requestsEndAt: Long? = null
+
     private val isReady: Boolean get() = !isStopping && state.rules != null && serverWatch.copy != null
 
     /** Opens the listeners and starts all loops; returns when callers can connect. */
@@ -128,7 +135,7 @@
         fleet.localHandler = PeerHandler { from, request -> answer(quota, from, request) }
         startPeerServer(options.peerAddress, identity, secret, fleet.localHandler)
         val forwarder = RequestForwarder(
-            ports.headers, state, control, quota, fleet, servers, crashes, metrics, scope, timer::now,
+            ports.headers, state, control, quota, fleet, servers, crashes, metrics, scope, timer::now, ::requestsEndAt,
         )
         val limits = { state.rules?.configuration?.callerLimits }
         callers = GatewayListener(network, forwarder, limits, { isStopping }, scope, timer::now)
@@ -143,13 +150,13 @@
         val callers = callers ?: return
         log.event("stop begins", "busy" to callers.busyConnections)
         delay(READINESS_DELAY_MILLIS)
+        val stopsAt = startedAt + options.maximumStopMillis
+        requestsEndAt = stopsAt - LAST_ANSWERS_MILLIS
         // The platform keeps routing callers to an unready VM when few VMs of its failure domain are left.
         callers.stopAccepting()
-        while (timer.now() - startedAt < options.maximumStopMillis) {
-            callers.closeIdle()
-            if (callers.openConnections == 0) break
-            delay(STOP_POLL_MILLIS)
-        }
+        awaitConnections(callers, stopsAt - LAST_ANSWERS_MILLIS)
+        callers.endRequests()
+        awaitConnections(callers, stopsAt)
         // Engines are released last, because the other VMs need this controller to load adapters. The next process on
         // this VM takes control of them again.
         engineControl.isLeaving = true
@@ -158,6 +165,14 @@
         log.event("stopped", "busy" to callers.busyConnections, "millis" to timer.now() - startedAt)
     }
 
+    private suspend fun awaitConnections(callers: GatewayListener, until: Long) {
+        while (timer.now() < until) {
+            callers.closeIdle()
+            if (callers.openConnections == 0) break
+            delay(STOP_POLL_MILLIS)
+        }
+    }
+
     private suspend fun startStatus() {
         metrics.gauge("lentilquay_gateway_ready", "1 while this VM takes callers") { if (isReady) 1.0 else 0.0 }
         metrics.gauge("lentilquay_gateway_log_lines_dropped", "Log lines that a full queue has dropped") {
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayListener.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayListener.kt
@@ -64,6 +64,9 @@
     /** Closes the connections on which no request has come for some time. */
     fun closeIdle() = connections.forEach { it.closeIfIdle() }
 
+    /** Cancels all requests in progress, because the time of a planned stop has passed. */
+    fun endRequests() = connections.forEach { it.endRequest() }
+
     /** Closes the connections whose callers have taken no data for [maximumMillis]. Call it periodically. */
     fun closeStalled(maximumMillis: Long = MAXIMUM_WRITE_MILLIS) =
         connections.forEach { it.closeIfStalled(maximumMillis) }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarder.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarder.kt
@@ -74,6 +74,8 @@
     private val metrics: GatewayMetrics,
     private val scope: CoroutineScope,
     private val now: () -> Long,
+    /** When a planned stop ends the requests in progress, or null if none is about to. */
+    private val requestsEndAt: () -> Long? = { null },
 ) : CallerHandler {
     private val startedAt = now()
     private val picker = ServerPicker(headerNames, state, control, fleet, scope, now)
@@ -88,19 +90,34 @@
         val trace = RequestTrace(now)
         var status = 0
         var routed: RoutedRequest? = null
+        var attempts: RequestAttempts? = null
         try {
             status = when (val admitted = admit(request, trace)) {
                 is Admission.Refused -> refuse(writer, admitted.failure, trace)
                 is Admission.Admitted -> {
                     routed = admitted.routed
-                    run(admitted, writer, trace)
+                    attempts = RequestAttempts(admitted.routed, writer, trace)
+                    run(admitted, attempts)
                 }
             }
+        } catch (cancelled: CancellationException) {
+            if (writer.isStarted || !isStopEnd(cancelled)) throw cancelled
+            val failure = stoppedFailure(mayHaveRun = attempts?.mayHaveRun ?: false)
+            status = withContext(NonCancellable) { refuse(writer, failure, trace) }
         } finally {
             logRequest(request, routed, status, trace)
         }
     }
 
+    /** Whether [cancelled], or what caused it, ends the request because the time of a planned stop has passed. */
+    private fun isStopEnd(cancelled: CancellationException): Boolean =
+        generateSequence<Throwable>(cancelled) { it.cause }.any { it is StopEndedException }
+
+    private fun stoppedFailure(mayHaveRun: Boolean): Failure {
+        val message = "this VM stops before the request can end"
+        return if (mayHaveRun) unknownOutcome(message) else Failure(ErrorKind.SHUTTING_DOWN, message, 0)
+    }
+
     private sealed interface Admission {
         class Admitted(val routed: RoutedRequest, val charge: Charge?) : Admission
 
@@ -125,6 +142,8 @@
             teamOf(rules, head) ?: return refused(ErrorKind.KEY_INVALID, "the API key is missing or unknown")
         }
         val routed = routedRequest(request, id, route, access, rules)
+        val endAt = requestsEndAt()
+        if (endAt != null && routed.deadlineAt > endAt) return Admission.Refused(stoppedFailure(mayHaveRun = false))
         val quarantine = quarantineOf(routed)
         return if (quarantine == null) {
             charge(routed, trace)
@@ -194,14 +213,12 @@
         }
     }
 
-    private suspend fun run(admitted: Admission.Admitted, writer: ResponseWriter, trace: RequestTrace): Int {
-        val routed = admitted.routed
-        control.decide { state.retries.recordRequest(routed.service, now()) }
-        val run = RequestAttempts(routed, writer, trace)
+    private suspend fun run(admitted: Admission.Admitted, attempts: RequestAttempts): Int {
         try {
-            return run.complete()
+            control.decide { state.retries.recordRequest(admitted.routed.service, now()) }
+            return attempts.complete()
         } finally {
-            admitted.charge?.let { quota.settle(it, if (run.mayHaveRun) it.tokens else 0) }
+            admitted.charge?.let { quota.settle(it, if (attempts.mayHaveRun) it.tokens else 0) }
         }
     }
 
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ForwarderFixture.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ForwarderFixture.kt
@@ -138,6 +138,7 @@
     kind: RouteKind,
     isResumable: Boolean = false,
     maximumAttempts: Int = if (isResumable) 2 else 1,
+    requestsEndAt: () -> Long? = { null },
 ) : AutoCloseable {
     val received = CopyOnWriteArrayList<PeerRequest>()
     val settled = CopyOnWriteArrayList<Long>()
@@ -166,6 +167,7 @@
     private val crashes = CrashDetector({ fleet }, control, scope, { setOf(options.vm, OTHER_VM) }, ::accepts, now)
     val forwarder = RequestForwarder(
         HEADERS, state, control, quota, fleet, HttpConnectionPool(network), crashes, GatewayMetrics(), scope, now,
+        requestsEndAt,
     )
     private val route = GatewayRoute(
         name = "desk",
@@ -207,9 +209,9 @@
         control.decide { !state.selection.isOpen(backend.registered(), now()) }
 
     /** Sends one request, with [promptParts] if there are any, and returns the response as the caller receives it. */
-    suspend fun ask(id: String, body: String, promptParts: String? = null): String {
+    suspend fun ask(id: String, body: String, promptParts: String? = null, deadlineMillis: Int = 4_000): String {
         val output = ByteChannel(autoFlush = true)
-        val headers = listOf("Host" to "h", "Request" to id, "Key" to "secret", "Patience" to "4000") +
+        val headers = listOf("Host" to "h", "Request" to id, "Key" to "secret", "Patience" to "$deadlineMillis") +
             listOfNotNull(promptParts?.let { "Parts" to it })
         val request = CallerRequest(CallerHead("POST", "/orders", headers), body.encodeToByteArray(), now())
         forwarder.handle(request, ResponseWriter(output, now) { true })
