Reject requests of the product's own interface whose body was cut off

What could happen: a request whose connection ended in the middle of its body was run with the part that had arrived.

Cause: readRemaining of Ktor returns what it has when the channel is closed, with or without a cause, and Ktor's CIO server ends a body with a length in order when the connection ends before it. The gateway reads bodies by BodyReader and was not affected.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/administration/AdministrationApi.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/administration/AdministrationApi.kt
@@ -10,19 +10,17 @@
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.request.header
-import io.ktor.server.request.receiveChannel
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.Route
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
-import io.ktor.utils.io.readRemaining
-import kotlinx.io.readByteArray
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.json.Json
 import org.lentilquay.coordination.configuration.sha256Of
 import org.lentilquay.daemon.metrics.Metrics
+import org.lentilquay.daemon.requests.readBody
 import org.lentilquay.daemon.requests.respondFailure
 import org.lentilquay.daemon.settings.OperatorSettings
 import org.lentilquay.protocol.ConfigurationLogEntry
@@ -109,9 +107,9 @@
     }
 
     private suspend fun <T> body(call: ApplicationCall, serializer: KSerializer<T>): Outcome<T> {
-        val bytes = call.receiveChannel().readRemaining(MAXIMUM_BODY_BYTES + 1L).readByteArray()
-        if (bytes.size > MAXIMUM_BODY_BYTES) {
-            return failed(ErrorKind.BODY_TOO_LARGE, "the body is larger than $MAXIMUM_BODY_BYTES bytes")
+        val bytes = when (val read = call.readBody(MAXIMUM_BODY_BYTES)) {
+            is Outcome.Failed -> return read
+            is Outcome.Success -> read.value
         }
         return try {
             Outcome.Success(json.decodeFromString(serializer, bytes.decodeToString()))
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/requests/CallerApi.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/requests/CallerApi.kt
@@ -8,14 +8,11 @@
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.request.contentLength
 import io.ktor.server.request.header
-import io.ktor.server.request.receiveChannel
 import io.ktor.server.request.uri
 import io.ktor.server.routing.Route
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
 import io.ktor.server.routing.route
-import io.ktor.utils.io.readRemaining
-import kotlinx.io.readByteArray
 import org.lentilquay.state.ErrorKind
 import org.lentilquay.state.Failure
 import org.lentilquay.state.Outcome
@@ -39,10 +36,12 @@
     suspend fun read(call: ApplicationCall): Outcome<CallerRequest> {
         val refusal = refusal(call)
         if (refusal != null) return Outcome.Failed(refusal)
-        val body = call.receiveChannel().readRemaining(maximumBodyBytes + 1L).readByteArray()
+        val body = when (val read = call.readBody(maximumBodyBytes)) {
+            is Outcome.Failed -> return read
+            is Outcome.Success -> read.value
+        }
         val presented = call.request.header(HttpHeaders.Authorization)?.let(::bearerToken)
         return when {
-            body.size > maximumBodyBytes -> tooLarge()
             presented != null && containsKey(call, body, presented) -> failed(
                 ErrorKind.KEY_IN_REQUEST,
                 "the key also appears in the body, path, query or another header; use only 'Authorization: Bearer'",
@@ -55,14 +54,11 @@
         !isOpen -> Failure(ErrorKind.SHUTTING_DOWN, "this VM is stopping; send the request again")
         activeCalls.count >= maximumRequests ->
             Failure(ErrorKind.OVERLOADED, "this VM already has $maximumRequests requests in progress")
-        (call.request.contentLength() ?: 0) > maximumBodyBytes -> tooLarge().failure
+        (call.request.contentLength() ?: 0) > maximumBodyBytes -> bodyTooLarge(maximumBodyBytes).failure
         headerBytes(call) > maximumHeaderBytes ->
             Failure(ErrorKind.MALFORMED_REQUEST, "the headers are larger than $maximumHeaderBytes bytes")
         else -> null
     }
-
-    private fun tooLarge() =
-        failed(ErrorKind.BODY_TOO_LARGE, "the body is larger than $maximumBodyBytes bytes")
 }
 
 /** Installs the routes for callers. */
