--- a/daemon/src/test/kotlin/org/lentilquay/daemon/requests/RequestBodiesTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/requests/RequestBodiesTest.kt
@@ -49,7 +49,7 @@
         "before a body with a length" to LENGTH,
         "in a chunk" to "${CHUNKED}5\r\nwho",
         "between chunks" to "${CHUNKED}3\r\nwho\r\n",
-        "before the last chunk's line end" to "${CHUNKED}5\r\nwhole\r\n",
+        "after its last data" to "${CHUNKED}5\r\nwhole\r\n",
     ).forEach { (name, text) ->
         listOf(true, false).forEach { isReset ->
             test("a request that is ${if (isReset) "reset" else "closed"} $name is not run") {
