Refuse a request whose head has a line that is too long to be read

What callers saw: a whole request with a header line of more than 8192 bytes, inside the limit of 16384 for the head, got neither an answer nor a refusal; its connection was closed.

Cause: Ktor's parser ends with a TooLongLineException, which is an IOException, and an IOException counts as a caller that has gone. CallerConnectionTest has the case; it is answered with 400 now. Such a line is still not read.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
@@ -9,6 +9,7 @@
 import io.ktor.http.cio.parseRequest
 import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.availableForRead
+import io.ktor.utils.io.charsets.TooLongLineException
 import io.ktor.utils.io.writeFully
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.Job
@@ -30,6 +31,9 @@
 private const val MILLIS_PER_SECOND = 1_000.0
 private val LINE_END = "\r\n".encodeToByteArray()
 private val NO_BYTES = ByteArray(0)
+
+/** Ktor's parser takes no longer line, whatever the limit of the configuration for the whole head. */
+private const val LONG_LINE = "a line of the head is longer than 8192 bytes"
 private val LAST_CHUNK = "0\r\n\r\n".encodeToByteArray()
 
 /** Time that a caller has to receive the last response before the connection is closed. */
@@ -213,7 +217,9 @@
             }
         }.getOrElse { failure ->
             when {
-                writer.isStarted || failure is IOException -> false
+                writer.isStarted -> false
+                failure is TooLongLineException -> refuse(writer, Failure(ErrorKind.MALFORMED_REQUEST, LONG_LINE))
+                failure is IOException -> false
                 failure is ParserException -> refuse(writer, malformed())
                 else -> {
                     log.warning("request failed unexpectedly", "reason" to describe(failure), cause = failure)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestBody.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestBody.kt
@@ -36,20 +36,38 @@
     memory: RequestBodyBudget.Reservation,
 ): RequestBodyResult {
     val length = (framing as? BodyFraming.Length)?.bytes
-    if (length != null && length > limits.bodyBytes) return tooLong(limits)
-    if (length != null && !memory.reserve(length)) return noMemory()
     val reader = BodyReader(input, framing)
+    return when {
+        length == null -> readUnknownLength(reader, limits, memory)
+        length > limits.bodyBytes -> tooLong(limits)
+        !memory.reserve(length) -> noMemory()
+        else -> readRest(reader, limits, Buffer())
+    }
+}
+
+/** Reserves memory for the longest body once a chunked one exceeds what is not counted. */
+private suspend fun readUnknownLength(
+    reader: BodyReader,
+    limits: CallerLimits,
+    memory: RequestBodyBudget.Reservation,
+): RequestBodyResult {
     val collected = Buffer()
-    var isReserved = length != null
-    while (true) {
+    while (collected.size <= UNCOUNTED_REQUEST_BYTES) {
+        collected.write(nextPart(reader, limits) ?: break)
+    }
+    return when {
+        collected.size <= UNCOUNTED_REQUEST_BYTES || memory.reserve(limits.bodyBytes.toLong()) ->
+            readRest(reader, limits, collected)
+        else -> noMemory()
+    }
+}
+
+private suspend fun readRest(reader: BodyReader, limits: CallerLimits, collected: Buffer): RequestBodyResult {
+    while (collected.size <= limits.bodyBytes) {
         val part = nextPart(reader, limits) ?: return RequestBodyResult.Read(collected.readByteArray())
         collected.write(part)
-        if (collected.size > limits.bodyBytes) return tooLong(limits)
-        if (!isReserved && collected.size > UNCOUNTED_REQUEST_BYTES) {
-            if (!memory.reserve(limits.bodyBytes.toLong())) return noMemory()
-            isReserved = true
-        }
     }
+    return tooLong(limits)
 }
 
 private suspend fun nextPart(reader: BodyReader, limits: CallerLimits): ByteArray? {
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarder.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarder.kt
@@ -143,12 +143,11 @@
         }
         val routed = routedRequest(request, id, route, access, rules)
         val endAt = requestsEndAt()
-        if (endAt != null && routed.deadlineAt > endAt) return Admission.Refused(stoppedFailure(mayHaveRun = false))
         val quarantine = quarantineOf(routed)
-        return if (quarantine == null) {
-            charge(routed, trace)
-        } else {
-            refused(ErrorKind.NO_CAPACITY, quarantine.reason, quarantine.remainingMillis)
+        return when {
+            endAt != null && routed.deadlineAt > endAt -> Admission.Refused(stoppedFailure(mayHaveRun = false))
+            quarantine != null -> refused(ErrorKind.NO_CAPACITY, quarantine.reason, quarantine.remainingMillis)
+            else -> charge(routed, trace)
         }
     }
 
@@ -368,7 +367,7 @@
         private suspend fun release(target: AttemptTarget) =
             control.decide { picker.attemptEnded(routed, target, notSent("not needed")) }
 
-        /** Takes a retry from the budget. A stream that has begun waits for one, because its caller cannot be refused. */
+        /** Takes a retry from the budget. A stream that has begun waits for one, as its caller cannot be refused. */
         private suspend fun awaitRetry(): Boolean {
             while (!tryRetry()) {
                 if (!writer.isStarted || routed.deadlineAt - now() < MINIMUM_REMAINING_MILLIS) return false
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/StreamRelay.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/StreamRelay.kt
@@ -1,8 +1,8 @@
 /*
  * Passes the stream of a backend server on to the caller in whole events. A watchdog measures the time since the last
- * event, not since the last byte, so that a server which sends a byte now and then still counts as stalled. Time in which
- * the caller takes no data does not count. A slow stream is left only once another server has reserved a place for it;
- * otherwise it goes on, because a sound server may pause.
+ * event, not since the last byte, so that a server which sends a byte now and then still counts as stalled. Time in
+ * which the caller takes no data does not count. A slow stream is left only once another server has reserved a place
+ * for it; otherwise it goes on, because a sound server may pause.
  */
 package org.lentilquay.daemon.gateway
 
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/requests/RequestBodies.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/requests/RequestBodies.kt
@@ -1,6 +1,6 @@
 /*
- * Reads the bodies of requests to the HTTP servers of the daemon. Ktor passes on a body whose caller closed or reset the
- * connection midway as if it had ended (3.5.2), so its end is checked here.
+ * Reads the bodies of requests to the HTTP servers of the daemon. Ktor (3.5.2) passes on a body whose caller closed or
+ * reset the connection midway as if it had ended, so its end is checked here.
  */
 package org.lentilquay.daemon.requests
 
--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/BodyReader.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/BodyReader.kt
@@ -91,7 +91,7 @@
 
     /** Ktor reports the end of input after a reset as well; only the cause tells it from an orderly close. */
     private fun throwIfBroken() {
-        input.closedCause?.let { throw IOException("connection failed before the end of the body: ${describe(it)}", it) }
+        input.closedCause?.let { throw IOException("connection failed within the body: ${describe(it)}", it) }
     }
 
     private suspend fun startChunk() {
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/CallerConnectionTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/CallerConnectionTest.kt
@@ -51,7 +51,10 @@
     try {
         Socket("127.0.0.1", port).use { caller ->
             val accepted = network.accept(listener)
-            val connection = CallerConnection(accepted, { _, _ -> }, { null }, { false }, now, RequestBodyBudget(), maximumBodyMillis)
+            val handler = CallerHandler { _, _ -> }
+            val bodies = RequestBodyBudget()
+            val connection =
+                CallerConnection(accepted, handler, { null }, { false }, now, bodies, maximumBodyMillis)
             use(caller, scope.launch { connection.serve() })
         }
     } finally {
@@ -82,6 +85,13 @@
         }
     }
 
+    // The connection was closed without an answer, as for a caller that has gone.
+    test("a request with a header line that is too long to be read is refused") {
+        serving({ _, writer -> writer.respond(200, emptyList(), ByteArray(0)) }) { port ->
+            exchange(port, "GET / HTTP/1.1\nHost: h\nLong: ${"x".repeat(9_000)}\n\n") shouldContain "400 Bad Request"
+        }
+    }
+
     test("pipelined requests on one connection are answered in order") {
         serving({ request, writer ->
             writer.respond(200, emptyList(), request.head.path.encodeToByteArray())
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/RequestBodyBudgetTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/RequestBodyBudgetTest.kt
@@ -73,7 +73,10 @@
         budget.Reservation().reserve(HALF) shouldBe true
     }
 
-    listOf("Content-Length: $LONG_BODY_BYTES" to false, "Transfer-Encoding: chunked" to true).forEach { (framing, chunked) ->
+    listOf(
+        "Content-Length: $LONG_BODY_BYTES" to false,
+        "Transfer-Encoding: chunked" to true,
+    ).forEach { (framing, chunked) ->
         test("a burst of long bodies is answered with few of them in memory at once, $framing") {
             val inMemory = AtomicInteger()
             val most = AtomicInteger()
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/StopEndTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/StopEndTest.kt
@@ -12,7 +12,6 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.withContext
 import org.lentilquay.state.gateway.RouteKind
 import org.lentilquay.transport.TcpNetwork
 import java.net.ServerSocket
@@ -51,7 +50,8 @@
 private fun receiveFrom(port: Int): String = Socket("127.0.0.1", port).use { socket ->
     socket.soTimeout = 6_000
     socket.send(
-        "POST /orders HTTP/1.1\r\nHost: h\r\nRequest: r1\r\nKey: secret\r\nPatience: 4000\r\nContent-Length: 2\r\n\r\nhi",
+        "POST /orders HTTP/1.1\r\nHost: h\r\nRequest: r1\r\nKey: secret\r\nPatience: 4000\r\n" +
+            "Content-Length: 2\r\n\r\nhi",
     )
     val received = java.io.ByteArrayOutputStream()
     runCatching { socket.getInputStream().transferTo(received) }
--- a/daemon/src/test/kotlin/org/lentilquay/transport/SocketInputTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/transport/SocketInputTest.kt
@@ -6,14 +6,8 @@
 import io.kotest.matchers.shouldBe
 import io.ktor.utils.io.availableForRead
 import io.ktor.utils.io.readAvailable
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.withContext
-import kotlinx.coroutines.withTimeout
-import org.lentilquay.transport.http.IpAddress
 import java.io.ByteArrayOutputStream
-import java.net.ServerSocket
-import java.net.Socket
 import kotlin.concurrent.thread
 
 private const val FLOOD_BYTES = 16 shl 20
@@ -21,18 +15,6 @@
 /** Far below the MiB that Ktor's reader receives for a connection that nobody reads. */
 private const val MAXIMUM_BUFFERED_BYTES = 256 shl 10
 private const val FLOOD_MILLIS = 500L
-private const val TIMEOUT_MILLIS = 10_000L
-
-private suspend fun connected(use: suspend (TcpConnection, Socket) -> Unit) = ServerSocket(0).use { listener ->
-    TcpNetwork().use { network ->
-        val opened = checkNotNull(network.connect(IpAddress("127.0.0.1", listener.localPort), TIMEOUT_MILLIS))
-        opened.use { connection ->
-            withContext(Dispatchers.IO) { listener.accept() }.use { other ->
-                withTimeout(TIMEOUT_MILLIS) { use(connection, other) }
-            }
-        }
-    }
-}
 
 private suspend fun readToEnd(connection: TcpConnection): ByteArray {
     val read = ByteArrayOutputStream()
--- a/daemon/src/test/kotlin/org/lentilquay/transport/StalledConnectionTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/transport/StalledConnectionTest.kt
@@ -10,11 +10,7 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withContext
-import org.lentilquay.transport.http.IpAddress
 import java.lang.management.ManagementFactory
-import java.net.ServerSocket
-import java.net.Socket
 
 /** More than the socket buffers on both sides and the output channel take. */
 private const val LONG_BYTES = 32 shl 20
@@ -32,16 +28,6 @@
         .sumOf { threads.getThreadCpuTime(it.threadId).coerceAtLeast(0) } / NANOS_PER_MILLI
 }
 
-private suspend fun connected(use: suspend (TcpConnection, Socket) -> Unit) =
-    ServerSocket(0).use { listener ->
-        TcpNetwork().use { network ->
-            val opened = checkNotNull(network.connect(IpAddress("127.0.0.1", listener.localPort), 1_000))
-            opened.use { connection ->
-                withContext(Dispatchers.IO) { listener.accept() }.use { use(connection, it) }
-            }
-        }
-    }
-
 /** Guards against a connection whose other side takes no data and that occupies a thread, and so stops all others. */
 class StalledConnectionTest : FunSpec({
     test("a write for which the other side takes no data uses no processor time") {
