Write the last bytes of an output before its connection is closed

A VM that rejects a handshake flushes its hello, closes the output and then the connection. The last bytes of a response to a slow caller could be lost in the same way.

Closing the output in order now waits until the socket has taken all bytes; a caller has 10 s for that.

--- a/daemon/src/main/kotlin/org/lentilquay/transport/SocketOutput.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/SocketOutput.kt
@@ -81,10 +81,14 @@
         closedCause?.let { throw it }
     }
 
+    /** Waits until the socket has taken all bytes or has failed, so that closing it afterwards drops none of them. */
     override suspend fun flushAndClose() {
         synchronized(lock) { pending.write(unflushed, unflushed.size) }
         isEnded = true
         hasBytes.trySend(Unit)
+        do {
+            val isSent = hasRoom.receiveCatching().isClosed
+        } while (!isSent)
     }
 
     override fun cancel(cause: Throwable?) {
@@ -92,8 +96,7 @@
             if (closedCause != null) return
             closedCause = cause as? IOException ?: IOException("connection closed", cause)
         }
-        hasBytes.close()
-        hasRoom.close()
+        closeSignals()
     }
 
     /** Writes the flushed bytes to the socket until the output is closed. */
@@ -113,6 +116,12 @@
             }
         }
         if (closedCause == null) (socket.channel as SocketChannel).shutdownOutput()
+        closeSignals()
+    }
+
+    private fun closeSignals() {
+        hasBytes.close()
+        hasRoom.close()
     }
 
     private enum class WriteStep { WRITTEN, BLOCKED, NOTHING_LEFT }
--- a/daemon/src/main/kotlin/org/lentilquay/transport/TcpConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/TcpConnection.kt
@@ -14,6 +14,9 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.IOException
 
+/** Longest time for which the last bytes of an output wait for the other side to take data. */
+private const val FLUSH_MILLIS = 10_000L
+
 /** An open connection. Both channels have bounded buffers; [onClosed] runs once the socket is closed. */
 internal class TcpConnection(
     private val socket: Socket,
@@ -30,10 +33,11 @@
 
     /**
      * Flushes the output and shuts it down, then waits up to [lingerMillis] for the other side to do the same and
-     * closes the connection. [close] alone discards data that the other side has not read yet.
+     * closes the connection. [close] alone discards data that the other side has not read yet. The other side has
+     * [FLUSH_MILLIS] to take the output.
      */
     suspend fun finish(lingerMillis: Long) {
-        runSuspendCatching { output.flushAndClose() }
+        runSuspendCatching { withTimeoutOrNull(FLUSH_MILLIS) { output.flushAndClose() } }
         runSuspendCatching { withTimeoutOrNull(lingerMillis) { while (input.awaitContent()) input.discard() } }
         close()
     }
