--- a/daemon/src/main/kotlin/org/lentilquay/transport/SocketInput.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/SocketInput.kt
@@ -6,38 +6,26 @@
 package org.lentilquay.transport
 
 import io.ktor.network.selector.SelectInterest
-import io.ktor.network.selector.Selectable
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.Socket
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.InternalAPI
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
-import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.launch
 import kotlinx.io.Buffer
-import kotlinx.io.IOException
 import kotlinx.io.Source
 import kotlinx.io.UnsafeIoApi
 import kotlinx.io.unsafe.UnsafeBufferOperations
 import java.nio.ByteBuffer
-import java.nio.channels.SocketChannel
 
 /** Received bytes after which the socket is not read until some are taken. */
 private const val MAXIMUM_RECEIVED_BYTES = 64L shl 10
 
 /** Opens the input of [socket], which is registered with [selector]. */
-internal fun openInput(socket: Socket, selector: SelectorManager): ByteReadChannel {
-    val input = SocketInput(socket as Selectable, selector)
-    CoroutineScope(Dispatchers.IO).launch {
-        runSuspendCatching { input.receive() }.onFailure { input.cancel(it) }
-    }
-    return input
-}
+internal fun openInput(socket: Socket, selector: SelectorManager): ByteReadChannel =
+    SocketInput(SocketDirection(socket, selector, SelectInterest.READ)).also { it.start() }
 
-/** One coroutine runs [receive], and one at a time reads. */
+/** One coroutine receives from the socket, and one at a time reads. */
 @OptIn(InternalAPI::class, UnsafeIoApi::class)
-private class SocketInput(private val socket: Selectable, private val selector: SelectorManager) : ByteReadChannel {
+private class SocketInput(private val socket: SocketDirection) : ByteReadChannel {
     private val lock = Any()
 
     /** Bytes that the socket has delivered, guarded by [lock]. */
@@ -45,82 +33,63 @@
 
     /** Bytes that the reader of this channel can take. */
     private val available = Buffer()
-    private val hasArrived = Channel<Unit>(Channel.CONFLATED)
-    private val hasRoom = Channel<Unit>(Channel.CONFLATED)
 
-    @Volatile
-    private var isEnded = false
-
-    @Volatile
-    override var closedCause: Throwable? = null
-        private set
+    override val closedCause: Throwable? get() = socket.failure
 
     override val isClosedForRead: Boolean
-        get() = closedCause != null || (isEnded && available.exhausted() && synchronized(lock) { received.exhausted() })
+        get() = closedCause != null ||
+            (socket.isEnded && available.exhausted() && synchronized(lock) { received.exhausted() })
 
     override val readBuffer: Source
         get() {
-            closedCause?.let { throw it }
+            socket.throwIfFailed()
             if (available.exhausted()) takeReceived()
             return available
         }
 
     override suspend fun awaitContent(min: Int): Boolean {
         while (true) {
-            closedCause?.let { throw it }
-            val hadEnded = isEnded
+            socket.throwIfFailed()
+            val hadEnded = socket.isEnded
             if (available.size < min) takeReceived()
             if (available.size >= min) return true
             if (hadEnded) return false
-            hasArrived.receiveCatching()
+            socket.awaitBytes()
         }
     }
 
-    override fun cancel(cause: Throwable?) {
-        synchronized(lock) {
-            if (closedCause != null) return
-            closedCause = cause as? IOException ?: IOException("connection closed", cause)
-        }
-        wakeAll()
-    }
+    override fun cancel(cause: Throwable?) = socket.fail(cause)
+
+    fun start() = socket.launch { receive() }
 
     /** Receives bytes until the other side has ended its output. */
-    suspend fun receive() {
-        socket.interestOp(SelectInterest.READ, false)
-        while (closedCause == null) {
-            when (val count = synchronized(lock) { readSocket() }) {
-                0 -> {
-                    socket.interestOp(SelectInterest.READ, true)
-                    selector.select(socket, SelectInterest.READ)
-                }
-                else -> {
-                    isEnded = count < 0
-                    hasArrived.trySend(Unit)
-                }
-            }
-            if (isEnded) break
-            while (closedCause == null && synchronized(lock) { received.size } >= MAXIMUM_RECEIVED_BYTES) {
-                hasRoom.receiveCatching()
+    private suspend fun receive() {
+        while (!socket.isEnded && closedCause == null) {
+            val count = synchronized(lock) { readSocket() }
+            if (count == 0) {
+                socket.awaitSocket()
+            } else {
+                socket.isEnded = count < 0
+                socket.signalBytes()
+                awaitRoom()
             }
         }
-        wakeAll()
     }
 
-    private fun wakeAll() {
-        hasArrived.close()
-        hasRoom.close()
+    private suspend fun awaitRoom() {
+        while (closedCause == null && synchronized(lock) { received.size } >= MAXIMUM_RECEIVED_BYTES) socket.awaitRoom()
     }
 
     private fun takeReceived() {
         synchronized(lock) { available.write(received, received.size) }
-        hasRoom.trySend(Unit)
+        socket.signalRoom()
     }
 
     /** The number of bytes that were read, 0 if there are none now, or -1 at the end of the input. */
     private fun readSocket(): Int {
         var count = 0
         UnsafeBufferOperations.writeToTail(received, 1) { bytes, start, end ->
-            count = (socket.channel as SocketChannel).read(ByteBuffer.wrap(bytes, start, end - start))
+            count = socket.channel.read(ByteBuffer.wrap(bytes, start, end - start))
             count.coerceAtLeast(0)
         }
         return count
