--- a/core/src/main/kotlin/org/lentilquay/coordination/configuration/AccessView.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/configuration/AccessView.kt
@@ -107,5 +107,9 @@
 /** The SHA-256 of [text] in lower-case hexadecimal, the form in which keys are stored. */
 fun sha256Of(text: String): String = sha256Of(text.encodeToByteArray())
 
-/** The SHA-256 of [bytes] in lower-case hexadecimal. */
-fun sha256Of(bytes: ByteArray): String = HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes))
+/** The SHA-256 of the concatenated [parts] in lower-case hexadecimal. */
+fun sha256Of(vararg parts: ByteArray): String {
+    val digest = MessageDigest.getInstance("SHA-256")
+    parts.forEach(digest::update)
+    return HexFormat.of().formatHex(digest.digest())
+}
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
@@ -93,6 +93,10 @@
         isReusable = isKeptAlive
     }
 
+    /** Writes a complete response that tells the caller of [failure]. */
+    suspend fun respondFailure(failure: Failure) =
+        respond(failure.kind.status, failureHeaders(failure), failure.message.encodeToByteArray())
+
     /** Starts a response of unknown length with chunked transfer coding. */
     suspend fun startChunked(status: Int, headers: List<Pair<String, String>>) {
         isStarted = true
@@ -131,8 +135,7 @@
     }.encodeToByteArray()
 }
 
-/** The headers of a response that tells a caller of [failure]. */
-internal fun failureHeaders(failure: Failure): List<Pair<String, String>> = buildList {
+private fun failureHeaders(failure: Failure): List<Pair<String, String>> = buildList {
     add("Content-Type" to "text/plain")
     val retryAfterMillis = failure.retryAfterMillis ?: return@buildList
     add("Retry-After" to "%.3f".format(java.util.Locale.ROOT, retryAfterMillis / MILLIS_PER_SECOND))
@@ -265,7 +268,7 @@
 
     /** Rejects a malformed request. The connection is then closed, because the start of the next one is not known. */
     private suspend fun refuse(writer: ResponseWriter, failure: Failure): Boolean {
-        writer.respond(failure.kind.status, failureHeaders(failure), failure.message.encodeToByteArray())
+        writer.respondFailure(failure)
         isAnswered = true
         return false
     }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RoutedRequest.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RoutedRequest.kt
@@ -4,6 +4,7 @@
  */
 package org.lentilquay.daemon.gateway
 
+import org.lentilquay.coordination.configuration.sha256Of
 import org.lentilquay.state.ErrorKind
 import org.lentilquay.state.Failure
 import org.lentilquay.state.ServerId
@@ -28,7 +29,14 @@
     val promptParts: Set<String> = emptySet(),
     /** Whether the caller itself asks for the rest of a stream that broke off. */
     val isResumedByCaller: Boolean = false,
+    private val presentedKey: String = "",
 ) {
+    /** A hash of the content, equal for all copies of the request on all VMs. Few requests need it. */
+    val fingerprint: String by lazy {
+        val head = request.head
+        sha256Of("${head.method} ${head.target}\n$presentedKey\n".encodeToByteArray(), request.body)
+    }
+
     /** The connections to backend servers on which the request was sent. */
     val usedConnections = UsedConnections()
 
