Use one bound for bodies that are not counted, and one end of a planned stop

The budgets of request and response bodies each had the same constant, and Gateway.stop computed the end of the requests twice. No behaviour changes.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/BodyBudget.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/BodyBudget.kt
@@ -6,7 +6,7 @@
 
 import java.util.concurrent.atomic.AtomicLong
 
-/** Bytes of each body that are not counted, so that ordinary answers of about 1 KB never fail because of long ones. */
+/** Bytes of each body that are not counted, so that ordinary bodies of about 1 KB are not affected by long ones. */
 internal const val UNCOUNTED_BODY_BYTES = 32 shl 10
 
 /** Counted bytes of all bodies. A growing buffer takes up to three times its content: 48 MiB of a heap of 160 MB. */
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
@@ -150,13 +150,13 @@
         val callers = callers ?: return
         log.event("stop begins", "busy" to callers.busyConnections)
         delay(READINESS_DELAY_MILLIS)
-        val stopsAt = startedAt + options.maximumStopMillis
-        requestsEndAt = stopsAt - LAST_ANSWERS_MILLIS
+        val endAt = startedAt + options.maximumStopMillis - LAST_ANSWERS_MILLIS
+        requestsEndAt = endAt
         // The platform keeps routing callers to an unready VM when few VMs of its failure domain are left.
         callers.stopAccepting()
-        awaitConnections(callers, stopsAt - LAST_ANSWERS_MILLIS)
+        awaitConnections(callers, endAt)
         callers.endRequests()
-        awaitConnections(callers, stopsAt)
+        awaitConnections(callers, endAt + LAST_ANSWERS_MILLIS)
         // Engines are released last, because the other VMs need this controller to load adapters. The next process on
         // this VM takes control of them again.
         engineControl.isLeaving = true
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestBody.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestBody.kt
@@ -52,11 +52,11 @@
     memory: RequestBodyBudget.Reservation,
 ): RequestBodyResult {
     val collected = Buffer()
-    while (collected.size <= UNCOUNTED_REQUEST_BYTES) {
+    while (collected.size <= UNCOUNTED_BODY_BYTES) {
         collected.write(nextPart(reader, limits) ?: break)
     }
     return when {
-        collected.size <= UNCOUNTED_REQUEST_BYTES || memory.reserve(limits.bodyBytes.toLong()) ->
+        collected.size <= UNCOUNTED_BODY_BYTES || memory.reserve(limits.bodyBytes.toLong()) ->
             readRest(reader, limits, collected)
         else -> noMemory()
     }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestBodyBudget.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestBodyBudget.kt
@@ -1,16 +1,14 @@
 /*
  * Bounds the memory of long request bodies over all connections of callers. A long body waits for its memory before it
  * is read, so its caller is held up by TCP; without a bound, a burst of bodies within the limits ends the process.
- * Bodies wait in the order of their requests. Thread-safe.
+ * Bodies wait in the order of their requests. The bodies of responses have a budget of their own, which refuses at
+ * once, see [BodyBudget]. Thread-safe.
  */
 package org.lentilquay.daemon.gateway
 
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.withTimeoutOrNull
 
-/** Bytes of each body that are not counted, so that ordinary requests of a few KB never wait for long ones. */
-internal const val UNCOUNTED_REQUEST_BYTES = 32 shl 10
-
 /** Counted bytes of all bodies. Each is in memory once, and up to 1 MiB of it a second time while it is sent. */
 private const val MAXIMUM_COUNTED_BYTES = 24L shl 20
 
@@ -34,7 +32,7 @@
 
         /** Reserves memory for a body of [bytes]; returns false if there is none in time. Call it once. */
         suspend fun reserve(bytes: Long): Boolean {
-            if (bytes <= UNCOUNTED_REQUEST_BYTES) return true
+            if (bytes <= UNCOUNTED_BODY_BYTES) return true
             // A body that is longer than the budget has it alone.
             val waiter = Waiter(minOf(bytes, maximumBytes))
             synchronized(waiting) {
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/RequestBodyBudgetTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/RequestBodyBudgetTest.kt
@@ -38,7 +38,7 @@
         val budget = RequestBodyBudget(BUDGET_BYTES, WAIT_MILLIS)
         val first = budget.Reservation()
         first.reserve(BUDGET_BYTES) shouldBe true
-        budget.Reservation().reserve(UNCOUNTED_REQUEST_BYTES.toLong()) shouldBe true
+        budget.Reservation().reserve(UNCOUNTED_BODY_BYTES.toLong()) shouldBe true
         val late = budget.Reservation()
         late.reserve(HALF) shouldBe false
         late.close()
