--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ResumedStreamTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ResumedStreamTest.kt
@@ -7,6 +7,7 @@
 import io.kotest.matchers.string.shouldNotContain
 import io.kotest.matchers.string.shouldNotEndWith
 import io.kotest.matchers.string.shouldStartWith
+import kotlinx.coroutines.delay
 import org.lentilquay.state.gateway.RouteKind
 import java.net.Socket
 import java.util.concurrent.atomic.AtomicInteger
@@ -155,7 +156,7 @@
         }
         ForwarderFixture(backends, RouteKind.STREAM, isResumable = true).use { fixture ->
             fixture.open()
-            fixture.askOverSocket("r1", pauseMillis = LONG_PAUSE_MILLIS) shouldEndWith LAST_CHUNK
+            fixture.askOverSocket("r1") { delay(LONG_PAUSE_MILLIS) } shouldEndWith LAST_CHUNK
         }
         arrivals.get() shouldBe 1
     }
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/SocketAnswers.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/SocketAnswers.kt
@@ -47,22 +47,28 @@
 }
 
 /**
- * Sends one request over a socket and returns the bytes that the caller receives until the connection closes; the
- * caller takes no data for [pauseMillis].
+ * Sends one request over a socket and returns the bytes that the caller receives until the connection closes; [act]
+ * runs before the caller takes any data. The VM [isStopping] or the caller asks to close the connection.
  */
-internal suspend fun ForwarderFixture.askOverSocket(id: String, pauseMillis: Long = 0): String {
+internal suspend fun ForwarderFixture.askOverSocket(
+    id: String,
+    isStopping: Boolean = false,
+    act: suspend (GatewayListener) -> Unit = { },
+): String {
     val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     val port = ServerSocket(0).use { it.localPort }
-    GatewayListener(TcpNetwork(), forwarder, { null }, { false }, scope) { System.nanoTime() / 1_000_000 }
-        .start("127.0.0.1:$port")
+    val listener = GatewayListener(TcpNetwork(), forwarder, { null }, { isStopping }, scope) {
+        System.nanoTime() / 1_000_000
+    }
+    listener.start("127.0.0.1:$port")
     try {
         return Socket("127.0.0.1", port).use { socket ->
             socket.soTimeout = 6_000
             socket.send(
                 "POST /orders HTTP/1.1\r\nHost: h\r\nRequest: $id\r\nKey: secret\r\nPatience: 4000\r\n" +
-                    "Connection: close\r\nContent-Length: 2\r\n\r\nhi",
+                    (if (isStopping) "" else "Connection: close\r\n") + "Content-Length: 2\r\n\r\nhi",
             )
-            Thread.sleep(pauseMillis)
+            act(listener)
             receiveAll(socket)
         }
     } finally {
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/StopEndTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/StopEndTest.kt
@@ -5,16 +5,8 @@
 import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.string.shouldNotEndWith
 import io.kotest.matchers.string.shouldStartWith
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
-import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.async
-import kotlinx.coroutines.cancel
-import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import org.lentilquay.state.gateway.RouteKind
-import org.lentilquay.transport.TcpNetwork
-import java.net.ServerSocket
 import java.net.Socket
 
 private const val EVENT = "id: 1\ndata: one\n\n"
@@ -29,34 +21,14 @@
 }
 
 /** What the caller of a request that is in progress receives when the time of a planned stop has passed. */
-private suspend fun atEndOfStop(backends: List<Backend>, kind: RouteKind): String {
-    val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    return ForwarderFixture(backends, kind).use { fixture ->
+private suspend fun atEndOfStop(backends: List<Backend>, kind: RouteKind): String =
+    ForwarderFixture(backends, kind).use { fixture ->
         fixture.open()
-        val port = ServerSocket(0).use { it.localPort }
-        val listener = GatewayListener(TcpNetwork(), fixture.forwarder, { null }, { true }, scope) {
-            System.nanoTime() / 1_000_000
-        }
-        listener.start("127.0.0.1:$port")
-        coroutineScope {
-            val answer = async(Dispatchers.IO) { receiveFrom(port) }
+        fixture.askOverSocket("r1", isStopping = true) { listener ->
             delay(ARRIVAL_MILLIS)
             listener.endRequests()
-            answer.await()
         }
-    }.also { scope.cancel() }
-}
-
-private fun receiveFrom(port: Int): String = Socket("127.0.0.1", port).use { socket ->
-    socket.soTimeout = 6_000
-    socket.send(
-        "POST /orders HTTP/1.1\r\nHost: h\r\nRequest: r1\r\nKey: secret\r\nPatience: 4000\r\n" +
-            "Content-Length: 2\r\n\r\nhi",
-    )
-    val received = java.io.ByteArrayOutputStream()
-    runCatching { socket.getInputStream().transferTo(received) }
-    received.toString()
-}
+    }
 
 /** Guards against requests that are passed on late in a planned stop, and are cut without an answer at its end. */
 class StopEndTest : FunSpec({
--- a/daemon/src/test/kotlin/org/lentilquay/transport/StalledConnectionTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/transport/StalledConnectionTest.kt
@@ -11,10 +11,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
-import org.lentilquay.transport.http.IpAddress
 import java.lang.management.ManagementFactory
-import java.net.ServerSocket
-import java.net.Socket
 
 /** More than the socket buffers on both sides and the output channel take. */
 private const val LONG_BYTES = 32 shl 20
@@ -73,37 +70,27 @@
     // A VM that rejects a handshake says why and closes at once, and a caller may be slow to take its last response.
     test("the bytes before an orderly close arrive, though the connection is closed right after it") {
         val sent = ByteArray(LONG_BYTES) { (it % 251).toByte() }
-        val network = TcpNetwork()
-        val port = ServerSocket(0).use { it.localPort }
-        val listener = network.listen(IpAddress("127.0.0.1", port))
-        val other = Socket("127.0.0.1", port)
-        val accepted = network.accept(listener)
-        coroutineScope {
-            val received = async(Dispatchers.IO) {
-                Thread.sleep(STALL_MILLIS)
-                other.getInputStream().readAllBytes()
+        accepted { connection, other ->
+            coroutineScope {
+                val received = async(Dispatchers.IO) {
+                    Thread.sleep(STALL_MILLIS)
+                    other.getInputStream().readAllBytes()
+                }
+                connection.output.writeMessage(ByteArray(0), sent)
+                connection.finish(lingerMillis = 10)
+                received.await().contentEquals(sent) shouldBe true
             }
-            accepted.output.writeMessage(ByteArray(0), sent)
-            accepted.finish(lingerMillis = 10)
-            received.await().contentEquals(sent) shouldBe true
         }
-        listener.close()
-        network.close()
     }
 
     repeat(HANDSHAKES) { number ->
         test("a short message before an orderly close arrives, attempt $number") {
-            val network = TcpNetwork()
-            val port = ServerSocket(0).use { it.localPort }
-            val listener = network.listen(IpAddress("127.0.0.1", port))
-            val other = Socket("127.0.0.1", port)
-            val accepted = network.accept(listener)
-            accepted.output.writeFully(ByteArray(SHORT_BYTES))
-            accepted.output.flushAndClose()
-            accepted.close()
-            withContext(Dispatchers.IO) { other.getInputStream().readAllBytes() }.size shouldBe SHORT_BYTES
-            listener.close()
-            network.close()
+            accepted { connection, other ->
+                connection.output.writeFully(ByteArray(SHORT_BYTES))
+                connection.output.flushAndClose()
+                connection.close()
+                withContext(Dispatchers.IO) { other.getInputStream().readAllBytes() }.size shouldBe SHORT_BYTES
+            }
         }
     }
 
