Log connections of callers that are closed without an answer

One line now tells the reason, how long the wait took, its limit and the limit in force at the end, how late the wait ended, and how many unread bytes had arrived in the buffers and the socket.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
@@ -172,6 +172,14 @@
     @Volatile
     private var idleSince = now()
 
+    /** The idle limit of the present wait for a request. */
+    @Volatile
+    private var idleLimitMillis = 0L
+
+    /** Requests that were read on this connection. */
+    @Volatile
+    private var requests = 0
+
     suspend fun serve() = connection.use {
         while (serveNext()) Unit
         if (isAnswered) connection.finish(LINGER_MILLIS)
@@ -183,7 +191,9 @@
      */
     fun closeIfIdle() {
         val isIdle = !isBusy && now() - idleSince >= IDLE_BEFORE_STOP_MILLIS
-        if (isIdle && connection.input.availableForRead == 0) connection.close()
+        if (!isIdle || connection.input.availableForRead != 0) return
+        reportClose(CloseReason.PLANNED_STOP, idleLimitMillis)
+        connection.close()
     }
 
     /**
@@ -202,39 +212,72 @@
     private suspend fun serveNext(): Boolean {
         val current = limits() ?: DEFAULT_LIMITS
         idleSince = now()
+        idleLimitMillis = current.idleTimeoutMillis
         isBusy = false
-        val hasRequest = runSuspendCatching {
-            withTimeoutOrNull(current.idleTimeoutMillis) { connection.input.awaitContent() } ?: false
-        }.getOrDefault(false)
-        if (!hasRequest) return false
+        if (!awaitRequest(current.idleTimeoutMillis)) return false
         isBusy = true
+        val headSince = now()
         val writer = ResponseWriter(connection.output, now) { !isStopping() }.also { this.writer = it }
         return runSuspendCatching {
-            val result = withTimeoutOrNull(current.headerTimeoutMillis) {
-                parseRequest(connection.input)?.use { callerHead(it, current.headerBytes) }
+            val read = withTimeoutOrNull(current.headerTimeoutMillis) {
+                Result.success(parseRequest(connection.input)?.use { callerHead(it, current.headerBytes) })
             }
-            when (result) {
+            if (read == null) reportClose(CloseReason.HEAD_TIME, current.headerTimeoutMillis, headSince)
+            when (val result = read?.getOrThrow()) {
                 null -> false
                 is HeadResult.Malformed -> refuse(writer, result.failure)
                 is HeadResult.Read -> answer(result, current, writer)
             }
-        }.getOrElse { failure ->
-            when {
-                writer.isStarted -> false
-                failure is TooLongLineException -> refuse(writer, Failure(ErrorKind.MALFORMED_REQUEST, LONG_LINE))
-                failure is IOException -> false
-                failure is ParserException -> refuse(writer, malformed())
-                else -> {
-                    log.warning("request failed unexpectedly", "reason" to describe(failure), cause = failure)
-                    refuse(writer, Failure(ErrorKind.INTERNAL, "the request failed with an internal error"))
-                }
-            }
+        }.getOrElse { failure -> answerFailure(failure, writer) }
+    }
+
+    /** Answers a request that failed with [failure], unless its answer has begun or the connection has failed. */
+    private suspend fun answerFailure(failure: Throwable, writer: ResponseWriter): Boolean = when {
+        writer.isStarted -> false
+        failure is TooLongLineException -> refuse(writer, Failure(ErrorKind.MALFORMED_REQUEST, LONG_LINE))
+        failure is IOException -> {
+            if (isOpen()) reportClose(CloseReason.FAILURE, detail = describe(failure))
+            false
         }
+        failure is ParserException -> refuse(writer, malformed())
+        else -> {
+            log.warning("request failed unexpectedly", "reason" to describe(failure), cause = failure)
+            refuse(writer, Failure(ErrorKind.INTERNAL, "the request failed with an internal error"))
+        }
+    }
+
+    /** Waits for the first byte of the next request. */
+    private suspend fun awaitRequest(limitMillis: Long): Boolean {
+        val hasRequest = runSuspendCatching {
+            withTimeoutOrNull(limitMillis) { connection.input.awaitContent() }
+        }.getOrDefault(false)
+        if (hasRequest == null) reportClose(CloseReason.IDLE_LIMIT, limitMillis)
+        return hasRequest ?: false
     }
 
+    /** Whether neither side has closed the connection and it has not failed. */
+    private fun isOpen(): Boolean = !connection.input.isClosedForRead && !connection.output.isClosedForWrite
+
+    /** Logs that this side closes the connection without an answer, after a wait since [since]. */
+    private fun reportClose(
+        reason: CloseReason,
+        limitMillis: Long? = null,
+        since: Long = idleSince,
+        detail: String? = null,
+    ) = CallerClose(
+        reason = reason,
+        idleMillis = now() - since,
+        limitMillis = limitMillis,
+        presentIdleLimitMillis = (limits() ?: DEFAULT_LIMITS).idleTimeoutMillis,
+        receivedBytes = connection.input.unreadBytes(),
+        requests = requests,
+        detail = detail,
+    ).report()
+
     private suspend fun answer(head: HeadResult.Read, limits: CallerLimits, writer: ResponseWriter): Boolean {
         isAnswered = false
         val arrivedAt = now()
+        requests++
         if (head.head.headerValues("Expect").any { it.equals("100-continue", ignoreCase = true) }) {
             connection.output.writeFully("HTTP/1.1 100 Continue\r\n\r\n".encodeToByteArray())
             connection.output.flush()
@@ -242,14 +285,20 @@
         bodies.Reservation().use { memory ->
             val body = withTimeoutOrNull(maximumBodyMillis) {
                 readRequestBody(connection.input, head.framing, limits, memory)
-            } ?: throw IOException("the body did not arrive within $maximumBodyMillis ms")
+            }
+            if (body == null) reportClose(CloseReason.BODY_TIME, maximumBodyMillis, arrivedAt)
             when (body) {
+                null -> return false
                 is RequestBodyResult.Refused -> return refuse(writer, body.failure)
                 is RequestBodyResult.Read ->
                     cancelOnDisconnect { handler.handle(CallerRequest(head.head, body.bytes, arrivedAt), writer) }
             }
         }
         isAnswered = writer.isEnded
+        if (!writer.isStarted && isOpen()) {
+            val reason = if (isStopping()) CloseReason.PLANNED_STOP else CloseReason.NO_RESPONSE
+            reportClose(reason, since = arrivedAt)
+        }
         return writer.isReusable && !head.head.isClosing
     }
 
--- a/daemon/src/main/kotlin/org/lentilquay/transport/SocketInput.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/SocketInput.kt
@@ -11,6 +11,7 @@
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.InternalAPI
 import kotlinx.io.Buffer
+import kotlinx.io.IOException
 import kotlinx.io.Source
 import kotlinx.io.UnsafeIoApi
 import kotlinx.io.unsafe.UnsafeBufferOperations
@@ -20,12 +21,12 @@
 private const val MAXIMUM_RECEIVED_BYTES = 64L shl 10
 
 /** Opens the input of [socket], which is registered with [selector]. */
-internal fun openInput(socket: Socket, selector: SelectorManager): ByteReadChannel =
+internal fun openInput(socket: Socket, selector: SelectorManager): SocketInput =
     SocketInput(SocketDirection(socket, selector, SelectInterest.READ)).also { it.start() }
 
 /** One coroutine receives from the socket, and one at a time reads. */
 @OptIn(InternalAPI::class, UnsafeIoApi::class)
-private class SocketInput(private val socket: SocketDirection) : ByteReadChannel {
+internal class SocketInput(private val socket: SocketDirection) : ByteReadChannel {
     private val lock = Any()
 
     /** Bytes that the socket has delivered, guarded by [lock]. */
@@ -60,6 +61,12 @@
 
     override fun cancel(cause: Throwable?) = socket.fail(cause)
 
+    /** Number of bytes that have arrived and were not read; those in the socket count as far as the buffer has room. */
+    fun unreadBytes(): Long {
+        synchronized(lock) { if (received.size < MAXIMUM_RECEIVED_BYTES) receiveNow() }
+        return available.size + synchronized(lock) { received.size }
+    }
+
     fun start() = socket.launch { receive() }
 
     /** Receives bytes until the other side has ended its output. */
@@ -76,6 +83,18 @@
         }
     }
 
+    /** Takes what has arrived at the socket; a failure is left to those who read. Call it with [lock] held. */
+    private fun receiveNow() {
+        if (socket.isEnded || closedCause != null) return
+        try {
+            val count = readSocket()
+            if (count < 0) socket.isEnded = true
+        } catch (failure: IOException) {
+            socket.fail(failure)
+        }
+        socket.signalBytes()
+    }
+
     private suspend fun awaitRoom() {
         while (closedCause == null && synchronized(lock) { received.size } >= MAXIMUM_RECEIVED_BYTES) socket.awaitRoom()
     }
--- a/daemon/src/main/kotlin/org/lentilquay/transport/TcpConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/TcpConnection.kt
@@ -7,7 +7,6 @@
 
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.Socket
-import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.cancel
 import io.ktor.utils.io.discard
@@ -24,7 +23,7 @@
     maximumPendingBytes: Long,
     onClosed: () -> Unit,
 ) : AutoCloseable {
-    val input: ByteReadChannel = openInput(socket, selector)
+    val input: SocketInput = openInput(socket, selector)
     val output: ByteWriteChannel = openOutput(socket, selector, maximumPendingBytes)
 
     init {
