Look at the socket once more before a wait for input ends

A wait under withTimeoutOrNull ends when its timer runs. After the process had no processor time, timers that are due run before the coroutine that reads the socket, so the wait ends though its bytes have arrived, and the cancelled parser loses those that it had read.

TimedInput.within bounds the waits of a block: at the end of the time the reader looks at the socket itself, under the lock of the receiving coroutine, and fails with InputTimeoutException only if nothing is there. The limit is read again at its end. A side that keeps sending is read no further than a number of bytes after the limit. Nothing uses it yet.

TimedInputTest: 8 pass; with all threads of the sockets' dispatcher blocked the bytes and the end of the input are still seen. SocketInputTest passes.

--- a/daemon/src/main/kotlin/org/lentilquay/transport/SocketInput.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/SocketInput.kt
@@ -8,8 +8,8 @@
 import io.ktor.network.selector.SelectInterest
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.Socket
-import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.InternalAPI
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.Buffer
 import kotlinx.io.IOException
 import kotlinx.io.Source
@@ -21,12 +21,12 @@
 private const val MAXIMUM_RECEIVED_BYTES = 64L shl 10
 
 /** Opens the input of [socket], which is registered with [selector]. */
-internal fun openInput(socket: Socket, selector: SelectorManager): SocketInput =
+internal fun openInput(socket: Socket, selector: SelectorManager): TimedInput =
     SocketInput(SocketDirection(socket, selector, SelectInterest.READ)).also { it.start() }
 
 /** One coroutine receives from the socket, and one at a time reads. */
 @OptIn(InternalAPI::class, UnsafeIoApi::class)
-internal class SocketInput(private val socket: SocketDirection) : ByteReadChannel {
+private class SocketInput(private val socket: SocketDirection) : TimedInput {
     private val lock = Any()
 
     /** Bytes that the socket has delivered, guarded by [lock]. */
@@ -35,6 +35,10 @@
     /** Bytes that the reader of this channel can take. */
     private val available = Buffer()
 
+    /** Limits that hold for the reader, the outer ones first. */
+    @Volatile
+    private var limits = emptyList<InputLimit>()
+
     override val closedCause: Throwable? get() = socket.failure
 
     override val isClosedForRead: Boolean
@@ -55,16 +59,27 @@
             if (available.size < min) takeReceived()
             if (available.size >= min) return true
             if (hadEnded) return false
-            socket.awaitBytes()
+            awaitBytes()
         }
     }
 
+    override suspend fun <T> within(millis: () -> Long, maximumLateBytes: Long, block: suspend () -> T): T {
+        val outer = limits
+        limits = outer + InputLimit(millis, maximumLateBytes)
+        return try {
+            block()
+        } finally {
+            limits = outer
+        }
+    }
+
+    override fun reviewLimits() = socket.signalBytes()
+
     override fun cancel(cause: Throwable?) = socket.fail(cause)
 
-    /** Number of bytes that have arrived and were not read; those in the socket count as far as the buffer has room. */
-    fun unreadBytes(): Long {
-        synchronized(lock) { if (received.size < MAXIMUM_RECEIVED_BYTES) receiveNow() }
-        return available.size + synchronized(lock) { received.size }
+    override fun unreadBytes(): Long = available.size + synchronized(lock) {
+        receiveNow()
+        received.size
     }
 
     fun start() = socket.launch { receive() }
@@ -83,12 +98,28 @@
         }
     }
 
-    /** Takes what has arrived at the socket; a failure is left to those who read. Call it with [lock] held. */
+    /** Waits for a signal of bytes or the end of a limit; throws if a limit has ended and nothing has arrived. */
+    private suspend fun awaitBytes() {
+        val limit = limits.minByOrNull { it.remainingMillis() }
+        val remainingMillis = limit?.remainingMillis()
+        when {
+            remainingMillis == null -> socket.awaitBytes()
+            remainingMillis > 0 -> withTimeoutOrNull(remainingMillis) { socket.awaitBytes() }
+            !hasArrived() -> throw limit.timeout()
+        }
+    }
+
+    /** Whether bytes, the end of the input or a failure have arrived at the socket. */
+    private fun hasArrived(): Boolean = synchronized(lock) {
+        receiveNow()
+        !received.exhausted()
+    } || socket.isEnded || closedCause != null
+
+    /** Receives what the socket has now; a failure is left to the reader. Call it with [lock] held. */
     private fun receiveNow() {
-        if (socket.isEnded || closedCause != null) return
+        if (socket.isEnded || closedCause != null || received.size >= MAXIMUM_RECEIVED_BYTES) return
         try {
-            val count = readSocket()
-            if (count < 0) socket.isEnded = true
+            if (readSocket() < 0) socket.isEnded = true
         } catch (failure: IOException) {
             socket.fail(failure)
         }
@@ -100,8 +131,9 @@
     }
 
     private fun takeReceived() {
-        synchronized(lock) { available.write(received, received.size) }
+        val count = synchronized(lock) { received.size.also { available.write(received, it) } }
         socket.signalRoom()
+        limits.forEach { it.taken(count) }
     }
 
     /** The number of bytes that were read, 0 if there are none now, or -1 at the end of the input. */
--- a/daemon/src/main/kotlin/org/lentilquay/transport/TcpConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/TcpConnection.kt
@@ -23,7 +23,7 @@
     maximumPendingBytes: Long,
     onClosed: () -> Unit,
 ) : AutoCloseable {
-    val input: SocketInput = openInput(socket, selector)
+    val input: TimedInput = openInput(socket, selector)
     val output: ByteWriteChannel = openOutput(socket, selector, maximumPendingBytes)
 
     init {
