Answer requests that are in the socket when the time for them ends

Callers saw a kept connection close without an answer to a request that they had sent within the idle limit, or while a head or body was arriving. The waits for the next request, its head, a part of its body and the whole body were cancelled by timers, and after the process had no processor time the timers run first.

The four waits use TimedInput.within. After a limit only bytes that have arrived are taken: a head and what is received with it, or a body up to its limit, so a slow sender still ends. The log line now has the lateness of the wait itself.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerClose.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerClose.kt
@@ -17,27 +17,34 @@
     PLANNED_STOP("planned_stop"),
     FAILURE("failure"),
 
+    /** The time of a planned stop passed during a request. */
+    STOP_ENDED("stop_ended"),
+
     /** The handling of a request ended without a response. */
     NO_RESPONSE("no_response"),
 }
 
-/** A connection that is closed after a wait of [idleMillis], which [limitMillis] bounded if it is not null. */
+/**
+ * A connection that is closed [idleMillis] after it was accepted or carried its last response. If a wait has ended,
+ * [limitMillis] bounded it, and this was noticed [lateMillis] later.
+ */
 internal data class CallerClose(
     val reason: CloseReason,
     val idleMillis: Long,
     val limitMillis: Long?,
+    val lateMillis: Long?,
     val presentIdleLimitMillis: Long,
     val receivedBytes: Long,
     val requests: Int,
-    val detail: String? = null,
+    val detail: String?,
 ) {
-    /** How long after the end of the limit the wait ended; negative if it ended before. */
-    private val lateMillis: Long? get() = limitMillis?.let { idleMillis - it }
-
     /** The end of an idle connection. Each kept connection has one, so they are left out of the log. */
     val isOrdinary: Boolean
-        get() = (reason == CloseReason.IDLE_LIMIT || reason == CloseReason.PLANNED_STOP) &&
-            receivedBytes == 0L && limitMillis != null && limitMillis >= presentIdleLimitMillis
+        get() = receivedBytes == 0L && when (reason) {
+            CloseReason.PLANNED_STOP -> true
+            CloseReason.IDLE_LIMIT -> limitMillis != null && limitMillis >= presentIdleLimitMillis
+            else -> false
+        }
 
     fun report() {
         if (isOrdinary) return
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
@@ -15,12 +15,13 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.IOException
 import org.lentilquay.daemon.logs.warning
 import org.lentilquay.state.ErrorKind
 import org.lentilquay.state.Failure
 import org.lentilquay.state.gateway.CallerLimits
+import org.lentilquay.transport.InputTimeoutException
+import org.lentilquay.transport.MAXIMUM_LATE_BYTES
 import org.lentilquay.transport.TcpConnection
 import org.lentilquay.transport.describe
 import org.lentilquay.transport.runSuspendCatching
@@ -172,9 +173,8 @@
     @Volatile
     private var idleSince = now()
 
-    /** The idle limit of the present wait for a request. */
-    @Volatile
-    private var idleLimitMillis = 0L
+    /** What ends if the part of a request that is being read does not arrive in time; null if none is being read. */
+    private var reading: CloseReason? = null
 
     /** Requests that were read on this connection. */
     @Volatile
@@ -192,7 +192,7 @@
     fun closeIfIdle() {
         val isIdle = !isBusy && now() - idleSince >= IDLE_BEFORE_STOP_MILLIS
         if (!isIdle || connection.input.availableForRead != 0) return
-        reportClose(CloseReason.PLANNED_STOP, idleLimitMillis)
+        reportClose(CloseReason.PLANNED_STOP)
         connection.close()
     }
 
@@ -212,18 +212,16 @@
     private suspend fun serveNext(): Boolean {
         val current = limits() ?: DEFAULT_LIMITS
         idleSince = now()
-        idleLimitMillis = current.idleTimeoutMillis
         isBusy = false
         if (!awaitRequest(current.idleTimeoutMillis)) return false
         isBusy = true
-        val headSince = now()
+        reading = CloseReason.HEAD_TIME
         val writer = ResponseWriter(connection.output, now) { !isStopping() }.also { this.writer = it }
         return runSuspendCatching {
-            val read = withTimeoutOrNull(current.headerTimeoutMillis) {
-                Result.success(parseRequest(connection.input)?.use { callerHead(it, current.headerBytes) })
+            val result = connection.input.within({ current.headerTimeoutMillis }) {
+                parseRequest(connection.input)?.use { callerHead(it, current.headerBytes) }
             }
-            if (read == null) reportClose(CloseReason.HEAD_TIME, current.headerTimeoutMillis, headSince)
-            when (val result = read?.getOrThrow()) {
+            when (result) {
                 null -> false
                 is HeadResult.Malformed -> refuse(writer, result.failure)
                 is HeadResult.Read -> answer(result, current, writer)
@@ -235,6 +233,10 @@
     private suspend fun answerFailure(failure: Throwable, writer: ResponseWriter): Boolean = when {
         writer.isStarted -> false
         failure is TooLongLineException -> refuse(writer, Failure(ErrorKind.MALFORMED_REQUEST, LONG_LINE))
+        failure is InputTimeoutException -> {
+            reportClose(reading ?: CloseReason.FAILURE, failure)
+            false
+        }
         failure is IOException -> {
             if (isOpen()) reportClose(CloseReason.FAILURE, detail = describe(failure))
             false
@@ -247,32 +249,28 @@
     }
 
     /** Waits for the first byte of the next request. */
-    private suspend fun awaitRequest(limitMillis: Long): Boolean {
-        val hasRequest = runSuspendCatching {
-            withTimeoutOrNull(limitMillis) { connection.input.awaitContent() }
-        }.getOrDefault(false)
-        if (hasRequest == null) reportClose(CloseReason.IDLE_LIMIT, limitMillis)
-        return hasRequest ?: false
+    private suspend fun awaitRequest(limitMillis: Long): Boolean = runSuspendCatching {
+        connection.input.within({ limitMillis }) { connection.input.awaitContent() }
+    }.getOrElse { failure ->
+        if (failure is InputTimeoutException) reportClose(CloseReason.IDLE_LIMIT, failure)
+        false
     }
 
     /** Whether neither side has closed the connection and it has not failed. */
     private fun isOpen(): Boolean = !connection.input.isClosedForRead && !connection.output.isClosedForWrite
 
-    /** Logs that this side closes the connection without an answer, after a wait since [since]. */
-    private fun reportClose(
-        reason: CloseReason,
-        limitMillis: Long? = null,
-        since: Long = idleSince,
-        detail: String? = null,
-    ) = CallerClose(
-        reason = reason,
-        idleMillis = now() - since,
-        limitMillis = limitMillis,
-        presentIdleLimitMillis = (limits() ?: DEFAULT_LIMITS).idleTimeoutMillis,
-        receivedBytes = connection.input.unreadBytes(),
-        requests = requests,
-        detail = detail,
-    ).report()
+    /** Logs that this side closes the connection without an answer, because of [timeout] if it is not null. */
+    private fun reportClose(reason: CloseReason, timeout: InputTimeoutException? = null, detail: String? = null) =
+        CallerClose(
+            reason = reason,
+            idleMillis = now() - idleSince,
+            limitMillis = timeout?.limitMillis,
+            lateMillis = timeout?.lateMillis,
+            presentIdleLimitMillis = (limits() ?: DEFAULT_LIMITS).idleTimeoutMillis,
+            receivedBytes = connection.input.unreadBytes(),
+            requests = requests,
+            detail = detail,
+        ).report()
 
     private suspend fun answer(head: HeadResult.Read, limits: CallerLimits, writer: ResponseWriter): Boolean {
         isAnswered = false
@@ -283,12 +281,12 @@
             connection.output.flush()
         }
         bodies.Reservation().use { memory ->
-            val body = withTimeoutOrNull(maximumBodyMillis) {
+            reading = CloseReason.BODY_TIME
+            val body = connection.input.within({ maximumBodyMillis }, limits.bodyBytes + MAXIMUM_LATE_BYTES) {
                 readRequestBody(connection.input, head.framing, limits, memory)
             }
-            if (body == null) reportClose(CloseReason.BODY_TIME, maximumBodyMillis, arrivedAt)
+            reading = null
             when (body) {
-                null -> return false
                 is RequestBodyResult.Refused -> return refuse(writer, body.failure)
                 is RequestBodyResult.Read ->
                     cancelOnDisconnect { handler.handle(CallerRequest(head.head, body.bytes, arrivedAt), writer) }
@@ -296,8 +294,7 @@
         }
         isAnswered = writer.isEnded
         if (!writer.isStarted && isOpen()) {
-            val reason = if (isStopping()) CloseReason.PLANNED_STOP else CloseReason.NO_RESPONSE
-            reportClose(reason, since = arrivedAt)
+            reportClose(if (isStopping()) CloseReason.STOP_ENDED else CloseReason.NO_RESPONSE)
         }
         return writer.isReusable && !head.head.isClosing
     }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestBody.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestBody.kt
@@ -3,14 +3,13 @@
  */
 package org.lentilquay.daemon.gateway
 
-import io.ktor.utils.io.ByteReadChannel
-import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.Buffer
 import kotlinx.io.IOException
 import kotlinx.io.readByteArray
 import org.lentilquay.state.ErrorKind
 import org.lentilquay.state.Failure
 import org.lentilquay.state.gateway.CallerLimits
+import org.lentilquay.transport.TimedInput
 import org.lentilquay.transport.http.BodyFraming
 import org.lentilquay.transport.http.BodyReader
 
@@ -27,54 +26,54 @@
 
 /**
  * Reads the body that follows in [input], with [memory] for a long one. Throws an [IOException] if the body is cut off
- * or the caller sends nothing for the idle timeout.
+ * or the caller sends no part of it for the idle timeout.
  */
 internal suspend fun readRequestBody(
-    input: ByteReadChannel,
+    input: TimedInput,
     framing: BodyFraming,
     limits: CallerLimits,
     memory: RequestBodyBudget.Reservation,
 ): RequestBodyResult {
     val length = (framing as? BodyFraming.Length)?.bytes
     val reader = BodyReader(input, framing)
+    val next: suspend () -> ByteArray? = { input.within({ limits.idleTimeoutMillis }) { reader.next() } }
     return when {
-        length == null -> readUnknownLength(reader, limits, memory)
+        length == null -> readUnknownLength(next, limits, memory)
         length > limits.bodyBytes -> tooLong(limits)
         !memory.reserve(length) -> noMemory()
-        else -> readRest(reader, limits, Buffer())
+        else -> readRest(next, limits, Buffer())
     }
 }
 
 /** Reserves memory for the longest body once a chunked one exceeds what is not counted. */
 private suspend fun readUnknownLength(
-    reader: BodyReader,
+    next: suspend () -> ByteArray?,
     limits: CallerLimits,
     memory: RequestBodyBudget.Reservation,
 ): RequestBodyResult {
     val collected = Buffer()
     while (collected.size <= UNCOUNTED_BODY_BYTES) {
-        collected.write(nextPart(reader, limits) ?: break)
+        collected.write(next() ?: break)
     }
     return when {
         collected.size <= UNCOUNTED_BODY_BYTES || memory.reserve(limits.bodyBytes.toLong()) ->
-            readRest(reader, limits, collected)
+            readRest(next, limits, collected)
         else -> noMemory()
     }
 }
 
-private suspend fun readRest(reader: BodyReader, limits: CallerLimits, collected: Buffer): RequestBodyResult {
+private suspend fun readRest(
+    next: suspend () -> ByteArray?,
+    limits: CallerLimits,
+    collected: Buffer,
+): RequestBodyResult {
     while (collected.size <= limits.bodyBytes) {
-        val part = nextPart(reader, limits) ?: return RequestBodyResult.Read(collected.readByteArray())
+        val part = next() ?: return RequestBodyResult.Read(collected.readByteArray())
         collected.write(part)
     }
     return tooLong(limits)
 }
 
-private suspend fun nextPart(reader: BodyReader, limits: CallerLimits): ByteArray? {
-    val read = withTimeoutOrNull(limits.idleTimeoutMillis) { Result.success(reader.next()) }
-    return (read ?: throw IOException("no byte of the body within ${limits.idleTimeoutMillis} ms")).getOrThrow()
-}
-
 private fun tooLong(limits: CallerLimits) = RequestBodyResult.Refused(
     Failure(ErrorKind.BODY_TOO_LARGE, "the body is longer than ${limits.bodyBytes} bytes"),
 )
