Apply a raised idle limit to connections that wait

Callers that keep to the idle limit of a new configuration sent requests to connections that still waited for the old, lower limit, and saw them close without an answer. The limits were read once, before the wait.

The limit is read again at its end, and the larger of the one at the start and the present one holds, because after a lower limit callers that have not seen it keep to the former one. The limits for the head and the body follow the same rule. A limit that is raised and lowered again within one wait is not seen.

--- a/core/src/main/kotlin/org/lentilquay/state/gateway/GatewayConfiguration.kt
+++ b/core/src/main/kotlin/org/lentilquay/state/gateway/GatewayConfiguration.kt
@@ -93,7 +93,18 @@
     val headerTimeoutMillis: Long,
     /** Time after which an idle connection is closed. */
     val idleTimeoutMillis: Long,
-)
+) {
+    /**
+     * The larger of each limit. While a change of the configuration spreads, some callers keep to the former limits and
+     * some to the [present] ones.
+     */
+    fun largerOf(present: CallerLimits) = CallerLimits(
+        headerBytes = maxOf(headerBytes, present.headerBytes),
+        bodyBytes = maxOf(bodyBytes, present.bodyBytes),
+        headerTimeoutMillis = maxOf(headerTimeoutMillis, present.headerTimeoutMillis),
+        idleTimeoutMillis = maxOf(idleTimeoutMillis, present.idleTimeoutMillis),
+    )
+}
 
 /** The whole configuration of the gateway. */
 data class GatewayConfiguration(
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
@@ -210,10 +210,11 @@
     }
 
     private suspend fun serveNext(): Boolean {
-        val current = limits() ?: DEFAULT_LIMITS
+        val limitsBefore = presentLimits()
         idleSince = now()
         isBusy = false
-        if (!awaitRequest(current.idleTimeoutMillis)) return false
+        if (!awaitRequest(limitsBefore)) return false
+        val current = limitsBefore.largerOf(presentLimits())
         isBusy = true
         reading = CloseReason.HEAD_TIME
         val writer = ResponseWriter(connection.output, now) { !isStopping() }.also { this.writer = it }
@@ -249,13 +250,16 @@
     }
 
     /** Waits for the first byte of the next request. */
-    private suspend fun awaitRequest(limitMillis: Long): Boolean = runSuspendCatching {
-        connection.input.within({ limitMillis }) { connection.input.awaitContent() }
+    private suspend fun awaitRequest(limitsBefore: CallerLimits): Boolean = runSuspendCatching {
+        val idleMillis = { limitsBefore.largerOf(presentLimits()).idleTimeoutMillis }
+        connection.input.within(idleMillis) { connection.input.awaitContent() }
     }.getOrElse { failure ->
         if (failure is InputTimeoutException) reportClose(CloseReason.IDLE_LIMIT, failure)
         false
     }
 
+    private fun presentLimits(): CallerLimits = limits() ?: DEFAULT_LIMITS
+
     /** Whether neither side has closed the connection and it has not failed. */
     private fun isOpen(): Boolean = !connection.input.isClosedForRead && !connection.output.isClosedForWrite
 
@@ -266,7 +270,7 @@
             idleMillis = now() - idleSince,
             limitMillis = timeout?.limitMillis,
             lateMillis = timeout?.lateMillis,
-            presentIdleLimitMillis = (limits() ?: DEFAULT_LIMITS).idleTimeoutMillis,
+            presentIdleLimitMillis = presentLimits().idleTimeoutMillis,
             receivedBytes = connection.input.unreadBytes(),
             requests = requests,
             detail = detail,
