Keep a silent engine until another one has sent the next chunk

Callers saw a stream end with an error, or a completion fail, although the engine that ran it was sound and went on after a pause.

Cause: a stream was resumed at its engine once in its whole life. At the second wait without a chunk, or the second lost connection, the engine was left, however much it had sent in between, and before a slot at another engine was known. If the next engine refused, failed or closed the connection, or if there was none, the request ended.

Change: each new chunk renews the right to resume. A server that accepts the resume order and sends nothing gets a rival where one has a free slot now, and is left when the rival has sent the next chunk. A crash of the rival counts for the quarantine. After four resume orders in a row without a chunk, the stream goes on elsewhere or ends, as before after one. The parts of InferenceRun that describe a run move to files of their own.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/requests/InferenceRun.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/requests/InferenceRun.kt
@@ -6,77 +6,33 @@
 package org.lentilquay.daemon.requests
 
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
-import org.lentilquay.coordination.quota.Charge
+import kotlinx.coroutines.withContext
 import org.lentilquay.daemon.metrics.RetryReason
 import org.lentilquay.protocol.ActiveRun
 import org.lentilquay.protocol.EngineHeaders
 import org.lentilquay.protocol.ResumeOrder
 import org.lentilquay.protocol.RunOutcome
-import org.lentilquay.state.AdapterVersion
 import org.lentilquay.state.ErrorKind
 import org.lentilquay.state.Failure
 import org.lentilquay.state.Outcome
-import org.lentilquay.state.Route
 import org.lentilquay.state.RunState
 import org.lentilquay.state.ServerId
-import org.lentilquay.state.TeamId
-import org.lentilquay.transport.engine.EngineClient
-import org.lentilquay.transport.engine.EngineRun
 import org.lentilquay.transport.engine.EngineRunResult
 import org.lentilquay.transport.engine.ReportResult
 import org.lentilquay.transport.engine.RunHead
 import org.lentilquay.transport.engine.StreamStep
 
-/** An event of the run. */
-sealed interface RunEvent {
-    /** The next chunk of the response; [data] is the event as a streaming caller gets it. */
-    data class Part(val data: String, val chunk: EngineChunk) : RunEvent
-
-    /** The response is complete. */
-    data object Done : RunEvent
-
-    /** The response cannot be completed. */
-    data class Failed(val failure: Failure) : RunEvent
-}
-
-/** A request that passed the checks and was charged. */
-data class AdmittedInference(
-    val requestId: String,
-    val request: InferenceRequest,
-    val route: Route,
-    val team: TeamId,
-    val baseModel: String,
-    val adapter: AdapterVersion,
-    val fingerprint: String,
-    val isSuspect: Boolean,
-    val charge: Charge,
-)
-
-/** The dependencies of the daemon that a run uses. */
-class InferenceDependencies(
-    val reservations: ReservationClient,
-    val engines: EngineClient,
-    val suspects: SuspectRequests,
-    val now: () -> Long,
-)
-
 class InferenceRun(
     private val admitted: AdmittedInference,
     private val dependencies: InferenceDependencies,
     private val activeCall: ActiveCall,
     private val metrics: RequestMetrics,
 ) {
-    private class Attempt(
-        val reservation: Reservation,
-        val run: EngineRun,
-        val incarnation: Long?,
-        val mayResume: Boolean,
-    )
-
     private val excluded = mutableSetOf<ServerId>()
     private var attempts = 0
 
@@ -85,7 +41,14 @@
     private var lastChunkAt: Long? = null
 
     @Volatile
-    private var current: Attempt? = null
+    private var current: RunAttempt? = null
+
+    /** The attempt at another server that may replace [current], or null. */
+    @Volatile
+    private var replacement: RunAttempt? = null
+
+    /** How often the stream was resumed since the last new chunk. */
+    private var resumesWithoutChunk = 0
     private var nextIndex = 0
     private var mayHaveRun = false
     private var isSuspect = admitted.isSuspect
@@ -103,7 +66,7 @@
 
     init {
         // Closing the connection ends the wait for the next event of the engine.
-        activeCall.whenAborted { current?.run?.close() }
+        activeCall.whenAborted { listOfNotNull(current, replacement).forEach { it.close() } }
     }
 
     /** The next event. After [RunEvent.Done] or [RunEvent.Failed] the run is over. */
@@ -114,9 +77,9 @@
                 is Outcome.Failed ->
                     return activeCall.abortFailure?.let { endAborted(it) }
                         ?: RunEvent.Failed(correctRunState(opened.failure))
-                is Outcome.Success -> opened.value
+                is Outcome.Success -> opened.value.also { current = it }
             }
-            when (val step = attempt.run.next()) {
+            when (val step = attempt.next()) {
                 is StreamStep.Event -> processEvent(attempt, step.data)?.let { return it }
                 is StreamStep.Lost -> if (activeCall.abortFailure == null) resumeOrEnd(attempt)
                 StreamStep.Done -> {
@@ -140,7 +103,7 @@
         end(attempt, RunOutcome.CANCELLED)
     }
 
-    private suspend fun openNext(): Outcome<Attempt> {
+    private suspend fun openNext(): Outcome<RunAttempt> {
         var last = Failure(ErrorKind.BACKEND_FAILED, "no backend server completed the request")
         while (attempts < MAXIMUM_ATTEMPTS) {
             val askedAt = dependencies.now()
@@ -174,7 +137,7 @@
         }
     }
 
-    private suspend fun startRun(reservation: Reservation): Outcome<Attempt> {
+    private suspend fun startRun(reservation: Reservation): Outcome<RunAttempt> {
         if (dependencies.now() > reservation.dispatchDeadline || activeCall.abortFailure != null) {
             dependencies.reservations.release(reservation, RunOutcome.NOT_STARTED, null)
             return failure(ErrorKind.NO_CAPACITY, "the reservation expired before the request could start")
@@ -189,18 +152,14 @@
         retryReason?.let(metrics::retried)
         val headers = listOf(EngineHeaders.REQUEST_ID to reservation.attemptId)
         val answer = dependencies.engines.startRun(reservation.address, admitted.request.form.path, body, headers)
-        return accept(reservation, answer, mayResume = true)
+        return accept(reservation, answer)
     }
 
-    private suspend fun accept(
-        reservation: Reservation,
-        answer: EngineRunResult,
-        mayResume: Boolean,
-    ): Outcome<Attempt> {
+    private suspend fun accept(reservation: Reservation, answer: EngineRunResult): Outcome<RunAttempt> {
         val head = answer.headOrNull()
         head?.notice?.let { dependencies.reservations.noticed(reservation, head.incarnation, it) }
         return when (answer) {
-            is EngineRunResult.Accepted -> checkHead(reservation, answer, mayResume)
+            is EngineRunResult.Accepted -> checkHead(reservation, answer)
             is EngineRunResult.NotWritten ->
                 failAttempt(reservation, RetryReason.NOT_CONNECTED, "server not reached", null)
             is EngineRunResult.NotLoaded -> {
@@ -223,19 +182,7 @@
         }
     }
 
-    private fun EngineRunResult.headOrNull(): RunHead? = when (this) {
-        is EngineRunResult.Accepted -> head
-        is EngineRunResult.NotLoaded -> head
-        is EngineRunResult.Overloaded -> head
-        is EngineRunResult.WrongStatus -> head
-        is EngineRunResult.NotWritten, is EngineRunResult.LostBeforeHeaders -> null
-    }
-
-    private fun checkHead(
-        reservation: Reservation,
-        answer: EngineRunResult.Accepted,
-        mayResume: Boolean,
-    ): Outcome<Attempt> {
+    private fun checkHead(reservation: Reservation, answer: EngineRunResult.Accepted): Outcome<RunAttempt> {
         mayHaveRun = true
         val fault = headFault(reservation, answer.head)
         if (fault != null) {
@@ -244,9 +191,7 @@
         }
         activeCall.answered()
         dependencies.reservations.progress(reservation, answer.head.incarnation)
-        val attempt = Attempt(reservation, answer.run, answer.head.incarnation, mayResume)
-        current = attempt
-        return Outcome.Success(attempt)
+        return Outcome.Success(RunAttempt(reservation, answer.run, answer.head.incarnation))
     }
 
     private fun headFault(reservation: Reservation, head: RunHead): String? = when {
@@ -256,12 +201,12 @@
         else -> null
     }
 
-    private suspend fun processEvent(attempt: Attempt, data: String): RunEvent? {
-        val check = checkChunk(data, attempt.reservation.attemptId, admitted.adapter.engineName, nextIndex)
-        return when (check) {
+    private suspend fun processEvent(attempt: RunAttempt, data: String): RunEvent? {
+        return when (val check = check(attempt, data)) {
             is ChunkCheck.Next -> {
                 if (check.chunk.index != null) nextIndex++
                 recordTokenGap()
+                resumesWithoutChunk = 0
                 usage = check.chunk.usage ?: usage.copy(completionTokens = maxOf(usage.completionTokens, chunkCount()))
                 RunEvent.Part(callerData(data, attempt.reservation.attemptId), check.chunk)
             }
@@ -285,14 +230,17 @@
     /**
      * The stream broke off: resumes it at the same server if possible, otherwise leaves the rest to the next attempt.
      */
-    private suspend fun resumeOrEnd(attempt: Attempt) {
-        attempt.run.close()
+    private suspend fun resumeOrEnd(attempt: RunAttempt) {
+        attempt.close()
         val order = ResumeOrder(attempt.reservation.attemptId, nextIndex)
         val answer = dependencies.engines.resume(attempt.reservation.address, order)
         if (answer is EngineRunResult.Accepted) {
-            if (attempt.mayResume && answer.head.incarnation == attempt.incarnation) {
-                current = Attempt(attempt.reservation, answer.run, attempt.incarnation, mayResume = false)
+            val isSameProcess = answer.head.incarnation == attempt.incarnation
+            if (isSameProcess && ++resumesWithoutChunk <= MAXIMUM_RESUMES_WITHOUT_CHUNK) {
                 metrics.retried(RetryReason.RESUMED)
+                val resumed = RunAttempt(attempt.reservation, answer.run, attempt.incarnation)
+                current = resumed
+                if (resumesWithoutChunk > 1) tryReplace(resumed)
                 return
             }
             answer.run.close()
@@ -303,14 +251,64 @@
         end(attempt, RunOutcome.CONNECTION_LOST)
     }
 
+    /**
+     * Replaces [silent], whose server is sound and sends nothing, by an attempt at another server if one has a free
+     * slot now. The silent server is left only when the other one has sent the next chunk.
+     */
+    private suspend fun tryReplace(silent: RunAttempt) {
+        excluded += silent.reservation.server
+        retryReason = RetryReason.CONNECTION_LOST
+        val silentRun = activeCall.run
+        val other = openReplacement(silent.reservation.server)
+        replacement = other
+        try {
+            if (other != null && activeCall.abortFailure == null && other.answersBefore(silent, ::isNextChunk)) {
+                replacement = null
+                leave(silent, RunOutcome.CONNECTION_LOST)
+                current = other
+            } else if (other?.isLost == true && !isAlive(other.reservation, other.incarnation)) {
+                serverLost(other.reservation, other.incarnation)
+            }
+        } finally {
+            replacement = null
+            if (current === silent) {
+                activeCall.run = silentRun
+                withContext(NonCancellable) { other?.let { leave(it, RunOutcome.CANCELLED) } }
+            }
+        }
+    }
+
+    private suspend fun openReplacement(left: ServerId): RunAttempt? {
+        if (attempts >= MAXIMUM_ATTEMPTS) return null
+        val request = reservationRequest(attempts++).copy(waitMillis = 0)
+        val reservation = (reserveUnlessAborted(request) as? Outcome.Success)?.value
+        return when (reservation?.server) {
+            null -> null
+            left -> {
+                dependencies.reservations.release(reservation, RunOutcome.NOT_STARTED, null)
+                null
+            }
+            else -> (startRun(reservation) as? Outcome.Success)?.value
+        }
+    }
+
+    private fun isNextChunk(attempt: RunAttempt, step: StreamStep): Boolean = step == StreamStep.Done ||
+        (step is StreamStep.Event && check(attempt, step.data) is ChunkCheck.Next)
+
+    private fun check(attempt: RunAttempt, data: String): ChunkCheck =
+        checkChunk(data, attempt.reservation.attemptId, admitted.adapter.engineName, nextIndex)
+
+    /** Cancels [attempt] at its engine and frees its slot. */
+    private suspend fun leave(attempt: RunAttempt, outcome: RunOutcome) {
+        attempt.close()
+        dependencies.engines.cancel(attempt.reservation.address, attempt.reservation.attemptId)
+        dependencies.reservations.release(attempt.reservation, outcome, attempt.incarnation)
+    }
+
     /** Whether the server process that ran the request has ended, judged by the answer to the resume order. */
-    private suspend fun isFromOtherProcess(answer: EngineRunResult, attempt: Attempt): Boolean = when (answer) {
-        is EngineRunResult.NotWritten, is EngineRunResult.LostBeforeHeaders ->
-            !isAlive(attempt.reservation, attempt.incarnation)
-        is EngineRunResult.Accepted -> answer.head.incarnation != attempt.incarnation
-        is EngineRunResult.WrongStatus -> answer.head.incarnation != attempt.incarnation
-        is EngineRunResult.NotLoaded -> answer.head.incarnation != attempt.incarnation
-        is EngineRunResult.Overloaded -> answer.head.incarnation != attempt.incarnation
+    private suspend fun isFromOtherProcess(answer: EngineRunResult, attempt: RunAttempt): Boolean {
+        val head = answer.headOrNull() ?: return !isAlive(attempt.reservation, attempt.incarnation)
+        return head.incarnation != attempt.incarnation
     }
 
     /** Whether the process [incarnation] still answers; if it does, only the connection was lost. */
@@ -348,8 +346,8 @@
         return failure(kind, "backend server ${reservation.server}: $message")
     }
 
-    private fun end(attempt: Attempt, outcome: RunOutcome) {
-        attempt.run.close()
+    private fun end(attempt: RunAttempt, outcome: RunOutcome) {
+        attempt.close()
         dependencies.reservations.release(attempt.reservation, outcome, attempt.incarnation)
         activeCall.run = null
         current = null
@@ -377,14 +375,6 @@
     )
 }
 
-/** The outcome that is reported to the owner for an attempt that ended for this reason. */
-private fun RetryReason.outcome(): RunOutcome = when (this) {
-    RetryReason.ADAPTER_MISSING -> RunOutcome.ADAPTER_MISSING
-    RetryReason.SERVER_OVERLOADED -> RunOutcome.SERVER_OVERLOADED
-    RetryReason.WRONG_ANSWER -> RunOutcome.WRONG_ANSWER
-    RetryReason.NOT_CONNECTED, RetryReason.CONNECTION_LOST, RetryReason.RESUMED -> RunOutcome.CONNECTION_LOST
-}
-
 /**
  * How long an interrupted request waits for its next reservation. It is longer than the maximum wait of a route,
  * because the caller already has a part of the response, and because each server runs only one suspect request at a
@@ -392,5 +382,11 @@
  */
 private const val MAXIMUM_CONTINUATION_WAIT_MILLIS = 30_000L
 
+/**
+ * How often a stream is resumed at a server that accepts this and sends no new chunk. It bounds the time for which a
+ * server whose run hangs is waited for.
+ */
+private const val MAXIMUM_RESUMES_WITHOUT_CHUNK = 4
+
 /** Attempts of one request, over all servers. */
 private const val MAXIMUM_ATTEMPTS = 4
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/requests/InferenceRunTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/requests/InferenceRunTest.kt
@@ -35,7 +35,8 @@
 
 private val adapter = AdapterVersion("stove", 3)
 
-private class GrantingReservations(
+/** Grants a slot at each of [addresses] in turn, and then none. */
+internal class GrantingReservations(
     private val addresses: List<String>,
     private val incarnation: Long? = null,
 ) : ReservationClient {
@@ -45,6 +46,7 @@
 
     override suspend fun reserve(request: ReservationRequest): Outcome<Reservation> {
         val number = next++
+        if (number >= addresses.size) return Outcome.Failed(Failure(ErrorKind.NO_CAPACITY, "no further server"))
         val reservation = Reservation(
             attemptId = request.attemptId,
             server = ServerId("e$number"),
@@ -85,13 +87,13 @@
     override fun release(reservation: Reservation, outcome: RunOutcome, incarnation: Long?) = Unit
 }
 
-private object NoCrashes : SuspectRequests {
+internal object NoCrashes : SuspectRequests {
     override suspend fun quarantineStatus(fingerprint: String) = QuarantineStatus.CLEAR
 
     override suspend fun serverLost(reservation: Reservation, incarnation: Long?, fingerprint: String) = Unit
 }
 
-private class CountedCrashes : SuspectRequests {
+internal class CountedCrashes : SuspectRequests {
     var count = 0
 
     override suspend fun quarantineStatus(fingerprint: String) = QuarantineStatus.CLEAR
@@ -124,7 +126,7 @@
     )
 }
 
-private fun admitted(): AdmittedInference {
+internal fun admitted(): AdmittedInference {
     val body = """{"model":"stove","messages":[{"role":"user","content":"hello"}]}"""
     val read = readInferenceRequest(InferenceForm.CHAT, body.encodeToByteArray())
     return AdmittedInference(
