Receive the answers of servers that arrived before a timer ran late

Callers got a failure, or a second server got their request, although the answer of the first one had arrived in time. Calls to the store counted as lost in the same way.

Cause: the waits for the head and for the body of an answer ended when a timer ran. After a time without processor time, timers that are due run before the sockets are looked at, so an answer that had arrived was dropped and its connection closed.

Change: the waits for heads, bodies, events of engines and bytes of services use the limits of the input, which look at the socket once more. The time to write a request still ends by a timer, because nothing that was waited for can have arrived there.

--- a/daemon/src/main/kotlin/org/lentilquay/transport/engine/EventReader.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/engine/EventReader.kt
@@ -4,7 +4,7 @@
  */
 package org.lentilquay.transport.engine
 
-import kotlinx.coroutines.withTimeoutOrNull
+import org.lentilquay.transport.InputTimeoutException
 import org.lentilquay.transport.describe
 import org.lentilquay.transport.http.BodyReadResult
 import org.lentilquay.transport.http.LineTooLongException
@@ -33,12 +33,13 @@
     override fun close() = answer.close()
 
     private suspend fun read(): StreamStep {
-        val outcome = runSuspendCatching { withTimeoutOrNull(idleMillis) { readEvent() } }
+        val outcome = runSuspendCatching { answer.body.within(idleMillis) { readEvent() } }
         val failure = outcome.exceptionOrNull()
         return when {
+            failure is InputTimeoutException -> lost(LossReason.IDLE, "no event within $idleMillis ms")
             failure is LineTooLongException -> lost(LossReason.EVENT_TOO_LARGE, describe(failure))
             failure != null -> lost(LossReason.CONNECTION_LOST, describe(failure))
-            else -> outcome.getOrNull() ?: lost(LossReason.IDLE, "no event within $idleMillis ms")
+            else -> outcome.getOrThrow()
         }
     }
 
--- a/daemon/src/main/kotlin/org/lentilquay/transport/engine/ServiceClient.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/engine/ServiceClient.kt
@@ -4,8 +4,8 @@
  */
 package org.lentilquay.transport.engine
 
-import kotlinx.coroutines.withTimeoutOrNull
 import org.lentilquay.protocol.EngineHeaders
+import org.lentilquay.transport.InputTimeoutException
 import org.lentilquay.transport.describe
 import org.lentilquay.transport.http.BodyReadResult
 import org.lentilquay.transport.http.HttpRequest
@@ -68,9 +68,11 @@
 private class ResponseBody(private val answer: UnpooledExchange.Answered, private val idleMillis: Long) : ServiceBody {
     override suspend fun next(): BodyStep {
         val step = runSuspendCatching {
-            withTimeoutOrNull(idleMillis) { answer.body.next()?.let { BodyStep.Bytes(it) } ?: BodyStep.End }
+            answer.body.within(idleMillis) { answer.body.next()?.let { BodyStep.Bytes(it) } ?: BodyStep.End }
+        }
+        return step.getOrElse {
+            BodyStep.Lost(if (it is InputTimeoutException) "no bytes within $idleMillis ms" else describe(it))
         }
-        return step.getOrElse { BodyStep.Lost(describe(it)) } ?: BodyStep.Lost("no bytes within $idleMillis ms")
     }
 
     override suspend fun readFully(maximumBytes: Int): BodyReadResult = answer.readFully(maximumBytes, idleMillis)
--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/BodyReadResult.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/BodyReadResult.kt
@@ -3,7 +3,7 @@
  */
 package org.lentilquay.transport.http
 
-import kotlinx.coroutines.withTimeoutOrNull
+import org.lentilquay.transport.InputTimeoutException
 import org.lentilquay.transport.describe
 import org.lentilquay.transport.runSuspendCatching
 import java.io.ByteArrayOutputStream
@@ -29,18 +29,18 @@
 internal suspend fun readFully(body: BodyReader, maximumBytes: Int, timeoutMillis: Long): BodyReadResult {
     val collected = ByteArrayOutputStream()
     val finished = runSuspendCatching {
-        withTimeoutOrNull(timeoutMillis) {
+        body.within(timeoutMillis) {
             var bytes = body.next()
             while (bytes != null && collected.size() <= maximumBytes) {
                 collected.write(bytes)
                 bytes = body.next()
             }
-        } != null
+        }
     }
     val failure = finished.exceptionOrNull()
     return when {
+        failure is InputTimeoutException -> BodyReadResult.Lost("body not complete within $timeoutMillis ms")
         failure != null -> BodyReadResult.Lost(describe(failure))
-        finished.getOrNull() != true -> BodyReadResult.Lost("body not complete within $timeoutMillis ms")
         collected.size() > maximumBytes -> BodyReadResult.TooLarge(maximumBytes)
         else -> BodyReadResult.Complete(collected.toByteArray())
     }
--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/BodyReader.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/BodyReader.kt
@@ -10,6 +10,8 @@
 import io.ktor.utils.io.readLineStrict
 import kotlinx.io.EOFException
 import kotlinx.io.IOException
+import org.lentilquay.transport.InputTimeoutException
+import org.lentilquay.transport.TimedInput
 import org.lentilquay.transport.describe
 
 /** Maximum length of a chunk size line, which may have extensions, and of a trailer line. */
@@ -49,6 +51,13 @@
     /** Whether the body has its own end, so that the connection can be reused after it. */
     val isDelimited: Boolean get() = framing != BodyFraming.UntilClose
 
+    /**
+     * Runs [block], which reads this body and fails with an [InputTimeoutException] when it waits for bytes after
+     * [millis]. Only for the body of a connection.
+     */
+    suspend fun <T> within(millis: Long, block: suspend () -> T): T =
+        checkNotNull(input as? TimedInput) { "the input has no time limits" }.within({ millis }, block = block)
+
     /** The next bytes of the body, at most 8 KiB, or null at its end. */
     suspend fun next(): ByteArray? =
         if (start < end || fill()) buffer.copyOfRange(start, end).also { start = end } else null
--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/HttpConnectionPool.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/HttpConnectionPool.kt
@@ -11,13 +11,11 @@
 
 import io.ktor.http.cio.ParserException
 import io.ktor.utils.io.availableForRead
-import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.IOException
 import org.lentilquay.transport.TcpConnection
 import org.lentilquay.transport.TcpNetwork
 import org.lentilquay.transport.describe
 import org.lentilquay.transport.runSuspendCatching
-import org.lentilquay.transport.writeMessage
 import java.util.Collections
 import java.util.IdentityHashMap
 import java.util.concurrent.ConcurrentHashMap
@@ -113,11 +111,11 @@
         var exchange: PooledExchange? = null
         try {
             if (!options.mayWrite()) return PooledExchange.NotWritten("the permission to send it has expired")
-            exchange = withTimeoutOrNull(options.headerMillis) { exchange(address, pooled, head, request, options) }
+            exchange = exchange(address, pooled, head, request, options)
         } finally {
             if (exchange !is PooledExchange.Answered) pooled.connection.close()
         }
-        return exchange ?: PooledExchange.Lost("no response headers within ${options.headerMillis} ms")
+        return exchange
     }
 
     /** Closes the idle connections to [address], for example when the server has left the fleet. */
@@ -175,12 +173,10 @@
         request: HttpRequest,
         options: ExchangeOptions,
     ): PooledExchange {
-        val written = runSuspendCatching {
-            pooled.connection.output.writeMessage(head, request.body)
-        }
-        return runSuspendCatching { receive(address, pooled, request, options) }.getOrElse {
-            PooledExchange.Lost(describe(written.exceptionOrNull() ?: it))
+        val received = pooled.connection.exchange(head, request.body, options.headerMillis) {
+            receive(address, pooled, request, options)
         }
+        return received.getOrElse { PooledExchange.Lost(describeLoss(it, options.headerMillis)) }
     }
 
     private suspend fun receive(
--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/UnpooledHttpClient.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/UnpooledHttpClient.kt
@@ -15,13 +15,11 @@
 package org.lentilquay.transport.http
 
 import io.ktor.http.cio.Response
-import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.IOException
 import org.lentilquay.transport.TcpConnection
 import org.lentilquay.transport.TcpNetwork
 import org.lentilquay.transport.describe
 import org.lentilquay.transport.runSuspendCatching
-import org.lentilquay.transport.writeMessage
 
 private const val FIRST_FINAL_STATUS = 200
 
@@ -69,25 +67,16 @@
             ?: return UnpooledExchange.NotWritten("connection not established within $connectMillis ms")
         var exchange: UnpooledExchange? = null
         try {
-            exchange = withTimeoutOrNull(headerMillis) { send(connection, head, request) }
+            exchange = connection.exchange(head, request.body, headerMillis) { receive(connection, request) }
+                .getOrElse { UnpooledExchange.Lost(describeLoss(it, headerMillis)) }
         } finally {
             if (exchange !is UnpooledExchange.Answered) connection.close()
         }
-        return exchange ?: UnpooledExchange.Lost("no response headers within $headerMillis ms")
+        return exchange
     }
 
     override fun close() = network.close()
 
-    private suspend fun send(connection: TcpConnection, head: ByteArray, request: HttpRequest): UnpooledExchange {
-        val written = runSuspendCatching {
-            connection.output.writeMessage(head, request.body)
-        }
-        // A server may reject a long body early: its response counts even if the request was not written completely.
-        return runSuspendCatching { receive(connection, request) }.getOrElse {
-            UnpooledExchange.Lost(describe(written.exceptionOrNull() ?: it))
-        }
-    }
-
     private suspend fun receive(connection: TcpConnection, request: HttpRequest): UnpooledExchange {
         repeat(MAXIMUM_INFORMATIONAL_RESPONSES + 1) {
             readResponseHead(connection.input).use {
