Keep a slow attempt until another one has something to pass on

Callers got a cut stream, or 502, although the server that ran their request went on after a pause. A resumable stream left its server after 1.5 s without an event as soon as another server had reserved a place, and the wait for the head of an answer ended at twice the target latency. When the other server refused the request or failed, the retry budget or the attempts of the route were used up, and nothing led back to the first server. With eight streams at once the budget is the rule, not the exception: their steps end with the refusal, and then wait for a retry until the deadline.

Class of fault: what works is given up before its replacement works.

Now the other attempt runs beside the slow one. Whichever has something to pass on first (an event of a stream, or a whole answer) claims the response, and the other one ends; SlowAttempt decides that atomically, so no event is passed on twice. If the slow attempt breaks off, the other one follows it without a further retry. The places of the route's attempts and the retry budget bound this as before.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptRunner.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptRunner.kt
@@ -1,8 +1,14 @@
 /*
  * Runs one attempt of a request: sends it to a backend server, classifies the response, and passes it on to the caller.
+ * Another attempt may run beside a slow one; the first of both that has something to pass on goes on.
  */
 package org.lentilquay.daemon.gateway
 
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.lentilquay.coordination.gateway.ServerOutcome
 import org.lentilquay.state.gateway.RouteKind
@@ -26,6 +32,9 @@
 /** A backend server in the same region accepts a connection within a few milliseconds. */
 private const val CONNECT_TIMEOUT_MILLIS = 400L
 
+/** Time without an event after which another server is asked to resume a stream, beside the slow one. */
+private const val EVENT_WAIT_MILLIS = 1_500L
+
 /** The body of a refusal is read no further than this; it has one line. */
 private const val MAXIMUM_REFUSAL_BYTES = 16 shl 10
 
@@ -45,6 +54,10 @@
     val isAdapterMissing: Boolean = false,
 )
 
+/** The outcome of an attempt whose place another one has taken; it says nothing about the server. */
+internal fun supersededOutcome() =
+    AttemptOutcome(AttemptResult.Superseded("another attempt goes on"), ServerOutcome.UNKNOWN)
+
 internal class AttemptRunner(
     private val headerNames: HeaderNames,
     private val servers: HttpConnectionPool,
@@ -55,21 +68,46 @@
     private val bodies = BodyBudget()
 
     /**
-     * Sends the request of [routed] to [target]. With [mayRetry], another attempt may follow, so an error response is
-     * returned and not passed on. The events of a stream that is resumed continue the response that was started.
+     * Sends the request of [routed] to [target] and passes its response on, unless another attempt that is made beside
+     * it goes on in its place. The events of a stream that is resumed continue the response that was started.
      */
     suspend fun run(
         routed: RoutedRequest,
         target: AttemptTarget,
         writer: ResponseWriter,
-        mayRetry: Boolean,
-        progress: StreamProgress,
+        options: AttemptOptions,
+    ): AttemptOutcome {
+        if (!options.mayRetry) return exchange(routed, target, writer, options)
+        options.watch.watchFor(headWaitMillis(routed))
+        return coroutineScope {
+            val work = async { exchange(routed, target, writer, options) }
+            val replacement = launch {
+                options.watch.awaitReplacement()
+                work.cancel()
+            }
+            try {
+                work.await()
+            } catch (cancelled: CancellationException) {
+                ensureActive()
+                if (!options.watch.isReplaced) throw cancelled
+                // The server was silent until another one had answered.
+                supersededOutcome().copy(serverOutcome = ServerOutcome.LOST)
+            } finally {
+                replacement.cancel()
+            }
+        }
+    }
+
+    private suspend fun exchange(
+        routed: RoutedRequest,
+        target: AttemptTarget,
+        writer: ResponseWriter,
+        options: AttemptOptions,
     ): AttemptOutcome {
         val remaining = routed.deadlineAt - now()
-        val maximumWait = if (mayRetry) minOf(remaining, retryWaitMillis(routed)) else remaining
-        val options = ExchangeOptions(
+        val exchangeOptions = ExchangeOptions(
             minOf(CONNECT_TIMEOUT_MILLIS, remaining),
-            maximumWait,
+            remaining,
             routed.id,
             headerNames.requestId,
             usedConnections = routed.usedConnections,
@@ -78,20 +116,19 @@
         val message = HttpRequest(
             routed.request.head.method,
             routed.request.head.target,
-            headers(routed, target, remaining, progress.resumeAfter),
+            headers(routed, target, remaining, options.watch.resumeAfter),
             routed.request.body,
         )
-        return when (val exchange = servers.send(target.server.address, host, message, options)) {
+        return when (val exchange = servers.send(target.server.address, host, message, exchangeOptions)) {
             is PooledExchange.NotWritten ->
                 AttemptOutcome(AttemptResult.NotRun(exchange.reason, hasArrived = false), ServerOutcome.UNREACHABLE)
             is PooledExchange.Lost -> lost(exchange.reason)
-            is PooledExchange.Answered ->
-                exchange.answer.use { process(routed, target, it, writer, mayRetry, progress) }
+            is PooledExchange.Answered -> exchange.answer.use { process(routed, target, it, writer, options) }
         }
     }
 
-    /** How long an attempt waits for a response before another server is tried. */
-    private fun retryWaitMillis(routed: RoutedRequest): Long = routed.route.targetLatencyMillis * 2
+    /** How long an attempt waits for a response before another server is asked as well. */
+    private fun headWaitMillis(routed: RoutedRequest): Long = routed.route.targetLatencyMillis * 2
 
     private fun headers(
         routed: RoutedRequest,
@@ -117,9 +154,9 @@
         target: AttemptTarget,
         answer: PooledResponse,
         writer: ResponseWriter,
-        mayRetry: Boolean,
-        progress: StreamProgress,
+        options: AttemptOptions,
     ): AttemptOutcome {
+        val resumeAfter = options.watch.resumeAfter
         val isRefusal = answer.status == MISDIRECTED_STATUS || answer.header(headerNames.notRun) != null
         // A server may repeat the refusal of another request, so one without the id says nothing about this request.
         val isOwn = answer.header(headerNames.requestId) == routed.id
@@ -131,12 +168,12 @@
             answer.header(headerNames.signature) == null || !isOwn ->
                 lost("response ${answer.status} lacks a server signature or the id of this request")
             isSuccess && routed.route.kind == RouteKind.STREAM ->
-                StreamRelay(routed, answer, writer, forwardedHeaders(answer), progress, now).passOn()
-            progress.resumeAfter != null -> AttemptOutcome(
-                AttemptResult.BrokenStream("status ${answer.status}", progress.resumeAfter),
+                passOnStream(routed, answer, writer, options)
+            resumeAfter != null -> AttemptOutcome(
+                AttemptResult.BrokenStream("status ${answer.status}", resumeAfter),
                 ServerOutcome.FAILED,
             )
-            else -> bodies.Reservation().use { passOnBuffered(routed, answer, writer, mayRetry, it) }
+            else -> bodies.Reservation().use { passOnBuffered(routed, answer, writer, options, it) }
         }
     }
 
@@ -173,13 +210,24 @@
         if (part == null) answer.releaseConnection()
     }
 
+    private suspend fun passOnStream(
+        routed: RoutedRequest,
+        answer: PooledResponse,
+        writer: ResponseWriter,
+        options: AttemptOptions,
+    ): AttemptOutcome {
+        options.watch.watchFor(EVENT_WAIT_MILLIS)
+        return StreamRelay(routed, answer, writer, forwardedHeaders(answer), options, now).passOn()
+    }
+
     private suspend fun passOnBuffered(
         routed: RoutedRequest,
         answer: PooledResponse,
         writer: ResponseWriter,
-        mayRetry: Boolean,
+        options: AttemptOptions,
         memory: BodyBudget.Reservation,
     ): AttemptOutcome {
+        options.watch.watchFor(null)
         val read = runSuspendCatching {
             withTimeoutOrNull(routed.deadlineAt - now()) { readBody(answer, memory) }
         }
@@ -192,12 +240,13 @@
         val isFailure = answer.status >= FIRST_SERVER_ERROR_STATUS
         val outcome = if (isFailure) ServerOutcome.FAILED else ServerOutcome.ANSWERED
         val headers = forwardedHeaders(answer)
-        if (isFailure && mayRetry) {
+        if (isFailure && options.mayRetry) {
             // A long body is not kept beyond its reservation.
             val failure =
                 BufferedResponse(answer.status, headers, body).takeIf { body.size <= UNCOUNTED_BODY_BYTES }
             return AttemptOutcome(AttemptResult.Failed("status ${answer.status}", failure), outcome)
         }
+        if (!options.watch.claim()) return supersededOutcome()
         writer.respond(answer.status, headers, body)
         return AttemptOutcome(AttemptResult.Delivered(answer.status), outcome)
     }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestAttempts.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestAttempts.kt
@@ -1,6 +1,7 @@
 /*
  * Makes the attempts of one request. A request that may have run is sent again only where its route allows that, and a
- * stream that has begun goes on at another backend server where it may be resumed.
+ * stream that has begun goes on at another backend server where it may be resumed. While an attempt is slow, one other
+ * attempt may run beside it; the slow one is not given up for a server that may refuse the request or be slow as well.
  */
 package org.lentilquay.daemon.gateway
 
@@ -8,8 +9,11 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.selects.onTimeout
+import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withContext
 import kotlinx.io.IOException
 import org.lentilquay.coordination.gateway.RetryBudget
@@ -18,6 +22,9 @@
 import org.lentilquay.state.Failure
 import org.lentilquay.state.Outcome
 import org.lentilquay.state.ServerId
+import org.lentilquay.transport.describe
+import org.lentilquay.transport.runSuspendCatching
+import java.util.concurrent.atomic.AtomicInteger
 
 /** A request with less time left before its deadline is not sent. */
 private const val MINIMUM_REMAINING_MILLIS = 15L
@@ -54,50 +61,63 @@
     /** The engines that refused the request because they do not hold its adapter; they may load it. */
     private val withoutAdapter = HashSet<ServerId>()
 
-    /** Attempts after which the request may have run. */
-    private var runs = 0
+    /** Attempts that have ended and after which the request may have run. */
+    private val runs = AtomicInteger()
     private var sends = 0
 
     /** Whether a retry was taken from the budget and not used yet. */
     private var hasReservedRetry = false
 
-    /** The server that has reserved a place for a stream that leaves its server, or null. */
-    private var nextTarget: AttemptTarget? = null
+    /** The attempt beside a slow one, or null. */
+    private var parallel: ParallelAttempt? = null
     private var resumeAfter: String? = null
 
     /** The last error response of a backend server, which the caller gets if no attempt succeeds. */
     private var errorResponse: BufferedResponse? = null
-    val mayHaveRun: Boolean get() = runs > 0
+    val mayHaveRun: Boolean get() = runs.get() > 0
     private val isOutOfTime: Boolean get() = routed.deadlineAt - context.now() < MINIMUM_REMAINING_MILLIS
 
     /** Makes attempts until the request is answered, and returns the status of the response. */
-    suspend fun complete(): Int {
+    suspend fun complete(): Int = coroutineScope {
         var status: Int? = null
-        try {
-            while (status == null) status = tryOnce()
-        } finally {
-            withContext(NonCancellable) { takeNextTarget()?.let { release(it) } }
-        }
-        return status
+        while (status == null) status = tryOnce(this)
+        parallel?.stop()
+        status
     }
 
     /** Makes one attempt; returns the status of the response, or null if another attempt is to follow. */
-    private suspend fun tryOnce(): Int? {
+    private suspend fun tryOnce(scope: CoroutineScope): Int? {
+        takeParallel()?.let { return after(it.target, it.end.await().getOrThrow()) }
         if (isOutOfTime) return fail("no time is left before the deadline")
         context.crashes.quarantineOf(routed)?.let { return fail(it.reason, it.remainingMillis) }
-        val target = takeNextTarget() ?: when (val found = pick(excluded, trace)) {
-            is Outcome.Success -> found.value
-            is Outcome.Failed -> return afterNoServer(found.failure)
+        return when (val found = pick(excluded, trace)) {
+            is Outcome.Success -> after(found.value, attempt(scope, found.value, beside = null))
+            is Outcome.Failed -> afterNoServer(found.failure)
         }
-        val outcome = attempt(target)
-        return when (val result = outcome.result) {
+    }
+
+    /** Returns the status of the response after an attempt, or null if another attempt is to follow. */
+    private suspend fun after(target: AttemptTarget, outcome: AttemptOutcome): Int? =
+        when (val result = outcome.result) {
             is AttemptResult.Delivered -> result.status
             is AttemptResult.NotRun -> afterRefusal(target, result, outcome.isAdapterMissing)
             is AttemptResult.Failed -> afterFailure(target, result)
             is AttemptResult.BrokenStream -> afterBrokenStream(target, result)
+            is AttemptResult.Superseded -> null
         }
+
+    /** The attempt that runs beside one which has ended, or null if there is none that may go on. */
+    private suspend fun takeParallel(): ParallelAttempt? {
+        val other = parallel ?: return null
+        parallel = null
+        if (other.canFollow) return other
+        other.stop()
+        return null
     }
 
+    /** Whether an attempt runs that goes on now that the slow one has ended. */
+    private val hasFollowing: Boolean get() = parallel?.canFollow ?: false
+
     private suspend fun pick(excluded: Set<ServerId>, trace: RequestTrace) =
         context.picker.pick(routed, excluded, withoutAdapter, trace)
 
@@ -117,6 +137,7 @@
     ): Int? {
         if (isAdapterMissing) withoutAdapter += target.server.id else excluded += target.server.id
         return when {
+            hasFollowing -> null
             ++sends >= MAXIMUM_SENDS -> fail(result.reason)
             result.hasArrived && !awaitRetry() -> fail("${result.reason}, the retry budget is exhausted")
             else -> null
@@ -126,35 +147,42 @@
     private suspend fun afterFailure(target: AttemptTarget, result: AttemptResult.Failed): Int? {
         errorResponse = result.answer ?: errorResponse
         excluded += target.server.id
-        return if (canRunAgain() && tryRetry()) null else fail(result.reason)
+        return if (hasFollowing || (canRunAgain() && tryRetry())) null else fail(result.reason)
     }
 
     private suspend fun afterBrokenStream(target: AttemptTarget, result: AttemptResult.BrokenStream): Int? {
         resumeAfter = result.lastEventId
         excluded += target.server.id
+        if (hasFollowing) return null
         val canResume = routed.route.isResumable && result.lastEventId != null && canRunAgain()
         if (!canResume || !tryRetry()) throw IOException("the stream broke off: ${result.reason}")
         return null
     }
 
-    private suspend fun attempt(target: AttemptTarget): AttemptOutcome {
+    /** Makes one attempt, as the only one or [beside] a slow one. */
+    private suspend fun attempt(scope: CoroutineScope, target: AttemptTarget, beside: SlowAttempt?): AttemptOutcome {
         val startedAt = context.now()
         val progress = AttemptProgress(routed.promptParts, startedAt)
         var outcome = AttemptOutcome(
-            AttemptResult.Failed("the caller disconnected or the time ran out"),
+            AttemptResult.Failed("the caller disconnected, the time ran out or another attempt goes on"),
             ServerOutcome.UNKNOWN,
         )
         try {
-            val mayRetry = routed.route.mayRunAgain && runs + 1 < routed.route.maximumAttempts
-            val stream = StreamProgress(resumeAfter, { context.crashes.firstEvent(progress) }) { isStalled ->
-                mayRetry && tryMove(target.server.id, isStalled)
-            }
+            val watch = AttemptWatch(
+                beside,
+                resumeAfter = if (beside == null) resumeAfter else beside.lastEventId,
+                isCallerBusy = writer::isWriting,
+                context.now,
+            ) { slow -> tryOther(scope, target.server.id, slow) }
+            // The response of an attempt beside another one is not the last that the caller can get.
+            val mayRetry = beside != null || mayRunBeside()
+            val options = AttemptOptions(mayRetry, watch) { context.crashes.firstEvent(progress) }
             // The request may have become quarantined while it waited for a server.
             outcome = context.crashes.quarantineOf(routed)?.let { notSent(it.reason) }
-                ?: context.runner.run(routed, target, writer, mayRetry, stream)
+                ?: context.runner.run(routed, target, writer, options)
         } finally {
             // Also after a cancellation: the server may have run the request, so its tokens count as used.
-            if (outcome.result !is AttemptResult.NotRun) runs++
+            if (outcome.result !is AttemptResult.NotRun) runs.incrementAndGet()
             trace.addAttempt(target.server.id, startedAt, outcome.result)
             withContext(NonCancellable) { ended(target, outcome, progress) }
         }
@@ -165,29 +193,80 @@
         AttemptOutcome(AttemptResult.NotRun(reason, hasArrived = false), ServerOutcome.UNKNOWN)
 
     private fun canRunAgain() =
-        routed.route.mayRunAgain && runs < routed.route.maximumAttempts && sends++ < MAXIMUM_SENDS
+        routed.route.mayRunAgain && runs.get() < routed.route.maximumAttempts && sends++ < MAXIMUM_SENDS
+
+    /** Whether the request may run at [others] more servers beside the one at which it runs. */
+    private fun mayRunBeside(others: Int = 1) =
+        routed.route.mayRunAgain && runs.get() + others < routed.route.maximumAttempts
 
-    /** Reserves a retry, and a place at another server, for a stream that is about to leave the server [left]. */
-    private suspend fun tryMove(left: ServerId, isStalled: () -> Boolean): Boolean {
-        hasReservedRetry = hasReservedRetry || tryRetry()
+    /** Makes an attempt beside [slow], which runs at [server]; returns whether it goes on in place of that one. */
+    private suspend fun tryOther(scope: CoroutineScope, server: ServerId, slow: SlowAttempt): Boolean {
+        val canResume = !writer.isStarted || (routed.route.isResumable && slow.lastEventId != null)
+        val isPresent = parallel == null
+        if (!isPresent || !canResume || !mayRunBeside()) return false
+        hasReservedRetry = sends < MAXIMUM_SENDS && (hasReservedRetry || tryRetry())
         if (!hasReservedRetry) return false
-        // In the scope of the forwarder, so that a place that is found after the end of the stream is released.
-        val search = context.scope.async { pick(excluded + left, RequestTrace(context.now)) }
-        val found = try {
+        val target = findBeside(server)
+        when {
+            target == null -> trace.addNote("stays at $server, no other server takes the request")
+            slow.decided != null -> release(target)
+            else -> return runBeside(scope, target, slow)
+        }
+        return false
+    }
+
+    /** Finds a place at a server other than [server]; one that has refused the request may take it by now. */
+    private suspend fun findBeside(server: ServerId): AttemptTarget? {
+        val found = search(excluded + server)
+        if (found != null || excluded.isEmpty()) return found
+        excluded.clear()
+        return search(setOf(server))
+    }
+
+    private suspend fun search(excluded: Set<ServerId>): AttemptTarget? {
+        // In the scope of the forwarder, so that a place that is found after the end of the request is released.
+        val search = context.scope.async { pick(excluded, RequestTrace(context.now)) }
+        return try {
             (search.await() as? Outcome.Success)?.value
         } catch (cancelled: CancellationException) {
             context.scope.launch { (search.await() as? Outcome.Success)?.let { release(it.value) } }
             throw cancelled
         }
-        when {
-            found == null -> trace.addNote("stays at $left, no other server takes the stream")
-            isStalled() -> nextTarget = found
-            else -> release(found)
+    }
+
+    private suspend fun runBeside(scope: CoroutineScope, target: AttemptTarget, slow: SlowAttempt): Boolean {
+        hasReservedRetry = false
+        sends++
+        val end = scope.async { runSuspendCatching { attempt(scope, target, slow) } }
+        val other = ParallelAttempt(target, slow, end)
+        parallel = other
+        val decision = select {
+            slow.decision.onAwait { it }
+            end.onAwait { slow.decided }
+            // Where the request may run at one more server, it is not left to two that are both slow.
+            if (mayRunBeside(others = 2)) onTimeout(routed.route.targetLatencyMillis * 2) { null }
+        }
+        val goesOn = decision == SlowOutcome.REPLACED || !slow.resume()
+        if (!goesOn) {
+            other.stop()
+            parallel = null
+            if (decision == null) endedBeside(other)
         }
-        return nextTarget != null
+        return goesOn
     }
 
-    private fun takeNextTarget(): AttemptTarget? = nextTarget.also { nextTarget = null }
+    /** An attempt beside a slow one has ended without anything that its caller could get. */
+    private suspend fun endedBeside(other: ParallelAttempt) {
+        val end = if (other.end.isCancelled) null else other.end.await()
+        end?.onFailure { trace.addNote("attempt at ${other.target.server.id} failed: ${describe(it)}") }
+        val outcome = end?.getOrNull()
+        if (outcome?.isAdapterMissing == true) {
+            withoutAdapter += other.target.server.id
+        } else {
+            excluded += other.target.server.id
+        }
+        (outcome?.result as? AttemptResult.Failed)?.answer?.let { errorResponse = it }
+    }
 
     /** Frees the place of an attempt that is not made. */
     private suspend fun release(target: AttemptTarget) =
@@ -215,7 +294,7 @@
             writer.respond(answer.status, answer.headers, answer.body)
             return answer.status
         }
-        val failure = if (runs == 0) notRunFailure(reason, retryAfterMillis) else unknownOutcome(reason)
+        val failure = if (!mayHaveRun) notRunFailure(reason, retryAfterMillis) else unknownOutcome(reason)
         return refuse(writer, failure, trace)
     }
 
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RoutedRequest.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RoutedRequest.kt
@@ -62,15 +62,19 @@
 
     /** The stream broke off after the event [lastEventId] was passed on. */
     data class BrokenStream(val reason: String, val lastEventId: String?) : AttemptResult
+
+    /** Another attempt of the request goes on in place of this one. */
+    data class Superseded(val reason: String) : AttemptResult
 }
 
 /** An error response of a backend server, kept to be passed on if no other attempt succeeds. */
 internal class BufferedResponse(val status: Int, val headers: List<Pair<String, String>>, val body: ByteArray)
 
-/** The steps of one request, for its log line. */
+/** The steps of one request, for its log line. Thread-safe, because two attempts can run at the same time. */
 internal class RequestTrace(private val now: () -> Long) {
     private val steps = StringBuilder()
 
+    @Synchronized
     fun addAttempt(server: ServerId, startedAt: Long, result: AttemptResult) {
         if (steps.isNotEmpty()) steps.append("; ")
         steps.append(server).append(' ').append(now() - startedAt).append(" ms ")
@@ -82,14 +86,17 @@
             is AttemptResult.NotRun -> steps.append("not run: ").append(result.reason)
             is AttemptResult.Failed -> steps.append("failed: ").append(result.reason)
             is AttemptResult.BrokenStream -> steps.append("broke off: ").append(result.reason)
+            is AttemptResult.Superseded -> steps.append("left: ").append(result.reason)
         }
     }
 
+    @Synchronized
     fun addNote(text: String) {
         if (steps.isNotEmpty()) steps.append("; ")
         steps.append(text)
     }
 
+    @Synchronized
     override fun toString(): String = steps.toString()
 }
 
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/RepeatedRefusalTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/RepeatedRefusalTest.kt
@@ -51,8 +51,9 @@
             attempt = 1,
         )
         val writer = ResponseWriter(ByteChannel(autoFlush = true), now) { true }
-        val progress = StreamProgress(resumeAfter = null, onFirstEvent = {}, tryMove = { false })
-        return runner.run(request, target, writer, mayRetry = false, progress).result
+        val watch = AttemptWatch(beside = null, resumeAfter = null, isCallerBusy = { false }, now) { false }
+        val options = AttemptOptions(mayRetry = false, watch, onFirstEvent = {})
+        return runner.run(request, target, writer, options).result
     }
 }
 
