Pass on the body of an answer that arrived before its timer ran

Callers got 502 although the whole body of the answer had arrived by the deadline. The timer over the body of a buffered answer ran before the socket was looked at, as it does after a time without processor time. The wait now ends by the limit of the input, which looks at the socket once more. ArrivedBodyTest failed before with 502 'the body is late or too long'; the two reasons are told apart now.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptRunner.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptRunner.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.lentilquay.coordination.gateway.ServerOutcome
 import org.lentilquay.state.gateway.RouteKind
+import org.lentilquay.transport.InputTimeoutException
 import org.lentilquay.transport.describe
 import org.lentilquay.transport.http.AnswerNotice
 import org.lentilquay.transport.http.ExchangeOptions
@@ -229,13 +230,11 @@
     ): AttemptOutcome {
         options.watch.watchFor(null)
         val read = runSuspendCatching {
-            withTimeoutOrNull(routed.deadlineAt - now()) { readBody(answer, memory) }
-        }
-        val body = read.getOrNull()
-        if (body == null) {
-            val reason = read.exceptionOrNull()?.let { describe(it) } ?: "the body is late or too long"
-            return lost(reason)
+            answer.body.within(routed.deadlineAt - now()) { readBody(answer, memory) }
         }
+        val body = read.getOrElse { failure ->
+            return lost(if (failure is InputTimeoutException) "the body is late" else describe(failure))
+        } ?: return lost("the body is too long")
         answer.releaseConnection()
         val isFailure = answer.status >= FIRST_SERVER_ERROR_STATUS
         val outcome = if (isFailure) ServerOutcome.FAILED else ServerOutcome.ANSWERED
