Refuse requests that do not arrive in their time with 408

When the time for a head, a part of a body or a whole body ended, the connection closed without an answer, so callers did not know whether the request had run.

They now get status 408 (request_timeout, not_run), with Retry-After: 0, and the connection closes. Bytes that keep arriving slowly do not extend the time. The log line of such a request has its own event.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerClose.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerClose.kt
@@ -1,17 +1,21 @@
 /*
- * The log line of a caller's connection that the gateway closes without an answer. Its fields tell apart a request that
- * had arrived, a limit that a configuration has raised, a timer that ran late, and a failure.
+ * The log line of a caller's connection that the gateway closes without an answer, or with status 408. Its fields tell
+ * apart a request that had arrived, a limit that a configuration has raised, a timer that ran late, and a failure.
  */
 package org.lentilquay.daemon.gateway
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.lentilquay.daemon.logs.event
 
+private const val REFUSED = "request of a caller did not arrive in time"
+private const val UNANSWERED = "connection of a caller closed without an answer"
 private val log = KotlinLogging.logger {}
 
-/** Why the gateway closes a connection without an answer. */
+/** Why the gateway closes a connection before it has handled a request. */
 internal enum class CloseReason(val text: String) {
     IDLE_LIMIT("idle_limit"),
+
+    /** The caller got status 408, as for [BODY_TIME]. */
     HEAD_TIME("head_time"),
     BODY_TIME("body_time"),
     PLANNED_STOP("planned_stop"),
@@ -46,10 +50,12 @@
             else -> false
         }
 
+    private val isRefused: Boolean get() = reason == CloseReason.HEAD_TIME || reason == CloseReason.BODY_TIME
+
     fun report() {
         if (isOrdinary) return
         log.event(
-            "connection of a caller closed without an answer",
+            if (isRefused) REFUSED else UNANSWERED,
             "reason" to reason.text,
             "idleMillis" to idleMillis,
             "limitMillis" to limitMillis,
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
@@ -236,7 +236,7 @@
         failure is TooLongLineException -> refuse(writer, Failure(ErrorKind.MALFORMED_REQUEST, LONG_LINE))
         failure is InputTimeoutException -> {
             reportClose(reading ?: CloseReason.FAILURE, failure)
-            false
+            refuse(writer, notInTime(failure))
         }
         failure is IOException -> {
             if (isOpen()) reportClose(CloseReason.FAILURE, detail = describe(failure))
@@ -323,6 +323,13 @@
         return false
     }
 
+    /** The request was not read to its end, so it has not run, and its caller may send it again at once. */
+    private fun notInTime(timeout: InputTimeoutException) = Failure(
+        ErrorKind.REQUEST_TIMEOUT,
+        "the request did not arrive within ${timeout.limitMillis} ms",
+        retryAfterMillis = 0,
+    )
+
     private fun malformed() = Failure(ErrorKind.MALFORMED_REQUEST, "the request is not valid HTTP")
 }
 
