Answer requests whose handling fails with an IOException

An IOException before the answer has begun ended the connection without an answer, whatever had thrown it, because it was taken for a failure of the caller's own connection.

Only a connection that has failed or ended gets no answer now. An IOException while a request is read, such as an unreadable chunk size, is answered with 400, and one of the handling with 500 and the line "request failed unexpectedly". A wait of the handling for another input that ends is not taken for a late request, since 408 promises that the request has not run.

The test of a wait of the handling is new.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerClose.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerClose.kt
@@ -1,6 +1,6 @@
 /*
  * The log line of a caller's connection that the gateway closes without an answer, or with status 408. Its fields tell
- * apart a request that had arrived, a limit that a configuration has raised, a timer that ran late, and a failure.
+ * apart a request that had arrived, a limit that a configuration has raised, and a timer that ran late.
  */
 package org.lentilquay.daemon.gateway
 
@@ -19,7 +19,6 @@
     HEAD_TIME("head_time"),
     BODY_TIME("body_time"),
     PLANNED_STOP("planned_stop"),
-    FAILURE("failure"),
 
     /** The time of a planned stop passed during a request. */
     STOP_ENDED("stop_ended"),
@@ -40,7 +39,6 @@
     val presentIdleLimitMillis: Long,
     val receivedBytes: Long,
     val requests: Int,
-    val detail: String?,
 ) {
     /** The end of an idle connection. Each kept connection has one, so they are left out of the log. */
     val isOrdinary: Boolean
@@ -63,7 +61,6 @@
             "lateMillis" to lateMillis,
             "receivedBytes" to receivedBytes,
             "requests" to requests,
-            "detail" to detail,
         )
     }
 }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
@@ -234,15 +234,9 @@
     private suspend fun answerFailure(failure: Throwable, writer: ResponseWriter): Boolean = when {
         writer.isStarted -> false
         failure is TooLongLineException -> refuse(writer, Failure(ErrorKind.MALFORMED_REQUEST, LONG_LINE))
-        failure is InputTimeoutException -> {
-            reportClose(reading ?: CloseReason.FAILURE, failure)
-            refuse(writer, notInTime(failure))
-        }
-        failure is IOException -> {
-            if (isOpen()) reportClose(CloseReason.FAILURE, detail = describe(failure))
-            false
-        }
-        failure is ParserException -> refuse(writer, malformed())
+        failure is InputTimeoutException && reading != null -> refuseLate(writer, failure)
+        failure is IOException && !isOpen() -> false
+        failure is ParserException || failure is IOException && reading != null -> refuse(writer, malformed())
         else -> {
             log.warning("request failed unexpectedly", "reason" to describe(failure), cause = failure)
             refuse(writer, Failure(ErrorKind.INTERNAL, "the request failed with an internal error"))
@@ -264,7 +258,7 @@
     private fun isOpen(): Boolean = !connection.input.isClosedForRead && !connection.output.isClosedForWrite
 
     /** Logs that this side closes the connection without an answer, because of [timeout] if it is not null. */
-    private fun reportClose(reason: CloseReason, timeout: InputTimeoutException? = null, detail: String? = null) =
+    private fun reportClose(reason: CloseReason, timeout: InputTimeoutException? = null) =
         CallerClose(
             reason = reason,
             idleMillis = now() - idleSince,
@@ -273,7 +267,6 @@
             presentIdleLimitMillis = presentLimits().idleTimeoutMillis,
             receivedBytes = connection.input.unreadBytes(),
             requests = requests,
-            detail = detail,
         ).report()
 
     private suspend fun answer(head: HeadResult.Read, limits: CallerLimits, writer: ResponseWriter): Boolean {
@@ -323,12 +316,12 @@
         return false
     }
 
-    /** The request was not read to its end, so it has not run, and its caller may send it again at once. */
-    private fun notInTime(timeout: InputTimeoutException) = Failure(
-        ErrorKind.REQUEST_TIMEOUT,
-        "the request did not arrive within ${timeout.limitMillis} ms",
-        retryAfterMillis = 0,
-    )
+    /** Refuses a request that was not read to its end, so it has not run, and its caller may send it again at once. */
+    private suspend fun refuseLate(writer: ResponseWriter, timeout: InputTimeoutException): Boolean {
+        reading?.let { reportClose(it, timeout) }
+        val message = "the request did not arrive within ${timeout.limitMillis} ms"
+        return refuse(writer, Failure(ErrorKind.REQUEST_TIMEOUT, message, retryAfterMillis = 0))
+    }
 
     private fun malformed() = Failure(ErrorKind.MALFORMED_REQUEST, "the request is not valid HTTP")
 }
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/UnansweredRequestTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/UnansweredRequestTest.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.lentilquay.state.gateway.CallerLimits
+import org.lentilquay.transport.InputTimeoutException
 import org.lentilquay.transport.TcpNetwork
 import org.lentilquay.transport.http.IpAddress
 import org.lentilquay.transport.withStalledReceivers
@@ -197,6 +198,14 @@
         }
     }
 
+    // Status 408 promises that the request has not run, which is not known when a server's answer is late.
+    test("a request whose handling waits too long for another input is not answered with 408") {
+        serving(handler = { _, _ -> throw InputTimeoutException(limitMillis = 1, lateMillis = 0) }) { caller ->
+            caller.socket.send(REQUEST)
+            caller.statusLine() shouldContain "500 Internal"
+        }
+    }
+
     // The caller saw a closed connection, as after a failure of the gateway.
     test("a request with a chunk size that is no number is refused with 400") {
         serving { caller ->
