Receive the answers of other VMs that arrived before a timer ran late

Callers got refusals (no capacity, rate limited) although the owner of a server or of tokens had answered in time. A probe whose answer is dropped counts as missed; missed probes can make a VM isolated, which aborts the calls in progress on it.

Cause: a call ended by a timer, also when its answer was in the socket and the process had no processor time to read it. A timed-out call could then close the connection as silent, with all other calls on it.

Change: the time for the permit, the connection and the sending still ends by a timer. When the time for the answer ends, the call looks at the socket and gives the reader 20 ms to take what has arrived. The connection counts as silent only after that.

--- a/daemon/src/main/kotlin/org/lentilquay/transport/peer/PeerChannel.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/peer/PeerChannel.kt
@@ -11,7 +11,6 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Semaphore
-import kotlinx.coroutines.sync.withPermit
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.IOException
 import org.lentilquay.protocol.PeerRequest
@@ -58,10 +57,23 @@
 
     val isOpen: Boolean get() = synchronized(lock) { openConnection()?.isOpen ?: false }
 
-    suspend fun call(address: String, request: PeerRequest): PeerCallResult = callPermits.withPermit {
-        // Null means that the connection closed before the frame was queued, so one retry cannot send it twice.
-        attemptCall(address, request) ?: attemptCall(address, request)
-            ?: PeerCallResult.Unreachable("connection closed", sent = false)
+    /** Sends [request] and waits up to [timeoutMillis] for the answer, including the wait for a permit. */
+    suspend fun call(address: String, request: PeerRequest, timeoutMillis: Long): PeerCallResult {
+        val startedAt = System.nanoTime()
+        val remaining = { timeoutMillis - (System.nanoTime() - startedAt) / NANOS_PER_MILLI }
+        var hasPermit = false
+        try {
+            withTimeoutOrNull(timeoutMillis) {
+                callPermits.acquire()
+                hasPermit = true
+            }
+            if (!hasPermit) return PeerCallResult.TimedOut
+            // Null means that the connection closed before the frame was queued, so one retry cannot send it twice.
+            return attemptCall(address, request, remaining) ?: attemptCall(address, request, remaining)
+                ?: PeerCallResult.Unreachable("connection closed", sent = false)
+        } finally {
+            if (hasPermit) callPermits.release()
+        }
     }
 
     /** Closes the connection if it is idle or the other side takes no data. Called periodically. */
@@ -84,14 +96,18 @@
         synchronized(lock) { openConnection() }?.close("client closed")
     }
 
-    private suspend fun attemptCall(address: String, request: PeerRequest): PeerCallResult? =
-        when (
-            val result = runSuspendCatching { connect(address).await() }
-                .getOrElse { ConnectResult.Failed("client closed") }
-        ) {
+    private suspend fun attemptCall(
+        address: String,
+        request: PeerRequest,
+        remainingMillis: () -> Long,
+    ): PeerCallResult? {
+        val connected = runSuspendCatching { withTimeoutOrNull(remainingMillis()) { connect(address).await() } }
+        return when (val result = connected.getOrElse { ConnectResult.Failed("client closed") }) {
+            null -> PeerCallResult.TimedOut
             is ConnectResult.Failed -> PeerCallResult.Unreachable(result.reason, sent = false)
-            is ConnectResult.Connected -> result.connection.call(request)
+            is ConnectResult.Connected -> result.connection.call(request, remainingMillis)
         }
+    }
 
     /** The open connection or the attempt in progress, which continues when the call that started it is cancelled. */
     private fun connect(address: String): Deferred<ConnectResult> = synchronized(lock) {
--- a/daemon/src/main/kotlin/org/lentilquay/transport/peer/PeerClient.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/peer/PeerClient.kt
@@ -11,7 +11,6 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
 import org.lentilquay.protocol.PeerAnswer
 import org.lentilquay.protocol.PeerRequest
 import org.lentilquay.state.VmId
@@ -78,9 +77,9 @@
     suspend fun call(vm: VmId, address: String, request: PeerRequest, timeoutMillis: Long): PeerCallResult {
         val channel =
             channels.computeIfAbsent(vm) { PeerChannel(it, identity, secret, traffic, options, network, scope) }
-        val result = withTimeoutOrNull(timeoutMillis) { channel.call(address, request) }
-        if (result == null) channel.closeIfReceiveIdle()
-        return result ?: PeerCallResult.TimedOut
+        val result = channel.call(address, request, timeoutMillis)
+        if (result == PeerCallResult.TimedOut) channel.closeIfReceiveIdle()
+        return result
     }
 
     /** Closes all connections; calls in progress end as [PeerCallResult.Unreachable]. */
--- a/daemon/src/main/kotlin/org/lentilquay/transport/peer/PeerClientConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/peer/PeerClientConnection.kt
@@ -5,9 +5,13 @@
 package org.lentilquay.transport.peer
 
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.withTimeoutOrNull
 import org.lentilquay.protocol.PeerFrame
 import org.lentilquay.protocol.PeerRequest
 
+/** Time for the reader to take frames that have arrived when the timeout of a call has passed. */
+private const val ARRIVED_MILLIS = 20L
+
 internal class PeerClientConnection(private val connection: PeerConnection, private val traffic: PeerTrafficRecorder) {
     private val lock = Any()
     private val pending = HashMap<Long, CompletableDeferred<PeerCallResult>>()
@@ -28,16 +32,23 @@
         }
     }
 
-    /** Sends [request] and waits for its answer. Returns null if the connection closed before the frame was queued. */
-    suspend fun call(request: PeerRequest): PeerCallResult? {
+    /**
+     * Sends [request] and waits for its answer until [remainingMillis] have passed. Returns null if the connection
+     * closed before the frame was queued.
+     */
+    suspend fun call(request: PeerRequest, remainingMillis: () -> Long): PeerCallResult? {
         val result = CompletableDeferred<PeerCallResult>()
         val correlation = synchronized(lock) {
             if (isClosed) return null
             (++lastCorrelation).also { pending[it] = result }
         }
         try {
-            return when (connection.send(PeerFrame(correlation, request = request))) {
-                SendResult.QUEUED -> result.await()
+            val frame = PeerFrame(correlation, request = request)
+            return when (withTimeoutOrNull(remainingMillis()) { connection.send(frame) }) {
+                null -> PeerCallResult.TimedOut
+                SendResult.QUEUED -> withTimeoutOrNull(remainingMillis()) { result.await() }
+                    ?: arrived(result)
+                    ?: PeerCallResult.TimedOut
                 SendResult.CLOSED -> null
                 SendResult.TOO_LARGE ->
                     PeerCallResult.Unreachable("the encoded request exceeds the maximum frame length", sent = false)
@@ -47,6 +58,16 @@
         }
     }
 
+    /**
+     * The result that has arrived at the socket, or null. After a time without processor time, a timer that is due runs
+     * before the socket is read.
+     */
+    private suspend fun arrived(result: CompletableDeferred<PeerCallResult>): PeerCallResult? {
+        val hasUnread = connection.unreadBytes > 0
+        // The look at the socket can resume the reader, which then takes the bytes before they are counted.
+        return withTimeoutOrNull(if (hasUnread) ARRIVED_MILLIS else 1) { result.await() }
+    }
+
     /** Closes the connection if the other side takes no data. */
     fun closeIfStalled() = connection.closeIfStalled()
 
--- a/daemon/src/main/kotlin/org/lentilquay/transport/peer/PeerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/peer/PeerConnection.kt
@@ -48,6 +48,9 @@
     /** Milliseconds since the last frame was received or, if none was, since the connection was opened. */
     val receiveIdleMillis: Long get() = (System.nanoTime() - lastReceivedNanos) / NANOS_PER_MILLI
 
+    /** Number of bytes that have arrived, as the socket says now, and were not read yet. */
+    val unreadBytes: Long get() = connection.input.unreadBytes()
+
     /** Milliseconds since the last frame in either direction. */
     val unusedMillis: Long get() = (System.nanoTime() - lastUsedNanos) / NANOS_PER_MILLI
 
