Look at the socket before a kept connection to a server is reused

Callers of routes that run a request once got 502, and others a second attempt, for requests that no server had received.

Cause: whether a kept connection was open was judged by what had been read from its socket. A connection that the server had closed while this process did not read its sockets was taken for open, and the request on it was lost.

Evidence: IdleConnectionTest closes a kept connection while the threads that receive from sockets are blocked. Before this change: "Lost(reason= IOException: connection closed without a response)".

Change: the pool looks at the socket itself, which costs one read that does not wait.

--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/HttpConnectionPool.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/HttpConnectionPool.kt
@@ -10,7 +10,6 @@
 package org.lentilquay.transport.http
 
 import io.ktor.http.cio.ParserException
-import io.ktor.utils.io.availableForRead
 import kotlinx.io.IOException
 import org.lentilquay.transport.TcpConnection
 import org.lentilquay.transport.TcpNetwork
@@ -91,8 +90,9 @@
 
 internal class HttpConnectionPool(private val network: TcpNetwork) {
     private class PooledConnection(val connection: TcpConnection, var idleSinceNanos: Long, var idleLimitMillis: Long) {
+        /** Whether the connection is open and nothing has arrived on it, as its socket says now. */
         val isUsable: Boolean
-            get() = !connection.input.isClosedForRead && connection.input.availableForRead == 0 &&
+            get() = connection.input.unreadBytes() == 0L && !connection.input.isClosedForRead &&
                 !connection.output.isClosedForWrite
     }
 
@@ -125,11 +125,9 @@
 
     /** Closes connections that exceeded their idle time or are not usable. Call it periodically. */
     fun sweep() = idle.values.forEach { ofAddress ->
-        ofAddress.removeIf { pooled ->
-            val isOld = millisSince(pooled.idleSinceNanos) > pooled.idleLimitMillis || !pooled.isUsable
-            if (isOld) pooled.connection.close()
-            isOld
-        }
+        ofAddress.filter { millisSince(it.idleSinceNanos) > it.idleLimitMillis || !it.isUsable }
+            // A connection that a request has taken meanwhile is not in the queue any more.
+            .forEach { if (ofAddress.remove(it)) it.connection.close() }
     }
 
     private sealed interface ConnectResult {
