Look at the socket before a planned stop closes an idle connection

A planned stop closed kept connections whose next request was in the socket, because it looked only at the bytes that were already read, and it closed them beside the coroutine that reads, which could have taken a request just then.

The stop now ends the wait for a request as a limit does: the reading coroutine looks at the socket and closes the connection if nothing is there.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
@@ -8,7 +8,6 @@
 import io.ktor.http.cio.ParserException
 import io.ktor.http.cio.parseRequest
 import io.ktor.utils.io.ByteWriteChannel
-import io.ktor.utils.io.availableForRead
 import io.ktor.utils.io.charsets.TooLongLineException
 import io.ktor.utils.io.writeFully
 import kotlinx.coroutines.CancellationException
@@ -173,6 +172,12 @@
     @Volatile
     private var idleSince = now()
 
+    /** The [idleSince] of the wait that a planned stop ends, so that a later wait goes on; null if there is none. */
+    @Volatile
+    private var stoppedIdleSince: Long? = null
+
+    private val isIdleStopped: Boolean get() = stoppedIdleSince == idleSince
+
     /** What ends if the part of a request that is being read does not arrive in time; null if none is being read. */
     private var reading: CloseReason? = null
 
@@ -186,14 +191,14 @@
     }
 
     /**
-     * Closes the connection if no request is being handled and none has begun to arrive. A connection that was accepted
-     * or used just now stays open, because the next request may be under way.
+     * Ends the wait for a request, unless one has arrived. A connection that was accepted or used just now stays open,
+     * because the next request may be under way.
      */
     fun closeIfIdle() {
-        val isIdle = !isBusy && now() - idleSince >= IDLE_BEFORE_STOP_MILLIS
-        if (!isIdle || connection.input.availableForRead != 0) return
-        reportClose(CloseReason.PLANNED_STOP)
-        connection.close()
+        val since = idleSince
+        if (isBusy || now() - since < IDLE_BEFORE_STOP_MILLIS) return
+        stoppedIdleSince = since
+        connection.input.reviewLimits()
     }
 
     /**
@@ -245,10 +250,16 @@
 
     /** Waits for the first byte of the next request. */
     private suspend fun awaitRequest(limitsBefore: CallerLimits): Boolean = runSuspendCatching {
-        val idleMillis = { limitsBefore.largerOf(presentLimits()).idleTimeoutMillis }
+        val idleMillis = {
+            if (isIdleStopped) 0 else limitsBefore.largerOf(presentLimits()).idleTimeoutMillis
+        }
         connection.input.within(idleMillis) { connection.input.awaitContent() }
     }.getOrElse { failure ->
-        if (failure is InputTimeoutException) reportClose(CloseReason.IDLE_LIMIT, failure)
+        when {
+            failure !is InputTimeoutException -> Unit
+            isIdleStopped -> reportClose(CloseReason.PLANNED_STOP)
+            else -> reportClose(CloseReason.IDLE_LIMIT, failure)
+        }
         false
     }
 
