Count an attempt of an inference request only when it starts

While an engine is silent, slots elsewhere are sought without a wait; each search counted as an attempt although no slot was free. An engine that sent nothing more had used up all four attempts when it was given up, and its stream ended with an error instead of waiting for a slot. SilentEngineTest, 'goes on elsewhere once a slot is free there', failed before.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/requests/InferenceRun.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/requests/InferenceRun.kt
@@ -36,6 +36,9 @@
     private val excluded = mutableSetOf<ServerId>()
     private var attempts = 0
 
+    /** Reservations that were asked for, which number the attempts; one that finds no slot is no attempt. */
+    private var reservationCount = 0
+
     /** Why the last attempt ended; counted only when the request is sent again. */
     private var retryReason: RetryReason? = null
     private var lastChunkAt: Long? = null
@@ -107,10 +110,11 @@
         var last = Failure(ErrorKind.BACKEND_FAILED, "no backend server completed the request")
         while (attempts < MAXIMUM_ATTEMPTS) {
             val askedAt = dependencies.now()
-            val reservation = when (val reserved = reserveUnlessAborted(reservationRequest(attempts++))) {
+            val reservation = when (val reserved = reserveUnlessAborted(reservationRequest(reservationCount++))) {
                 is Outcome.Failed -> return reserved
                 is Outcome.Success -> reserved.value
             }
+            attempts++
             if (reservation.waitedForLoad) loadWaitMillis = (loadWaitMillis ?: 0) + dependencies.now() - askedAt
             when (val started = startRun(reservation)) {
                 is Outcome.Success -> return started
@@ -280,7 +284,7 @@
 
     private suspend fun openReplacement(left: ServerId): RunAttempt? {
         if (attempts >= MAXIMUM_ATTEMPTS) return null
-        val request = reservationRequest(attempts++).copy(waitMillis = 0)
+        val request = reservationRequest(reservationCount++).copy(waitMillis = 0)
         val reservation = (reserveUnlessAborted(request) as? Outcome.Success)?.value
         return when (reservation?.server) {
             null -> null
@@ -288,7 +292,10 @@
                 dependencies.reservations.release(reservation, RunOutcome.NOT_STARTED, null)
                 null
             }
-            else -> (startRun(reservation) as? Outcome.Success)?.value
+            else -> {
+                attempts++
+                (startRun(reservation) as? Outcome.Success)?.value
+            }
         }
     }
 
@@ -362,8 +369,8 @@
             failure
         }
 
-    private fun reservationRequest(attempt: Int) = ReservationRequest(
-        attemptId = if (attempt == 0) admitted.requestId else "${admitted.requestId}-$attempt",
+    private fun reservationRequest(number: Int) = ReservationRequest(
+        attemptId = if (number == 0) admitted.requestId else "${admitted.requestId}-$number",
         target = ReservationTarget.Engine(admitted.baseModel, admitted.adapter),
         team = admitted.team,
         estimatedTokens = admitted.request.estimatedTokens(admitted.route.defaultMaximumTokens),
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/requests/InferenceRunTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/requests/InferenceRunTest.kt
@@ -39,6 +39,8 @@
 internal class GrantingReservations(
     private val addresses: List<String>,
     private val incarnation: Long? = null,
+    /** The numbers of the reservations for which no slot is free. */
+    private val withoutSlot: IntRange = IntRange.EMPTY,
 ) : ReservationClient {
     private var next = 0
     val outcomes = ArrayList<RunOutcome>()
@@ -46,7 +48,9 @@
 
     override suspend fun reserve(request: ReservationRequest): Outcome<Reservation> {
         val number = next++
-        if (number >= addresses.size) return Outcome.Failed(Failure(ErrorKind.NO_CAPACITY, "no further server"))
+        if (number >= addresses.size || number in withoutSlot) {
+            return Outcome.Failed(Failure(ErrorKind.NO_CAPACITY, "no free slot"))
+        }
         val reservation = Reservation(
             attemptId = request.attemptId,
             server = ServerId("e$number"),
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/requests/SilentEngineTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/requests/SilentEngineTest.kt
@@ -19,6 +19,9 @@
 private const val SILENCE_MILLIS = 500L
 private const val CHUNKS = 4
 
+/** Searches for a slot elsewhere before a silent engine is given up. */
+private const val SEARCHES = 3
+
 private fun streamHead(id: String) =
     "HTTP/1.1 200 OK\nContent-Type: text/event-stream\nX-Request-Id: $id\nX-Incarnation: 7\n\n"
 
@@ -63,8 +66,12 @@
     val text: String get() = events.filterIsInstance<RunEvent.Part>().joinToString("") { it.chunk.text }
 }
 
-private suspend fun runAt(vararg addresses: String, suspects: SuspectRequests = NoCrashes): Ended {
-    val reservations = GrantingReservations(addresses.toList(), incarnation = 7)
+private suspend fun runAt(
+    vararg addresses: String,
+    suspects: SuspectRequests = NoCrashes,
+    withoutSlot: IntRange = IntRange.EMPTY,
+): Ended {
+    val reservations = GrantingReservations(addresses.toList(), incarnation = 7, withoutSlot)
     val events = ArrayList<RunEvent>()
     EngineClient(EngineOptions(idleMillis = IDLE_MILLIS)).use { engines ->
         val dependencies = InferenceDependencies(reservations, engines, suspects) { 0 }
@@ -122,6 +129,16 @@
         suspects.count shouldBe 1
     }
 
+    // Each search for a free slot counted as an attempt, so none was left when the silent engine was given up.
+    test("a stream of an engine that sends nothing more goes on elsewhere once a slot is free there") {
+        SilentEngine(silentBefore = setOf(1), resumes = 99).use { silent ->
+            SilentEngine(silentBefore = emptySet(), resumes = 0).use { second ->
+                val addresses = List(SEARCHES + 1) { silent.address } + second.address
+                runAt(*addresses.toTypedArray(), withoutSlot = 1..SEARCHES).events.last() shouldBe RunEvent.Done
+            }
+        }
+    }
+
     test("an engine that accepts each resume order and sends nothing ends the stream after some of them") {
         SilentEngine(silentBefore = setOf(1), resumes = 99).use { silent ->
             runAt(silent.address, silent.address).events.last()::class shouldBe RunEvent.Failed::class
