Close the output after a request that was written in part

A write that its time limit cut, followed by an early answer, left a connection that counted as reusable, so the next request on it would have been read as the rest of the body.

--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/TimedExchange.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/TimedExchange.kt
@@ -4,7 +4,9 @@
  */
 package org.lentilquay.transport.http
 
+import io.ktor.utils.io.cancel
 import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.io.IOException
 import org.lentilquay.transport.InputTimeoutException
 import org.lentilquay.transport.TcpConnection
 import org.lentilquay.transport.describe
@@ -27,6 +29,8 @@
     val written = runSuspendCatching { withTimeoutOrNull(millis) { output.writeMessage(head, body) } }
     val remainingMillis = millis - (System.nanoTime() - startedAt) / NANOS_PER_MILLI
     val received = runSuspendCatching { input.within({ remainingMillis }) { receive() } }
+    // The rest of a message that was written in part would be taken for the start of the next one.
+    if (written.getOrNull() == null) output.cancel(IOException("the request was not written completely"))
     val writeFailure = written.exceptionOrNull()
     return if (received.isFailure && writeFailure != null) Result.failure(writeFailure) else received
 }
