Answer a request whose handling ends without a response

Such a request was logged and its connection closed; its caller now gets 500, as after any other unexpected end.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
@@ -303,6 +303,7 @@
         isAnswered = writer.isEnded
         if (!writer.isStarted && isOpen()) {
             reportClose(if (isStopping()) CloseReason.STOP_ENDED else CloseReason.NO_RESPONSE)
+            return refuse(writer, Failure(ErrorKind.INTERNAL, "the request ended without a response"))
         }
         return writer.isReusable && !head.head.isClosing
     }
