Bound the attempts beside a slow one, and free their places

A watch of a route without a target latency never suspended and held the only thread of its VM. Attempts beside a slow one could use up all sends, so that a break afterwards could not be repeated. A place was kept if the request ended while it was being given back or before its attempt had begun. The time of the slow attempt was judged outside the lock under which it records progress.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptRunner.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptRunner.kt
@@ -232,9 +232,7 @@
         val read = runSuspendCatching {
             answer.body.within(routed.deadlineAt - now()) { readBody(answer, memory) }
         }
-        val body = read.getOrElse { failure ->
-            return lost(if (failure is InputTimeoutException) "the body is late" else describe(failure))
-        } ?: return lost("the body is too long")
+        val body = read.getOrNull() ?: return lost(bodyLoss(read.exceptionOrNull()))
         answer.releaseConnection()
         val isFailure = answer.status >= FIRST_SERVER_ERROR_STATUS
         val outcome = if (isFailure) ServerOutcome.FAILED else ServerOutcome.ANSWERED
@@ -250,6 +248,12 @@
         return AttemptOutcome(AttemptResult.Delivered(answer.status), outcome)
     }
 
+    private fun bodyLoss(failure: Throwable?): String = when (failure) {
+        null -> "the body is too long"
+        is InputTimeoutException -> "the body is late"
+        else -> describe(failure)
+    }
+
     private fun forwardedHeaders(answer: PooledResponse) =
         answer.headers.filter { it.first.lowercase() !in HOP_BY_HOP_HEADERS }
 
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptWatch.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptWatch.kt
@@ -8,6 +8,9 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.withTimeoutOrNull
 
+/** Bounds how often another attempt is tried for a route without a target latency. */
+private const val MINIMUM_LIMIT_MILLIS = 100L
+
 internal class AttemptWatch(
     /** The slow attempt beside which this one is made, or null. */
     private val beside: SlowAttempt?,
@@ -43,7 +46,7 @@
     /** From now on the attempt is slow after [limitMillis] without progress, or never if that is null. */
     fun watchFor(limitMillis: Long?) {
         progressAt = now()
-        this.limitMillis = limitMillis
+        this.limitMillis = limitMillis?.coerceAtLeast(MINIMUM_LIMIT_MILLIS)
         changed.trySend(Unit)
     }
 
@@ -78,18 +81,23 @@
             val waitMillis = maxOf(lastProgressAt, triedAt) + limit - now()
             if (waitMillis > 0) {
                 withTimeoutOrNull(waitMillis) { changed.receive() }
-            } else if (!isReplacedNow()) {
+            } else {
+                tryReplacement(limit)
                 triedAt = now()
             }
         }
     }
 
-    private suspend fun isReplacedNow(): Boolean {
-        val span = synchronized(lock) { SlowAttempt(lastEventId).also { slow = it } }
-        val hasOther = tryOther(span)
+    private suspend fun tryReplacement(limit: Long) {
+        val span = startSpan(limit) ?: return
+        val hasReplaced = tryOther(span)
         synchronized(lock) {
-            if (hasOther) isReplaced = true else slow = null
+            if (hasReplaced) isReplaced = true else slow = null
         }
-        return hasOther
+    }
+
+    /** Null if the attempt has made progress, which [claim] records under the same lock. */
+    private fun startSpan(limit: Long): SlowAttempt? = synchronized(lock) {
+        if (lastProgressAt + limit > now()) null else SlowAttempt(lastEventId).also { slow = it }
     }
 }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestAttempts.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestAttempts.kt
@@ -7,6 +7,7 @@
 
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
@@ -49,7 +50,10 @@
     val now: () -> Long,
 )
 
-/** Makes the attempts of one request and decides after each whether another one follows. */
+/**
+ * Makes the attempts of one request and decides after each whether another one follows. The coroutine of the request
+ * owns the fields; while an attempt runs, its watch does, and the coroutine of the request waits for both.
+ */
 internal class RequestAttempts(
     private val context: AttemptContext,
     private val routed: RoutedRequest,
@@ -204,7 +208,8 @@
         val canResume = !writer.isStarted || (routed.route.isResumable && slow.lastEventId != null)
         val isPresent = parallel == null
         if (!isPresent || !canResume || !mayRunBeside()) return false
-        hasReservedRetry = sends < MAXIMUM_SENDS && (hasReservedRetry || tryRetry())
+        // One send is left for the case that the slow attempt breaks off.
+        hasReservedRetry = sends < MAXIMUM_SENDS - 1 && (hasReservedRetry || tryRetry())
         if (!hasReservedRetry) return false
         val target = findBeside(server)
         when {
@@ -237,7 +242,10 @@
     private suspend fun runBeside(scope: CoroutineScope, target: AttemptTarget, slow: SlowAttempt): Boolean {
         hasReservedRetry = false
         sends++
-        val end = scope.async { runSuspendCatching { attempt(scope, target, slow) } }
+        // Started at once, so that the place at the server is freed also if the request ends now.
+        val end = scope.async(start = CoroutineStart.UNDISPATCHED) {
+            runSuspendCatching { attempt(scope, target, slow) }
+        }
         val other = ParallelAttempt(target, slow, end)
         parallel = other
         val decision = select {
@@ -269,8 +277,9 @@
     }
 
     /** Frees the place of an attempt that is not made. */
-    private suspend fun release(target: AttemptTarget) =
+    private suspend fun release(target: AttemptTarget) = withContext(NonCancellable) {
         context.control.decide { context.picker.attemptEnded(routed, target, notSent("not needed")) }
+    }
 
     /** Takes a retry from the budget. A stream that has begun waits for one, as its caller cannot be refused. */
     private suspend fun awaitRetry(): Boolean {
--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/HttpConnectionPool.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/HttpConnectionPool.kt
@@ -64,7 +64,7 @@
     class Answered(val answer: PooledResponse) : PooledExchange
 }
 
-/** The connections on which a request was sent. For use by one attempt after the other. */
+/** The connections on which a request was sent. An attempt adds its connection before another one starts beside it. */
 internal class UsedConnections {
     private val used = Collections.newSetFromMap(IdentityHashMap<TcpConnection, Boolean>())
 
