Let only one engine generate a buffered response

While an engine was slow to answer a request whose response is buffered, another one could generate the whole response beside it. The head of a successful response of an engine now ends the attempt at the other.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptRunner.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptRunner.kt
@@ -174,7 +174,7 @@
                 AttemptResult.BrokenStream("status ${answer.status}", resumeAfter),
                 ServerOutcome.FAILED,
             )
-            else -> bodies.Reservation().use { passOnBuffered(routed, answer, writer, options, it) }
+            else -> passOnWhole(routed, answer, writer, options)
         }
     }
 
@@ -221,6 +221,19 @@
         return StreamRelay(routed, answer, writer, forwardedHeaders(answer), options, now).passOn()
     }
 
+    private suspend fun passOnWhole(
+        routed: RoutedRequest,
+        answer: PooledResponse,
+        writer: ResponseWriter,
+        options: AttemptOptions,
+    ): AttemptOutcome {
+        options.watch.watchFor(null)
+        // Two engines must not generate the same response for long, so the head of one ends the attempt at the other.
+        val isGenerating = routed.model != null && isSuccess(answer.status)
+        if (isGenerating && !options.watch.claim()) return supersededOutcome()
+        return bodies.Reservation().use { passOnBuffered(routed, answer, writer, options, it) }
+    }
+
     private suspend fun passOnBuffered(
         routed: RoutedRequest,
         answer: PooledResponse,
@@ -228,7 +241,6 @@
         options: AttemptOptions,
         memory: BodyBudget.Reservation,
     ): AttemptOutcome {
-        options.watch.watchFor(null)
         val read = runSuspendCatching {
             answer.body.within(routed.deadlineAt - now()) { readBody(answer, memory) }
         }
