Keep the state of sockets and writers right when two coroutines meet

The count of unread bytes could miss bytes that were being handed to the reader. The end of an input could be unset for a moment. A cancelled write left its writer busy for ever, so the time of an attempt that followed did not count.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
@@ -123,8 +123,11 @@
 
     private suspend fun write(bytes: ByteArray, more: ByteArray = NO_BYTES) {
         writeStartedAt = now()
-        output.writeMessage(bytes, more)
-        writeStartedAt = null
+        try {
+            output.writeMessage(bytes, more)
+        } finally {
+            writeStartedAt = null
+        }
     }
 
     private fun head(status: Int, headers: List<Pair<String, String>>, isKeptAlive: Boolean): ByteArray = buildString {
--- a/daemon/src/main/kotlin/org/lentilquay/transport/SocketInput.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/SocketInput.kt
@@ -77,9 +77,9 @@
 
     override fun cancel(cause: Throwable?) = socket.fail(cause)
 
-    override fun unreadBytes(): Long = available.size + synchronized(lock) {
+    override fun unreadBytes(): Long = synchronized(lock) {
         receiveNow()
-        received.size
+        available.size + received.size
     }
 
     fun start() = socket.launch { receive() }
@@ -91,7 +91,7 @@
             if (count == 0) {
                 socket.awaitSocket()
             } else {
-                socket.isEnded = count < 0
+                if (count < 0) socket.isEnded = true
                 socket.signalBytes()
                 awaitRoom()
             }
