--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestAttempts.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestAttempts.kt
@@ -239,6 +239,11 @@
         }
     }
 
+    /**
+     * Makes an attempt at [target] beside [slow] until one of both goes on, or the new one ends without a response;
+     * returns whether it goes on in place of the slow one. If the slow attempt ends meanwhile, this is cancelled and
+     * the new attempt follows it, see [takeParallel].
+     */
     private suspend fun runBeside(scope: CoroutineScope, target: AttemptTarget, slow: SlowAttempt): Boolean {
         hasReservedRetry = false
         sends++
@@ -254,13 +259,13 @@
             // Where the request may run at one more server, it is not left to two that are both slow.
             if (mayRunBeside(others = 2)) onTimeout(routed.route.targetLatencyMillis * 2) { null }
         }
-        val goesOn = decision == SlowOutcome.REPLACED || !slow.resume()
-        if (!goesOn) {
+        val isReplaced = decision == SlowOutcome.REPLACED || !slow.resume()
+        if (!isReplaced) {
             other.stop()
             parallel = null
             if (decision == null) endedBeside(other)
         }
-        return goesOn
+        return isReplaced
     }
 
     /** An attempt beside a slow one has ended without anything that its caller could get. */
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ForwarderFixture.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ForwarderFixture.kt
@@ -138,6 +138,7 @@
     kind: RouteKind,
     isResumable: Boolean = false,
     maximumAttempts: Int = if (isResumable) 2 else 1,
+    targetLatencyMillis: Long = 1_000,
     requestsEndAt: () -> Long? = { null },
 ) : AutoCloseable {
     val received = CopyOnWriteArrayList<PeerRequest>()
@@ -176,7 +177,7 @@
         kind = kind,
         services = listOf(WeightedService("desk", 1)),
         timeoutMillis = 5_000,
-        targetLatencyMillis = 1_000,
+        targetLatencyMillis = targetLatencyMillis,
         maximumAttempts = maximumAttempts,
         priority = 0,
         isOpen = false,
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/SlowServerTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/SlowServerTest.kt
@@ -1,5 +1,6 @@
 package org.lentilquay.daemon.gateway
 
+import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.longs.shouldBeLessThan
@@ -10,6 +11,7 @@
 import org.lentilquay.state.gateway.RouteKind
 import java.net.Socket
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.measureTimedValue
 
 private const val FIRST = "id: 1\ndata: one\n\n"
@@ -151,6 +153,38 @@
         servers.flatMap { it.heads.values } shouldHaveSize 2
     }
 
+    test("a request that may run at three servers is not left to two that hang") {
+        val arrivals = AtomicInteger()
+        val servers = List(3) { number ->
+            Backend("s$number") { socket, _ ->
+                if (arrivals.getAndIncrement() < 2) hang()
+                socket.answer("r1", Framing.LENGTH, "third")
+            }
+        }
+        ForwarderFixture(servers, RouteKind.IDEMPOTENT, maximumAttempts = 3, targetLatencyMillis = 300).use { fixture ->
+            fixture.open()
+            fixture.allowRetries()
+            fixture.askOverSocket("r1") shouldEndWith "third"
+        }
+        arrivals.get() shouldBe 3
+    }
+
+    test("both servers are left when the caller disconnects while two attempts run") {
+        val left = AtomicInteger()
+        val act: Backend.(Socket) -> Unit = { socket ->
+            runCatching { socket.getInputStream().read() }
+            left.incrementAndGet()
+        }
+        val servers = servers(first = act, second = act)
+        ForwarderFixture(servers, RouteKind.IDEMPOTENT, maximumAttempts = 2, targetLatencyMillis = 100).use { fixture ->
+            fixture.open()
+            fixture.askAndDisconnect("r1") {
+                eventually(5.seconds) { servers.sumOf { it.requests.get() } shouldBe 2 }
+            }
+            eventually(5.seconds) { left.get() shouldBe 2 }
+        }
+    }
+
     // Both servers have the next event at about the same time; it must not be passed on twice.
     (-2..2).forEach { step ->
         test("no event comes twice when both servers go on within ${step * 20} ms of each other") {
