Log who ended a request that got no answer, and why it stayed at a slow server

One text stood for three ends of an attempt (caller, planned stop, another attempt), no line named the deadline of a cut request or what its caller had received, and a slow attempt without another one beside it left no trace.

The line of a cut or failed request now has who ended it, both deadlines, the attempts of its route, the bytes written and the time since the last of them, and its number on its connection. A slow attempt notes once why nothing runs beside it. A request whose caller closes within it has a line, and so have a late loop and a table that is applied slowly.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerClose.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerClose.kt
@@ -8,6 +8,7 @@
 import org.lentilquay.daemon.logs.event
 
 private const val REFUSED = "request of a caller did not arrive in time"
+private const val INCOMPLETE = "request of a caller ended before it was complete"
 private const val UNANSWERED = "connection of a caller closed without an answer"
 private val log = KotlinLogging.logger {}
 
@@ -18,6 +19,9 @@
     /** The caller got status 408, as for [BODY_TIME]. */
     HEAD_TIME("head_time"),
     BODY_TIME("body_time"),
+
+    /** The caller closed the connection within a request, so there is nobody to answer. */
+    CALLER_ENDED("caller_ended"),
     PLANNED_STOP("planned_stop"),
 
     /** The time of a planned stop passed during a request. */
@@ -48,12 +52,18 @@
             else -> false
         }
 
-    private val isRefused: Boolean get() = reason == CloseReason.HEAD_TIME || reason == CloseReason.BODY_TIME
+    private val message: String
+        get() = when (reason) {
+            CloseReason.HEAD_TIME, CloseReason.BODY_TIME -> REFUSED
+            CloseReason.CALLER_ENDED -> INCOMPLETE
+            CloseReason.IDLE_LIMIT, CloseReason.PLANNED_STOP, CloseReason.STOP_ENDED, CloseReason.NO_RESPONSE ->
+                UNANSWERED
+        }
 
     fun report() {
         if (isOrdinary) return
         log.event(
-            if (isRefused) REFUSED else UNANSWERED,
+            message,
             "reason" to reason.text,
             "idleMillis" to idleMillis,
             "limitMillis" to limitMillis,
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
@@ -10,7 +10,6 @@
 import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.charsets.TooLongLineException
 import io.ktor.utils.io.writeFully
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
@@ -71,6 +70,14 @@
     var startedAt: Long? = null
         private set
 
+    /** Bytes of the response that were handed to the connection. */
+    var writtenBytes: Long = 0
+        private set
+
+    /** When the last bytes of the response were handed to the connection; null if there were none. */
+    var writtenAt: Long? = null
+        private set
+
     /** Whether any byte of the response may have been written. */
     var isStarted: Boolean = false
         private set
@@ -125,6 +132,8 @@
         writeStartedAt = now()
         try {
             output.writeMessage(bytes, more)
+            writtenBytes += bytes.size + more.size
+            writtenAt = now()
         } finally {
             writeStartedAt = null
         }
@@ -231,7 +240,7 @@
                 parseRequest(connection.input)?.use { callerHead(it, current.headerBytes) }
             }
             when (result) {
-                null -> false
+                null -> false.also { reportIncomplete() }
                 is HeadResult.Malformed -> refuse(writer, result.failure)
                 is HeadResult.Read -> answer(result, current, writer)
             }
@@ -243,7 +252,7 @@
         writer.isStarted -> false
         failure is TooLongLineException -> refuse(writer, Failure(ErrorKind.MALFORMED_REQUEST, LONG_LINE))
         failure is InputTimeoutException && reading != null -> refuseLate(writer, failure)
-        failure is IOException && !isOpen() -> false
+        failure is IOException && !isOpen() -> false.also { reportIncomplete() }
         failure is ParserException || failure is IOException && reading != null -> refuse(writer, malformed())
         else -> {
             log.warning("request failed unexpectedly", "reason" to describe(failure), cause = failure)
@@ -271,6 +280,11 @@
     /** Whether neither side has closed the connection and it has not failed. */
     private fun isOpen(): Boolean = !connection.input.isClosedForRead && !connection.output.isClosedForWrite
 
+    /** Logs that the caller has closed the connection within a request. */
+    private fun reportIncomplete() {
+        if (reading != null) reportClose(CloseReason.CALLER_ENDED)
+    }
+
     /** Logs that this side closes the connection without an answer, because of [timeout] if it is not null. */
     private fun reportClose(reason: CloseReason, timeout: InputTimeoutException? = null) =
         CallerClose(
@@ -300,7 +314,9 @@
             when (body) {
                 is RequestBodyResult.Refused -> return refuse(writer, body.failure)
                 is RequestBodyResult.Read ->
-                    cancelOnDisconnect { handler.handle(CallerRequest(head.head, body.bytes, arrivedAt), writer) }
+                    cancelOnDisconnect {
+                        handler.handle(CallerRequest(head.head, body.bytes, arrivedAt, requests), writer)
+                    }
             }
         }
         isAnswered = writer.isEnded
@@ -316,8 +332,8 @@
         val work = launch { block() }
         this@CallerConnection.work = work
         val watch = launch {
-            val isOpen = runSuspendCatching { connection.input.awaitContent() }.getOrDefault(false)
-            if (!isOpen) work.cancel(CallerDisconnected())
+            val content = runSuspendCatching { connection.input.awaitContent() }
+            if (!content.getOrDefault(false)) work.cancel(CallerDisconnected(content.exceptionOrNull()))
         }
         work.join()
         this@CallerConnection.work = null
@@ -340,9 +356,3 @@
 
     private fun malformed() = Failure(ErrorKind.MALFORMED_REQUEST, "the request is not valid HTTP")
 }
-
-/** Cancels the handling of a request whose caller closed the connection. */
-internal class CallerDisconnected : CancellationException("the caller closed the connection")
-
-/** Cancels the handling of a request that is not answered when the time of a planned stop has passed. */
-internal class StopEndedException : CancellationException("the time of the planned stop has passed")
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerRequest.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerRequest.kt
@@ -58,8 +58,11 @@
     }
 }
 
-/** A request with its complete body. [arrivedAt] is in monotonic milliseconds. */
-class CallerRequest(val head: CallerHead, val body: ByteArray, val arrivedAt: Long)
+/**
+ * A request with its complete body, the [ordinal]th on its connection. [arrivedAt] is when its head was read, in
+ * monotonic milliseconds.
+ */
+class CallerRequest(val head: CallerHead, val body: ByteArray, val arrivedAt: Long, val ordinal: Int = 1)
 
 /** The result of checking the head of a request. */
 internal sealed interface HeadResult {
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
@@ -21,6 +21,7 @@
 import org.lentilquay.daemon.logs.event
 import org.lentilquay.daemon.timer.ControlThread
 import org.lentilquay.daemon.timer.SystemTimer
+import org.lentilquay.daemon.timer.TimerEvent
 import org.lentilquay.protocol.AdapterUnavailableReason
 import org.lentilquay.protocol.PeerAnswer
 import org.lentilquay.protocol.PeerRequest
@@ -62,6 +63,9 @@
 /** Timeout for connecting to a server that may have crashed; a live one accepts within a few milliseconds. */
 private const val ACCEPT_TIMEOUT_MILLIS = 400L
 
+/** A table that takes longer to apply is logged, because requests wait for decisions meanwhile. */
+private const val REPORTED_APPLY_MILLIS = 100L
+
 /** Timeout of a token transfer request to another VM. */
 private const val TOKEN_TRANSFER_TIMEOUT_MILLIS = 300L
 
@@ -106,12 +110,18 @@
     )
     private val operatorWatch = watchLoop(WatchedTableName.OPERATOR) { rows ->
         control.decide {
-            state.operatorChanged(ports.decoder.operatorState(rows.rows, state.operator), rows.version)
-            engineControl.versionsAnnounced()
+            applying(WatchedTableName.OPERATOR, rows) {
+                state.operatorChanged(ports.decoder.operatorState(rows.rows, state.operator), rows.version)
+                engineControl.versionsAnnounced()
+            }
         }
     }
     private val serverWatch = watchLoop(WatchedTableName.SERVERS) { rows ->
-        control.decide { state.serversChanged(ports.decoder.servers(rows.rows), rows.version) }
+        control.decide {
+            applying(WatchedTableName.SERVERS, rows) {
+                state.serversChanged(ports.decoder.servers(rows.rows), rows.version)
+            }
+        }
     }
     private var callers: GatewayListener? = null
 
@@ -237,7 +247,10 @@
     /** Runs [step] at intervals of [millis]; a step that fails does not end the loop. */
     private suspend fun everyTick(name: String, millis: Long, step: suspend () -> Unit) {
         val steps = LoopSteps(name)
-        timer.ticks(millis).collect { steps.run(step) }
+        timer.ticks(millis).collect { event ->
+            if (event is TimerEvent.Paused) log.event("loop was late", "loop" to name, "millis" to event.gapMillis)
+            steps.run(step)
+        }
     }
 
     private suspend fun keepReviewing(seats: QuotaSeatLoop) {
@@ -259,6 +272,21 @@
         QuotaSeatLoop.SeatMembers(state.members.keys + options.vm, state.lease.departedMembers())
     }
 
+    /** Runs [apply], which decodes and applies [rows] on the control thread, and logs it if it held up decisions. */
+    private fun applying(table: WatchedTableName, rows: WatchedRows, apply: () -> Unit) {
+        val startedAt = timer.now()
+        apply()
+        val millis = timer.now() - startedAt
+        if (millis < REPORTED_APPLY_MILLIS) return
+        log.event(
+            "table applied slowly",
+            "table" to table.text,
+            "version" to rows.version,
+            "rows" to rows.rows.size,
+            "millis" to millis,
+        )
+    }
+
     private fun watchLoop(table: WatchedTableName, changed: suspend (WatchedRows) -> Unit) =
         WatchLoop(table, sharedWatches, ::askPeer, timer::now, changed)
 
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestAttempts.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestAttempts.kt
@@ -167,10 +167,7 @@
     private suspend fun attempt(scope: CoroutineScope, target: AttemptTarget, beside: SlowAttempt?): AttemptOutcome {
         val startedAt = context.now()
         val progress = AttemptProgress(routed.promptParts, startedAt)
-        var outcome = AttemptOutcome(
-            AttemptResult.Failed("the caller disconnected, the time ran out or another attempt goes on"),
-            ServerOutcome.UNKNOWN,
-        )
+        var outcome = interrupted("an unexpected exception")
         try {
             val watch = AttemptWatch(
                 beside,
@@ -184,6 +181,9 @@
             // The request may have become quarantined while it waited for a server.
             outcome = context.crashes.quarantineOf(routed)?.let { notSent(it.reason) }
                 ?: context.runner.run(routed, target, writer, options)
+        } catch (cancelled: CancellationException) {
+            outcome = interrupted(interruptionOf(cancelled).text)
+            throw cancelled
         } finally {
             // Also after a cancellation: the server may have run the request, so its tokens count as used.
             if (outcome.result !is AttemptResult.NotRun) runs.incrementAndGet()
@@ -193,6 +193,8 @@
         return outcome
     }
 
+    private fun interrupted(reason: String) = AttemptOutcome(AttemptResult.Failed(reason), ServerOutcome.UNKNOWN)
+
     private fun notSent(reason: String) =
         AttemptOutcome(AttemptResult.NotRun(reason, hasArrived = false), ServerOutcome.UNKNOWN)
 
@@ -205,21 +207,31 @@
 
     /** Makes an attempt beside [slow], which runs at [server]; returns whether it goes on in place of that one. */
     private suspend fun tryOther(scope: CoroutineScope, server: ServerId, slow: SlowAttempt): Boolean {
-        val canResume = !writer.isStarted || (routed.route.isResumable && slow.lastEventId != null)
-        val isPresent = parallel == null
-        if (!isPresent || !canResume || !mayRunBeside()) return false
-        // One send is left for the case that the slow attempt breaks off.
-        hasReservedRetry = sends < MAXIMUM_SENDS - 1 && (hasReservedRetry || tryRetry())
-        if (!hasReservedRetry) return false
-        val target = findBeside(server)
+        if (parallel != null) return false
+        val obstacle = obstacleBeside(slow)
+        val target = if (obstacle == null) findBeside(server) else null
         when {
-            target == null -> trace.addNote("stays at $server, no other server takes the request")
+            target == null -> trace.addNoteOnce("stays at $server: ${obstacle ?: "no other server takes the request"}")
             slow.decided != null -> release(target)
             else -> return runBeside(scope, target, slow)
         }
         return false
     }
 
+    /** Why no attempt is made beside [slow], or null if one may be; a retry is then reserved for it. */
+    private suspend fun obstacleBeside(slow: SlowAttempt): String? {
+        hasReservedRetry = hasReservedRetry && sends < MAXIMUM_SENDS - 1
+        return when {
+            writer.isStarted && !routed.route.isResumable -> "the route does not allow to resume a stream"
+            writer.isStarted && slow.lastEventId == null -> "the last event has no id"
+            !mayRunBeside() -> "all attempts of the route are used"
+            // One send is left for the case that the slow attempt breaks off.
+            sends >= MAXIMUM_SENDS - 1 -> "the request was sent $sends times"
+            !hasReservedRetry && !tryRetry() -> "the retry budget is exhausted"
+            else -> null.also { hasReservedRetry = true }
+        }
+    }
+
     /** Finds a place at a server other than [server]; one that has refused the request may take it by now. */
     private suspend fun findBeside(server: ServerId): AttemptTarget? {
         val found = search(excluded + server)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarder.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarder.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
+import kotlinx.io.IOException
 import org.lentilquay.coordination.configuration.sha256Of
 import org.lentilquay.coordination.gateway.pickService
 import org.lentilquay.coordination.quota.Charge
@@ -82,6 +83,7 @@
         var status = 0
         var routed: RoutedRequest? = null
         var attempts: RequestAttempts? = null
+        var interruption: Interruption? = null
         try {
             status = when (val admitted = admit(request, trace)) {
                 is Admission.Refused -> refuse(writer, admitted.failure, trace)
@@ -92,18 +94,21 @@
                 }
             }
         } catch (cancelled: CancellationException) {
-            if (writer.isStarted || !isStopEnd(cancelled)) throw cancelled
+            interruption = interruptionOf(cancelled)
+            if (writer.isStarted || interruption != Interruption.StopEnded) throw cancelled
             val failure = stoppedFailure(mayHaveRun = attempts?.mayHaveRun ?: false)
             status = withContext(NonCancellable) { refuse(writer, failure, trace) }
+        } catch (failure: IOException) {
+            interruption = interruptionOf(failure)
+            throw failure
         } finally {
-            logRequest(request, routed, status, trace)
+            val millis = now() - request.arrivedAt
+            metrics.requestEnded(routed?.route?.kind, status, millis)
+            val unanswered = if (isAnswered(status)) null else Unanswered(interruption, writer, now())
+            logRequest(RequestRecord(request, routed, status, millis, unanswered), trace)
         }
     }
 
-    /** Whether [cancelled], or what caused it, ends the request because the time of a planned stop has passed. */
-    private fun isStopEnd(cancelled: CancellationException): Boolean =
-        generateSequence<Throwable>(cancelled) { it.cause }.any { it is StopEndedException }
-
     private fun stoppedFailure(mayHaveRun: Boolean): Failure {
         val message = "this VM stops before the request can end"
         return if (mayHaveRun) unknownOutcome(message) else Failure(ErrorKind.SHUTTING_DOWN, message, 0)
@@ -202,20 +207,8 @@
     private fun refused(kind: ErrorKind, message: String, retryAfterMillis: Long? = null) =
         Admission.Refused(Failure(kind, message, retryAfterMillis))
 
-    private fun logRequest(request: CallerRequest, routed: RoutedRequest?, status: Int, trace: RequestTrace) {
-        val millis = now() - request.arrivedAt
-        metrics.requestEnded(routed?.route?.kind, status, millis)
-        log.event(
-            "request",
-            "id" to (request.head.header(headerNames.requestId) ?: ""),
-            "status" to if (status == 0) "cut" else status,
-            "millis" to millis,
-            "route" to routed?.route?.name,
-            "team" to routed?.access?.team?.id,
-            "adapter" to routed?.adapter,
-            "tokens" to request.head.header(headerNames.tokens),
-            "configuration" to state.rules?.configuration?.version,
-            "steps" to trace,
-        )
+    private fun logRequest(record: RequestRecord, trace: RequestTrace) {
+        val configuration = "configuration" to state.rules?.configuration?.version
+        log.event("request", record.fields(headerNames) + configuration + ("steps" to trace))
     }
 }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RoutedRequest.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RoutedRequest.kt
@@ -96,6 +96,12 @@
         steps.append(text)
     }
 
+    /** Adds a note that can occur again while the same state lasts. */
+    @Synchronized
+    fun addNoteOnce(text: String) {
+        if (text !in steps) addNote(text)
+    }
+
     @Synchronized
     override fun toString(): String = steps.toString()
 }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/StreamRelay.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/StreamRelay.kt
@@ -88,7 +88,7 @@
     }
 
     private fun ended(failure: String): AttemptOutcome {
-        val reason = if (isOverdue) "no event in time" else failure
+        val reason = if (isOverdue) "no event for ${now() - watch.lastProgressAt} ms at its deadline" else failure
         val result = when {
             watch.isReplaced -> return supersededOutcome()
             writer.isStarted -> AttemptResult.BrokenStream(reason, buffer.lastEventId ?: watch.resumeAfter)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/logs/Logs.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/logs/Logs.kt
@@ -25,15 +25,18 @@
 }
 
 /** Logs an event at level INFO with [fields] as key-value pairs; fields whose value is null are omitted. */
-fun KLogger.event(message: String, vararg fields: Pair<String, Any?>) = atInfo { setContent(message, fields) }
+fun KLogger.event(message: String, vararg fields: Pair<String, Any?>) = event(message, fields.asList())
+
+/** As the other [event], for fields that differ from line to line. */
+fun KLogger.event(message: String, fields: List<Pair<String, Any?>>) = atInfo { setContent(message, fields) }
 
 /** Logs an event at level WARN, for conditions that may need an operator's action. */
 fun KLogger.warning(message: String, vararg fields: Pair<String, Any?>, cause: Throwable? = null) = atWarn {
-    setContent(message, fields)
+    setContent(message, fields.asList())
     this.cause = cause
 }
 
-private fun KLoggingEventBuilder.setContent(text: String, fields: Array<out Pair<String, Any?>>) {
+private fun KLoggingEventBuilder.setContent(text: String, fields: List<Pair<String, Any?>>) {
     message = oneLine(text)
     payload = fields.mapNotNull { (name, value) -> value?.let { name to oneLine(it.toString()) } }.toMap()
 }
