--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/UnansweredRequestTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/UnansweredRequestTest.kt
@@ -5,21 +5,10 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.string.shouldStartWith
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
-import kotlinx.coroutines.Job
-import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import org.lentilquay.state.gateway.CallerLimits
 import org.lentilquay.transport.InputTimeoutException
-import org.lentilquay.transport.TcpNetwork
-import org.lentilquay.transport.http.IpAddress
 import org.lentilquay.transport.withStalledReceivers
-import java.net.ServerSocket
-import java.net.Socket
-import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration.Companion.seconds
 
 private const val LONG_MILLIS = 20_000L
@@ -32,56 +21,6 @@
 private fun limits(head: Long = LONG_MILLIS, idle: Long = LONG_MILLIS) =
     CallerLimits(headerBytes = 16_384, bodyBytes = 1 shl 20, headerTimeoutMillis = head, idleTimeoutMillis = idle)
 
-/** One connection of a caller, which is served once [serve] is called. */
-private class ServedCaller(@Volatile var limits: CallerLimits, private val handler: CallerHandler?) : AutoCloseable {
-    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val network = TcpNetwork()
-    private val answered = AtomicInteger()
-    private val port = ServerSocket(0).use { it.localPort }
-    val handled: Int get() = answered.get()
-    lateinit var connection: CallerConnection
-        private set
-    lateinit var socket: Socket
-        private set
-    lateinit var served: Job
-        private set
-
-    suspend fun serve(maximumBodyMillis: Long = LONG_MILLIS) {
-        val listener = network.listen(IpAddress("127.0.0.1", port))
-        socket = Socket("127.0.0.1", port).apply { soTimeout = 10_000 }
-        val accepted = network.accept(listener)
-        val now = { System.nanoTime() / 1_000_000 }
-        val handler = handler ?: CallerHandler { _, writer ->
-            answered.incrementAndGet()
-            writer.respond(200, emptyList(), ByteArray(0))
-        }
-        val bodies = RequestBodyBudget()
-        connection = CallerConnection(accepted, handler, { limits }, { false }, now, bodies, maximumBodyMillis)
-        served = scope.launch { connection.serve() }
-        listener.close()
-    }
-
-    /** Waits until the first bytes of a request have been read. */
-    suspend fun awaitReading() = eventually(5.seconds) { connection.isBusy shouldBe true }
-
-    /** The status line of the next answer; empty if the connection ends without one. */
-    fun statusLine(): String {
-        val line = StringBuilder()
-        var byte = runCatching { socket.getInputStream().read() }.getOrDefault(-1)
-        while (byte >= 0 && byte != '\n'.code) {
-            line.append(byte.toChar())
-            byte = runCatching { socket.getInputStream().read() }.getOrDefault(-1)
-        }
-        return line.toString()
-    }
-
-    override fun close() {
-        socket.close()
-        scope.cancel()
-        network.close()
-    }
-}
-
 private suspend fun serving(
     limits: CallerLimits = limits(),
     handler: CallerHandler? = null,
