Announce that a connection closes, and keep one open that was not announced

Callers of kept connections got no answer to the request that followed a refusal with status 400, 408, 413 or 500, or a stream during which a planned stop had begun: the gateway closed the connection after an answer whose head did not say so. The head of a stream never said it, not even in a planned stop.

A refusal after which the connection closes has Connection: close now. Whether a connection stays open is decided when the head of a response is written, and holds for its end, so a stream that began before a planned stop leaves a connection on which the next request is answered.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
@@ -86,18 +86,25 @@
     var isEnded: Boolean = false
         private set
 
+    /** Whether the caller was not told that the connection closes after the response. */
+    private var isKeptAlive = true
+
     /** Whether the response was written completely and the connection may carry another request. */
-    var isReusable: Boolean = false
-        private set
+    val isReusable: Boolean get() = isEnded && isKeptAlive
+
+    /** The response of a connection that closes says so, or its caller would send the next request on it. */
+    fun closeAfterResponse() {
+        check(!isStarted) { "the head of the response is written" }
+        isKeptAlive = false
+    }
 
     /** Writes a complete response. */
     suspend fun respond(status: Int, headers: List<Pair<String, String>>, body: ByteArray) {
-        val isKeptAlive = mayKeepAlive()
-        val head = head(status, headers + ("Content-Length" to body.size.toString()), isKeptAlive)
+        isKeptAlive = isKeptAlive && mayKeepAlive()
+        val head = head(status, headers + ("Content-Length" to body.size.toString()))
         isStarted = true
         write(head, body)
         isEnded = true
-        isReusable = isKeptAlive
     }
 
     /** Writes a complete response that tells the caller of [failure]. */
@@ -108,7 +115,8 @@
     suspend fun startChunked(status: Int, headers: List<Pair<String, String>>) {
         isStarted = true
         startedAt = now()
-        write(head(status, headers + ("Transfer-Encoding" to "chunked"), isKeptAlive = true))
+        isKeptAlive = isKeptAlive && mayKeepAlive()
+        write(head(status, headers + ("Transfer-Encoding" to "chunked")))
     }
 
     /** Writes one chunk of a chunked response. */
@@ -119,7 +127,6 @@
     suspend fun endChunked() {
         write(LAST_CHUNK)
         isEnded = true
-        isReusable = mayKeepAlive()
     }
 
     /** Whether a write is in progress, which can wait for the caller to take data. */
@@ -139,7 +146,7 @@
         }
     }
 
-    private fun head(status: Int, headers: List<Pair<String, String>>, isKeptAlive: Boolean): ByteArray = buildString {
+    private fun head(status: Int, headers: List<Pair<String, String>>): ByteArray = buildString {
         append("HTTP/1.1 ").append(status).append(' ').append(reason(status)).append("\r\n")
         headers.forEach { (name, value) -> append(name).append(": ").append(value).append("\r\n") }
         if (!isKeptAlive) append("Connection: close\r\n")
@@ -342,6 +349,7 @@
 
     /** Rejects a malformed request. The connection is then closed, because the start of the next one is not known. */
     private suspend fun refuse(writer: ResponseWriter, failure: Failure): Boolean {
+        writer.closeAfterResponse()
         writer.respondFailure(failure)
         isAnswered = true
         return false
--- /dev/null
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ClosedConnectionTest.kt
@@ -0,0 +1,83 @@
+package org.lentilquay.daemon.gateway
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldStartWith
+import kotlinx.coroutines.delay
+import org.lentilquay.state.gateway.CallerLimits
+
+private const val IDLE_MILLIS = 300L
+private const val LONG_MILLIS = 20_000L
+private const val REQUEST = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+private const val CLOSE = "Connection: close"
+private val PART = "x".encodeToByteArray()
+
+private fun limits(head: Long = LONG_MILLIS, idle: Long = LONG_MILLIS) =
+    CallerLimits(headerBytes = 16_384, bodyBytes = 1_024, headerTimeoutMillis = head, idleTimeoutMillis = idle)
+
+/** Requests after whose answer the connection closes, with the status of the answer. */
+private val REFUSED = mapOf(
+    "GET / HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n" to "400",
+    "GET / HTTP/1.1\r\nHost: h\r\n" to "408",
+    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n" to "400",
+    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4096\r\n\r\n" to "413",
+    REQUEST to "500",
+)
+
+/** Guards against connections that close though their caller was told that they stay open. */
+class ClosedConnectionTest : FunSpec({
+    // Callers sent their next request on the connection, and got no answer.
+    REFUSED.forEach { (request, status) ->
+        test("an answer $status after which the connection closes says so") {
+            val failing = CallerHandler { _, _ -> error("not handled") }
+            ServedCaller(limits(head = IDLE_MILLIS), failing).use { caller ->
+                caller.serve()
+                caller.socket.send(request)
+                val head = caller.head()
+                head.first() shouldStartWith "HTTP/1.1 $status"
+                head shouldContain CLOSE
+            }
+        }
+    }
+
+    // The head of the stream had not announced the close, and the next request got no answer.
+    test("a request that follows a stream during which a planned stop began is answered") {
+        var isStopping = false
+        val handler = CallerHandler { request, writer ->
+            if (request.ordinal > 1) {
+                writer.respond(200, emptyList(), ByteArray(0))
+            } else {
+                writer.startChunked(200, emptyList())
+                isStopping = true
+                writer.writeChunk(PART)
+                writer.endChunked()
+            }
+        }
+        ServedCaller(limits(), handler, isStopping = { isStopping }).use { caller ->
+            caller.serve()
+            caller.socket.send(REQUEST)
+            caller.head().first() shouldStartWith "HTTP/1.1 200"
+            caller.head() shouldBe listOf("1", "x", "0")
+            delay(IDLE_MILLIS)
+            caller.socket.send(REQUEST)
+            val head = caller.head()
+            head.first() shouldStartWith "HTTP/1.1 200"
+            head shouldContain CLOSE
+        }
+    }
+
+    test("a stream that starts in a planned stop says that its connection closes") {
+        val handler = CallerHandler { _, writer ->
+            writer.startChunked(200, emptyList())
+            writer.endChunked()
+        }
+        ServedCaller(limits(), handler, isStopping = { true }).use { caller ->
+            caller.serve()
+            caller.socket.send(REQUEST)
+            caller.head() shouldContain CLOSE
+            caller.head() shouldBe listOf("0")
+            caller.statusLine() shouldBe ""
+        }
+    }
+})
