Look for a request and end an idle connection in one step

A connection that reached its idle limit, or was idle in a planned stop, was closed in two steps: a look at the socket, and later the end of the output by another coroutine. On a VM with little processor time, other work runs between them. A request that arrived then was read and thrown away, and its caller saw the connection end.

The coroutine that has seen the limit end now looks at the socket and ends the output itself, without a suspension between.

ClosedConnectionTest, two tests failed before: with the threads of the sockets busy the connection was still open after 10 s.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
@@ -275,13 +275,16 @@
         connection.input.within(idleMillis) { connection.input.awaitContent() }
     }.getOrElse { failure ->
         when {
-            failure !is InputTimeoutException -> Unit
-            isIdleStopped -> reportClose(CloseReason.PLANNED_STOP)
-            else -> reportClose(CloseReason.IDLE_LIMIT, failure)
+            failure !is InputTimeoutException -> false
+            // A request can arrive between the end of the wait and the close.
+            !connection.endOutputIfIdle() && connection.input.unreadBytes() > 0 -> true
+            else -> false.also { reportIdleClose(failure) }
         }
-        false
     }
 
+    private fun reportIdleClose(timeout: InputTimeoutException) =
+        if (isIdleStopped) reportClose(CloseReason.PLANNED_STOP) else reportClose(CloseReason.IDLE_LIMIT, timeout)
+
     private fun presentLimits(): CallerLimits = limits() ?: DEFAULT_LIMITS
 
     /** Whether neither side has closed the connection and it has not failed. */
--- a/daemon/src/main/kotlin/org/lentilquay/transport/SocketOutput.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/SocketOutput.kt
@@ -26,15 +26,21 @@
  * Opens the output of [socket], which is registered with [selector]. A flush waits while [maximumPendingBytes] or more
  * are not written yet. The other side sees the end of the output once it is closed.
  */
-internal fun openOutput(socket: Socket, selector: SelectorManager, maximumPendingBytes: Long): ByteWriteChannel =
+internal fun openOutput(socket: Socket, selector: SelectorManager, maximumPendingBytes: Long): ConnectionOutput =
     SocketOutput(SocketDirection(socket, selector, SelectInterest.WRITE), maximumPendingBytes).also { it.start() }
 
+/** The output of a connection. */
+internal interface ConnectionOutput : ByteWriteChannel {
+    /** Ends the output in the calling thread unless bytes are still to be sent; returns whether it did. */
+    fun endNow(): Boolean
+}
+
 /** One coroutine sends to the socket, and one at a time writes. */
 @OptIn(InternalAPI::class, UnsafeIoApi::class)
 private class SocketOutput(
     private val socket: SocketDirection,
     private val maximumPendingBytes: Long,
-) : ByteWriteChannel {
+) : ConnectionOutput {
     private val lock = Any()
 
     /** Bytes that are flushed and not written to the socket, guarded by [lock]. */
@@ -67,6 +73,21 @@
         while (socket.awaitRoom()) Unit
     }
 
+    override fun endNow(): Boolean {
+        if (closedCause != null) return false
+        synchronized(lock) {
+            if (!pending.exhausted()) return false
+            socket.isEnded = true
+            try {
+                socket.channel.shutdownOutput()
+            } catch (failure: IOException) {
+                socket.fail(failure)
+            }
+        }
+        socket.signalBytes()
+        return closedCause == null
+    }
+
     override fun cancel(cause: Throwable?) = socket.fail(cause)
 
     fun start() = socket.launch { send() }
--- a/daemon/src/main/kotlin/org/lentilquay/transport/TcpConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/TcpConnection.kt
@@ -7,7 +7,6 @@
 
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.Socket
-import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.cancel
 import io.ktor.utils.io.discard
 import kotlinx.coroutines.withTimeoutOrNull
@@ -24,12 +23,18 @@
     onClosed: () -> Unit,
 ) : AutoCloseable {
     val input: TimedInput = openInput(socket, selector)
-    val output: ByteWriteChannel = openOutput(socket, selector, maximumPendingBytes)
+    val output: ConnectionOutput = openOutput(socket, selector, maximumPendingBytes)
 
     init {
         socket.socketContext.invokeOnCompletion { onClosed() }
     }
 
+    /**
+     * Ends the output, unless bytes have arrived that were not read or some are still to be sent; returns whether it
+     * did. The look and the end are one step, so that no request arrives between them while other coroutines run.
+     */
+    fun endOutputIfIdle(): Boolean = input.unreadBytes() == 0L && output.endNow()
+
     /**
      * Flushes the output and shuts it down, then waits up to [lingerMillis] for the other side to do the same and
      * closes the connection. [close] alone discards data that the other side has not read yet. The other side has
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ClosedConnectionTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ClosedConnectionTest.kt
@@ -2,13 +2,17 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldStartWith
 import kotlinx.coroutines.delay
 import org.lentilquay.state.gateway.CallerLimits
+import org.lentilquay.transport.withStalledReceivers
+import kotlin.time.measureTime
 
 private const val IDLE_MILLIS = 300L
 private const val LONG_MILLIS = 20_000L
+private const val MAXIMUM_CLOSE_MILLIS = 1_500L
 private const val REQUEST = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 private const val CLOSE = "Connection: close"
 private val PART = "x".encodeToByteArray()
@@ -80,4 +84,22 @@
             caller.statusLine() shouldBe ""
         }
     }
+
+    // A request that arrived between the end of the idle time and the close was read and got no answer.
+    listOf("its idle limit", "a planned stop").forEach { cause ->
+        test("a connection that ends by $cause closes at once though the threads of the sockets are busy") {
+            val idleMillis = if (cause == "a planned stop") LONG_MILLIS else 2 * IDLE_MILLIS
+            ServedCaller(limits(idle = idleMillis)).use { caller ->
+                caller.serve()
+                caller.socket.send(REQUEST)
+                caller.head().first() shouldStartWith "HTTP/1.1 200"
+                delay(2 * IDLE_MILLIS - IDLE_MILLIS / 2)
+                withStalledReceivers {
+                    if (cause == "a planned stop") caller.connection.closeIfIdle()
+                    measureTime { caller.statusLine() shouldBe "" }.inWholeMilliseconds shouldBeLessThan
+                        MAXIMUM_CLOSE_MILLIS
+                }
+            }
+        }
+    }
 })
