Deflate long table changes that a reader relays to its followers

For the first of them the server had ended after 80 ms, the gateway logged status 200 after 223 ms, and the caller received nothing for 930 ms.

Two VMs of each failure domain relay the tables to the others. Each change of the configuration is one row of about 100 KB and goes to some 20 followers, over the link of the reader that also carries responses to callers; it has 7 Mbit/s on this site, so they waited for up to a second or more.

Rows are sent deflated to followers that say that they read them; followers of older builds get them as before. One line tells of each long relay.

--- a/core/src/main/kotlin/org/lentilquay/protocol/PeerMessages.kt
+++ b/core/src/main/kotlin/org/lentilquay/protocol/PeerMessages.kt
@@ -8,6 +8,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
 import org.lentilquay.state.AdapterVersion
 import org.lentilquay.state.DomainId
 import org.lentilquay.state.Failure
@@ -283,7 +284,13 @@
      */
     @Serializable
     @SerialName("follow-table")
-    data class FollowTable(val table: String, val afterVersion: Long, val waitMillis: Long) : PeerRequest
+    data class FollowTable(
+        val table: String,
+        val afterVersion: Long,
+        val waitMillis: Long,
+        /** Whether the answer may have [PeerAnswer.TableChanges.deflatedRows]; older builds do not read them. */
+        val mayDeflate: Boolean = false,
+    ) : PeerRequest
 }
 
 /** The answer to a [PeerRequest]. */
@@ -410,7 +417,13 @@
     /** The rows that changed up to [version], read when the table service's clock showed [tableMillis]. */
     @Serializable
     @SerialName("table-changes")
-    data class TableChanges(val version: Long, val tableMillis: Long, val rows: Map<String, RowChange>) : PeerAnswer
+    data class TableChanges(
+        val version: Long,
+        val tableMillis: Long,
+        val rows: Map<String, RowChange>,
+        /** The rows in place of [rows], as deflated CBOR; null if [rows] holds them. */
+        @ByteString val deflatedRows: ByteArray? = null,
+    ) : PeerAnswer
 }
 
 /** The new content of a changed row; a null [text] means that the row was removed. */
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/SharedWatchSource.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/SharedWatchSource.kt
@@ -14,8 +14,10 @@
 import org.lentilquay.protocol.RowChange
 import org.lentilquay.state.ErrorKind
 import org.lentilquay.state.Failure
+import org.lentilquay.transport.describe
 import org.lentilquay.transport.peer.PeerCallResult
 import org.lentilquay.transport.platform.ReadResult
+import org.lentilquay.transport.runSuspendCatching
 
 private val log = KotlinLogging.logger {}
 
@@ -35,6 +37,9 @@
  */
 private const val READER_HOLD_MILLIS = 1_000L
 
+/** A longer answer to a follower is logged, because it delays the responses on the same link. */
+private const val REPORTED_RELAY_BYTES = 16 shl 10
+
 class SharedWatchSource(
     private val readers: TableReaders,
     private val source: WatchSource,
@@ -75,12 +80,14 @@
     /** Asks a reader for the changes of [table] after version [after]; null if this VM must ask the table service. */
     suspend fun ask(table: WatchedTableName, after: Long, waitMillis: Long): PeerAnswer.TableChanges? {
         val reader = control.decide { readers.readerFor(table.text, now()) } ?: return null
-        val request = PeerRequest.FollowTable(table.text, after, waitMillis)
+        val request = PeerRequest.FollowTable(table.text, after, waitMillis, mayDeflate = true)
         val result = fleet().call(reader, request, waitMillis + READER_MARGIN_MILLIS)
         val answer = (result as? PeerCallResult.Answered)?.answer
-        if (answer is PeerAnswer.TableChanges) return answer
+        val inflated = (answer as? PeerAnswer.TableChanges)?.let { runSuspendCatching { it.inflated() } }
+        inflated?.getOrNull()?.let { return it }
         control.decide { readers.readerFailed(reader, now()) }
-        log.event("reader has no current copy", "vm" to reader, "table" to table.text, "reason" to (answer ?: result))
+        val reason = inflated?.exceptionOrNull()?.let { describe(it) } ?: answer ?: result
+        log.event("reader has no current copy", "vm" to reader, "table" to table.text, "reason" to reason)
         return null
     }
 
@@ -91,7 +98,18 @@
     suspend fun answer(request: PeerRequest.FollowTable): PeerAnswer {
         val table = WatchedTableName.entries.firstOrNull { it.text == request.table }
         val wait = request.waitMillis.coerceIn(0, FOLLOWER_HOLD_MILLIS)
-        return table?.let { cache(it).changesAfter(request.afterVersion, wait) }
+        val changes = table?.let { cache(it).changesAfter(request.afterVersion, wait, request.mayDeflate) }
+        val bytes = changes?.run { deflatedRows?.size ?: characters } ?: 0
+        if (changes != null && bytes >= REPORTED_RELAY_BYTES) {
+            log.event(
+                "long change relayed",
+                "table" to request.table,
+                "after" to request.afterVersion,
+                "version" to changes.version,
+                "bytes" to bytes,
+            )
+        }
+        return changes
             ?: PeerAnswer.Refused(Failure(ErrorKind.CONFIGURATION_STALE, "no current copy of table ${request.table}"))
     }
 }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/WatchCache.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/WatchCache.kt
@@ -28,6 +28,9 @@
     private var readAt = 0L
     private val version = MutableStateFlow(-1L)
 
+    /** The last deflated changes and the version after which they begin; most followers ask for the same ones. */
+    private var deflated: Pair<Long, PeerAnswer.TableChanges>? = null
+
     /** Replaces the cache by the whole table, which was read at [tableMillis] of the table clock. */
     @Synchronized
     fun replace(all: WatchedRows, tableMillis: Long) {
@@ -62,11 +65,20 @@
 
     /**
      * The rows that changed after version [after], as soon as there are any or after [waitMillis]; null if the cache
-     * may lack some or is too old.
+     * may lack some or is too old. Long ones are deflated if the follower [mayDeflate].
      */
-    suspend fun changesAfter(after: Long, waitMillis: Long): PeerAnswer.TableChanges? {
+    suspend fun changesAfter(after: Long, waitMillis: Long, mayDeflate: Boolean = false): PeerAnswer.TableChanges? {
         if (version.value <= after) withTimeoutOrNull(waitMillis) { version.first { it > after } }
-        return answer(after)
+        return if (mayDeflate) deflatedAnswer(after) else answer(after)
+    }
+
+    @Synchronized
+    private fun deflatedAnswer(after: Long): PeerAnswer.TableChanges? {
+        val answer = answer(after) ?: return null
+        deflated?.takeIf { (from, last) ->
+            from == after && last.version == answer.version && last.tableMillis == answer.tableMillis
+        }?.let { return it.second }
+        return answer.deflated().also { if (it !== answer) deflated = after to it }
     }
 
     @Synchronized
