Let the VMs with the fastest links relay the tables

The readers of a failure domain were chosen by rendezvous hashing alone.

A VM publishes the speed of its link, which the platform's settings name, in its member record; the fastest of a failure domain are its readers, and equal ones rank as before. Records of older builds rank last.

TableReadersTest, "the VMs with the fastest links of each failure domain are its readers" (the parameter is new, so it was not run before).

--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/TableReaders.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/TableReaders.kt
@@ -1,7 +1,8 @@
 /*
  * Decides which VMs read the table service themselves, and from which of these readers a follower gets its copies. In
- * each failure domain the first few VMs by rendezvous hashing are readers, so the number of calls to the table service
- * does not grow with the fleet. A VM without a reader that answers reads the table service itself.
+ * each failure domain a few VMs are readers, so the number of calls to the table service does not grow with the fleet.
+ * They are those with the fastest links, because a reader sends each change to all its followers; VMs with equal links
+ * rank by rendezvous hashing. A VM without a reader that answers reads the table service itself.
  *
  * Single-threaded use; times are monotonic milliseconds.
  */
@@ -23,7 +24,12 @@
 /** A reader that did not answer is not asked again for this long: about two renewals of its member record. */
 private const val FAILED_READER_MILLIS = 3_000L
 
-class TableReaders(private val own: VmId, private val domain: DomainId) {
+class TableReaders(
+    private val own: VmId,
+    private val domain: DomainId,
+    /** The speed of the link of this VM, in megabits a second; 0 if it is not known. */
+    private val linkMegabits: Int = 0,
+) {
     private var readers: List<VmId> = emptyList()
     private val failedUntil = HashMap<VmId, Long>()
 
@@ -34,11 +40,16 @@
     var hasFollowers: Boolean = false
         private set
 
-    /** Selects the readers from the [members], given with their failure domains; this VM always counts as one. */
-    fun membersChanged(members: Map<VmId, DomainId>) {
+    /**
+     * Selects the readers from the [members], given with their failure domains and the speeds of their links, as far as
+     * these are known; this VM always counts as a member.
+     */
+    fun membersChanged(members: Map<VmId, DomainId>, linkMegabits: Map<VmId, Int> = emptyMap()) {
         val neighbours = (members.filterValues { it == domain }.keys + own).sorted()
         val count = if (neighbours.size <= SMALL_DOMAIN_MEMBERS) neighbours.size else READERS_PER_DOMAIN
-        readers = rendezvousRanking("readers of $domain", neighbours) { it.text }.take(count)
+        val links = linkMegabits + (own to this.linkMegabits)
+        readers = rendezvousRanking("readers of $domain", neighbours) { it.text }
+            .sortedByDescending { links[it] ?: 0 }.take(count)
         hasFollowers = own in readers && neighbours.size > readers.size
         failedUntil.keys.retainAll(readers.toSet())
     }
--- a/core/src/main/kotlin/org/lentilquay/state/gateway/MemberRecord.kt
+++ b/core/src/main/kotlin/org/lentilquay/state/gateway/MemberRecord.kt
@@ -56,6 +56,8 @@
      * milliseconds since the epoch.
      */
     @SerialName("g") val leavingServers: Map<ServerId, Long?> = emptyMap(),
+    /** The speed of the VM's link, in megabits a second; 0 if it is not known. */
+    @SerialName("b") val linkMegabits: Int = 0,
 )
 
 /** The controller of an engine. The fencing number [fence] rises with each change of controller. */
--- a/core/src/test/kotlin/org/lentilquay/coordination/gateway/TableReadersTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/gateway/TableReadersTest.kt
@@ -45,6 +45,26 @@
         readers(fleet - readers(fleet).take(2).toSet()).size shouldBe 12
     }
 
+    // Readers with a slow link held up the responses to their callers for about a second after each long change.
+    test("the VMs with the fastest links of each failure domain are its readers") {
+        val members = members(40)
+        val links = members.keys.associateWith { if (it.text.removePrefix("vm-").toInt() in 20..27) 200 else 10 }
+        val readers = members.keys.filter { vm ->
+            val plan = TableReaders(vm, members.getValue(vm), links.getValue(vm))
+            plan.membersChanged(members, links)
+            plan.readerFor(TABLE, 0) == null
+        }
+        readers.toSet() shouldBe links.filterValues { it == 200 }.keys
+    }
+
+    test("a VM whose link is not known is a reader only where too few others are known") {
+        val members = members(20)
+        val links = mapOf(VmId("vm-4") to 10)
+        val plan = TableReaders(VmId("vm-8"), domains[0]).apply { membersChanged(members, links) }
+        val asked = List(READERS_PER_DOMAIN) { plan.readerFor(TABLE, 0) }
+        asked.contains(VmId("vm-4")) shouldBe true
+    }
+
     test("a fleet of 12 VMs has no followers") {
         plans(members(12)).values.none { it.hasFollowers } shouldBe true
     }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
@@ -171,6 +171,7 @@
         tableMillis = from.millis,
         quarantines = quarantines.published(from),
         leavingServers = state.notices.observedLeaving,
+        linkMegabits = options.linkMegabits,
     )
 
     private suspend fun readRecords() {
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayPorts.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayPorts.kt
@@ -137,4 +137,6 @@
     val retries: RetryBounds,
     /** Tokens that a team may use on all VMs together beyond its rate and burst, within the platform's window. */
     val quotaToleranceTokens: Long,
+    /** The speed of the link of this VM, in megabits a second; 0 if it is not known. */
+    val linkMegabits: Int = 0,
 )
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayState.kt
@@ -42,7 +42,7 @@
     val lease = ControlLease(options.vm, incarnation, options.controllerChangePauseMillis)
     val transfers = TransferPlanner(options.vm)
     val buckets = TeamBuckets(options.vm, transfers = transfers, startedAt = now())
-    val readers = TableReaders(options.vm, options.domain)
+    val readers = TableReaders(options.vm, options.domain, options.linkMegabits)
 
     var operator = OperatorState()
         private set
@@ -129,7 +129,8 @@
             retries.membersChanged(live.size)
         }
         members = live
-        readers.membersChanged((live - overdue).mapValues { it.value.domain })
+        val timely = live - overdue
+        readers.membersChanged(timely.mapValues { it.value.domain }, timely.mapValues { it.value.linkMegabits })
         selection.membersChanged(live, overdue, now())
     }
 }
