Ask a reader that failed for one table for the others

A failure counts for its table. TableReadersTest, "a reader that failed for one table is still asked for the others".

--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/TableReaders.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/TableReaders.kt
@@ -31,7 +31,9 @@
     private val linkMegabits: Int = 0,
 ) {
     private var readers: List<VmId> = emptyList()
-    private val failedUntil = HashMap<VmId, Long>()
+
+    /** The readers that failed to answer for a table; one that is late with a long table may have the others. */
+    private val failedUntil = HashMap<Pair<VmId, String>, Long>()
 
     /** Calls so far, by table, for the round-robin over the readers; VMs begin at different readers. */
     private val turns = HashMap<String, Int>()
@@ -51,7 +53,7 @@
         readers = rendezvousRanking("readers of $domain", neighbours) { it.text }
             .sortedByDescending { links[it] ?: 0 }.take(count)
         hasFollowers = own in readers && neighbours.size > readers.size
-        failedUntil.keys.retainAll(readers.toSet())
+        failedUntil.keys.removeIf { (vm, _) -> vm !in readers }
     }
 
     /**
@@ -60,14 +62,14 @@
      */
     fun readerFor(table: String, now: Long): VmId? {
         if (own in readers) return null
-        val available = readers.filter { (failedUntil[it] ?: 0) <= now }
+        val available = readers.filter { (failedUntil[it to table] ?: 0) <= now }
         if (available.isEmpty()) return null
         val turn = turns.merge(table, 1, Int::plus) ?: 0
         return available[(turn + own.text.hashCode()).mod(available.size)]
     }
 
-    /** The reader [vm] did not answer, or has no current copy. */
-    fun readerFailed(vm: VmId, now: Long) {
-        failedUntil[vm] = now + FAILED_READER_MILLIS
+    /** The reader [vm] did not answer for [table], or has no current copy of it. */
+    fun readerFailed(vm: VmId, table: String, now: Long) {
+        failedUntil[vm to table] = now + FAILED_READER_MILLIS
     }
 }
--- a/core/src/test/kotlin/org/lentilquay/coordination/gateway/TableReadersTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/gateway/TableReadersTest.kt
@@ -71,11 +71,19 @@
 
     test("a follower skips failed readers, and reads the table service itself when all have failed") {
         val (_, plan) = plans(members(40)).entries.first { (_, plan) -> plan.readerFor(TABLE, 0) != null }
-        repeat(READERS_PER_DOMAIN) { plan.readerFor(TABLE, 0)?.let { plan.readerFailed(it, 0) } }
+        repeat(READERS_PER_DOMAIN) { plan.readerFor(TABLE, 0)?.let { plan.readerFailed(it, TABLE, 0) } }
         plan.readerFor(TABLE, 0) shouldBe null
         plan.readerFor(TABLE, 3_000) shouldNotBe null
     }
 
+    // A late answer for one table made its followers read all tables from the table service.
+    test("a reader that failed for one table is still asked for the others") {
+        val (_, plan) = plans(members(40)).entries.first { (_, plan) -> plan.readerFor(TABLE, 0) != null }
+        repeat(READERS_PER_DOMAIN) { plan.readerFor("operator", 0)?.let { plan.readerFailed(it, "operator", 0) } }
+        plan.readerFor("operator", 0) shouldBe null
+        plan.readerFor(TABLE, 0) shouldNotBe null
+    }
+
     test("readers are asked in turn for each table") {
         val (_, plan) = plans(members(40)).entries.first { (_, plan) -> plan.readerFor(TABLE, 0) != null }
         val asked = List(READERS_PER_DOMAIN) { plan.readerFor("operator", 0) to plan.readerFor(TABLE, 0) }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/SharedWatchSource.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/SharedWatchSource.kt
@@ -85,7 +85,7 @@
         val answer = (result as? PeerCallResult.Answered)?.answer
         val inflated = (answer as? PeerAnswer.TableChanges)?.let { runSuspendCatching { it.inflated() } }
         inflated?.getOrNull()?.let { return it }
-        control.decide { readers.readerFailed(reader, now()) }
+        control.decide { readers.readerFailed(reader, table.text, now()) }
         val reason = inflated?.exceptionOrNull()?.let { describe(it) } ?: answer ?: result
         log.event("reader has no current copy", "vm" to reader, "table" to table.text, "reason" to reason)
         return null
