--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
@@ -86,6 +86,10 @@
     var isEnded: Boolean = false
         private set
 
+    /** The status of the response; 0 if none was started. */
+    var status: Int = 0
+        private set
+
     /** Whether the caller was not told that the connection closes after the response. */
     private var isKeptAlive = true
 
@@ -147,6 +151,7 @@
     }
 
     private fun head(status: Int, headers: List<Pair<String, String>>): ByteArray = buildString {
+        this@ResponseWriter.status = status
         append("HTTP/1.1 ").append(status).append(' ').append(reason(status)).append("\r\n")
         headers.forEach { (name, value) -> append(name).append(": ").append(value).append("\r\n") }
         if (!isKeptAlive) append("Connection: close\r\n")
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarder.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarder.kt
@@ -102,6 +102,8 @@
             interruption = interruptionOf(failure)
             throw failure
         } finally {
+            // The caller may close its connection as soon as it has the whole response.
+            if (writer.isEnded) status = writer.status
             val millis = now() - request.arrivedAt
             metrics.requestEnded(routed?.route?.kind, status, millis)
             val unanswered = if (isAnswered(status)) null else Unanswered(interruption, writer, now())
