Let a stream that broke off wait for a retry

A stream that had begun was cut at once if its server broke off while the retry budget was used up. Its caller can no longer be refused, and the budget has a retry as soon as other requests come; a stream that was refused elsewhere waited already. It now waits up to its deadline, 10 s at most.

ResumedStreamTest, "a stream that broke off while the retry budget was used up goes on once there is a retry", failed before.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestAttempts.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestAttempts.kt
@@ -39,6 +39,9 @@
 /** Delay before the servers are asked again to go on with a stream that has begun. */
 private const val RESUME_RETRY_MILLIS = 200L
 
+/** Longest wait of a stream that has begun for a retry in the budget, for callers that name no deadline. */
+private const val MAXIMUM_RETRY_WAIT_MILLIS = 10_000L
+
 /** What the attempts of all requests share. */
 internal class AttemptContext(
     val picker: ServerPicker,
@@ -151,7 +154,7 @@
     private suspend fun afterFailure(target: AttemptTarget, result: AttemptResult.Failed): Int? {
         errorResponse = result.answer ?: errorResponse
         excluded += target.server.id
-        return if (hasFollowing || (canRunAgain() && tryRetry())) null else fail(result.reason)
+        return if (hasFollowing || (canRunAgain() && awaitRetry())) null else fail(result.reason)
     }
 
     private suspend fun afterBrokenStream(target: AttemptTarget, result: AttemptResult.BrokenStream): Int? {
@@ -159,7 +162,7 @@
         excluded += target.server.id
         if (hasFollowing) return null
         val canResume = routed.route.isResumable && result.lastEventId != null && canRunAgain()
-        if (!canResume || !tryRetry()) throw IOException("the stream broke off: ${result.reason}")
+        if (!canResume || !awaitRetry()) throw IOException("the stream broke off: ${result.reason}")
         return null
     }
 
@@ -300,9 +303,12 @@
 
     /** Takes a retry from the budget. A stream that has begun waits for one, as its caller cannot be refused. */
     private suspend fun awaitRetry(): Boolean {
+        val until = minOf(routed.deadlineAt - MINIMUM_REMAINING_MILLIS, context.now() + MAXIMUM_RETRY_WAIT_MILLIS)
         while (!tryRetry()) {
-            if (!writer.isStarted || isOutOfTime) return false
-            delay(RESUME_RETRY_MILLIS)
+            val remaining = until - context.now()
+            if (!writer.isStarted || remaining <= 0) return false
+            delay(minOf(remaining, RESUME_RETRY_MILLIS))
+            if (isOutOfTime) return false
         }
         return true
     }
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ResumedStreamTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ResumedStreamTest.kt
@@ -7,6 +7,9 @@
 import io.kotest.matchers.string.shouldNotContain
 import io.kotest.matchers.string.shouldNotEndWith
 import io.kotest.matchers.string.shouldStartWith
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import org.lentilquay.state.gateway.RouteKind
 import java.net.Socket
@@ -41,8 +44,8 @@
     }
 }
 
-private fun Backend.breakOff(socket: Socket) {
-    socket.sendHead("r1", "Transfer-Encoding: chunked\r\n")
+private fun Backend.breakOff(socket: Socket, id: String = "r1") {
+    socket.sendHead(id, "Transfer-Encoding: chunked\r\n")
     socket.send(chunk(FIRST))
     Thread.sleep(ANSWER_PAUSE_MILLIS)
     reset(socket)
@@ -74,6 +77,29 @@
         }
     }
 
+    // The stream was cut at once, though its caller can no longer be refused and the budget has a retry soon.
+    test("a stream that broke off while the retry budget was used up goes on once there is a retry") {
+        val backends = listOf("s1", "s2").map {
+            Backend(it) { socket, request ->
+                val id = request.header("Request").orEmpty()
+                val isWhole = id == "whole" || request.header("Last-Event-Id") != null
+                if (isWhole) socket.use { it.answer(id, Framing.CHUNKED, SECOND) } else breakOff(socket, id)
+            }
+        }
+        ForwarderFixture(backends, RouteKind.STREAM, isResumable = true).use { fixture ->
+            fixture.open()
+            repeat(3) { fixture.askOverSocket("used$it") shouldEndWith LAST_CHUNK }
+            coroutineScope {
+                val broken = async(Dispatchers.IO) { fixture.askOverSocket("broken") }
+                delay(3 * ANSWER_PAUSE_MILLIS)
+                fixture.askOverSocket("whole") shouldEndWith LAST_CHUNK
+                val answer = broken.await()
+                answer shouldEndWith LAST_CHUNK
+                bodyOf(answer.removeSuffix(LAST_CHUNK)) shouldBe (FIRST + SECOND).removeSuffix("\r\n")
+            }
+        }
+    }
+
     Framing.entries.forEach { framing ->
         test("a stream that ends without any event is no success for its caller, framing $framing") {
             resumed(maximumAttempts = 1, first = { it.answer("r1", framing) }, second = { }) shouldStartWith
