Count it against a server when a caller leaves its overdue answer

If the answer was overdue and had not begun, it now counts as a lost one; callers that leave in the same pause of a server count once, and no crash is suspected.

ServerHealthTest has the two limits.

--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/ServerHealth.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/ServerHealth.kt
@@ -23,7 +23,10 @@
     /** The connection was lost, or no usable answer arrived in time. */
     LOST,
 
-    /** The caller disconnected or the request timed out; this says nothing about the server. */
+    /** The caller left, which is a fault of the server only if its answer was overdue. */
+    LEFT,
+
+    /** The request ended for another reason that says nothing about the server. */
     UNKNOWN,
 }
 
@@ -80,7 +83,7 @@
 
     fun ended(server: ServerId, attempt: Long, outcome: ServerOutcome, now: Long) {
         val health = servers[server] ?: return
-        health.unanswered.remove(attempt)
+        val overdueAt = health.unanswered.remove(attempt)?.overdueAt
         health.outstanding = (health.outstanding - 1).coerceAtLeast(0)
         when (outcome) {
             ServerOutcome.ANSWERED -> {
@@ -90,15 +93,21 @@
             }
             ServerOutcome.FAILED -> updateFailureRatio(health, 1.0)
             ServerOutcome.FULL -> backOffBriefly(health, now)
-            ServerOutcome.UNREACHABLE, ServerOutcome.LOST -> {
-                updateFailureRatio(health, 1.0)
-                val doublings = minOf(health.consecutiveFailures++, MAXIMUM_DOUBLINGS)
-                health.backoffUntil = now + minOf(MINIMUM_BACKOFF_MILLIS shl doublings, MAXIMUM_BACKOFF_MILLIS)
+            ServerOutcome.UNREACHABLE, ServerOutcome.LOST -> failed(health, now)
+            // Callers that leave a server in one pause of it are one sign, not several.
+            ServerOutcome.LEFT -> if (overdueAt != null && overdueAt < now && health.backoffUntil <= now) {
+                failed(health, now)
             }
             ServerOutcome.UNKNOWN -> Unit
         }
     }
 
+    private fun failed(health: Health, now: Long) {
+        updateFailureRatio(health, 1.0)
+        val doublings = minOf(health.consecutiveFailures++, MAXIMUM_DOUBLINGS)
+        health.backoffUntil = now + minOf(MINIMUM_BACKOFF_MILLIS shl doublings, MAXIMUM_BACKOFF_MILLIS)
+    }
+
     /** The controller of [server] reported that all batch slots are in use. */
     fun markFull(server: ServerId, now: Long) = backOffBriefly(servers.getOrPut(server) { Health() }, now)
 
--- a/core/src/test/kotlin/org/lentilquay/coordination/gateway/ServerHealthTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/gateway/ServerHealthTest.kt
@@ -39,6 +39,25 @@
         health.faultCost(SERVER, 102) shouldBe 0.0
     }
 
+    test("a server that a caller has left has a cost only if its answer was overdue and had not begun") {
+        fun cost(overdueAt: Long, hasBegun: Boolean = false) = ServerHealth().run {
+            val attempt = started(SERVER, overdueAt)
+            if (hasBegun) answerStarted(SERVER, attempt)
+            ended(SERVER, attempt, ServerOutcome.LEFT, 100)
+            faultCost(SERVER, 101)
+        }
+        cost(overdueAt = 99) shouldBeGreaterThan 100.0
+        cost(overdueAt = 100) shouldBe 0.0
+        cost(overdueAt = 99, hasBegun = true) shouldBe 0.0
+    }
+
+    test("callers that leave a silent server at the same time do not lengthen its back-off") {
+        val health = ServerHealth()
+        val attempts = List(5) { health.started(SERVER, overdueAt = 0) }
+        attempts.forEach { health.ended(SERVER, it, ServerOutcome.LEFT, 100) }
+        health.faultCost(SERVER, 350) shouldBeLessThan 100.0
+    }
+
     test("requests with an unknown outcome add no cost") {
         val health = ServerHealth()
         repeat(20) { health.run(ServerOutcome.UNKNOWN, 0) }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestAttempts.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestAttempts.kt
@@ -185,7 +185,8 @@
             outcome = context.crashes.quarantineOf(routed)?.let { notSent(it.reason) }
                 ?: context.runner.run(routed, target, writer, options)
         } catch (cancelled: CancellationException) {
-            outcome = interrupted(interruptionOf(cancelled).text)
+            val interruption = interruptionOf(cancelled)
+            outcome = interrupted(interruption.text, serverOutcomeOf(interruption))
             throw cancelled
         } finally {
             // Also after a cancellation: the server may have run the request, so its tokens count as used.
@@ -196,7 +197,13 @@
         return outcome
     }
 
-    private fun interrupted(reason: String) = AttemptOutcome(AttemptResult.Failed(reason), ServerOutcome.UNKNOWN)
+    private fun interrupted(reason: String, outcome: ServerOutcome = ServerOutcome.UNKNOWN) =
+        AttemptOutcome(AttemptResult.Failed(reason), outcome)
+
+    private fun serverOutcomeOf(interruption: Interruption): ServerOutcome = when (interruption) {
+        Interruption.OutputEnded, is Interruption.ConnectionFailed -> ServerOutcome.LEFT
+        Interruption.StopEnded, Interruption.Cancelled, is Interruption.Failed -> ServerOutcome.UNKNOWN
+    }
 
     private fun notSent(reason: String) =
         AttemptOutcome(AttemptResult.NotRun(reason, hasArrived = false), ServerOutcome.UNKNOWN)
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ForwarderFixture.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ForwarderFixture.kt
@@ -10,7 +10,6 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
-import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.launch
 import kotlinx.io.readString
 import org.lentilquay.coordination.configuration.sha256Of
@@ -234,7 +233,8 @@
     suspend fun askAndDisconnect(id: String, hasArrived: suspend () -> Unit) {
         val work = scope.launch { ask(id, "left") }
         hasArrived()
-        work.cancelAndJoin()
+        work.cancel(CallerDisconnected(null))
+        work.join()
     }
 
     private suspend fun accepts(address: String): Boolean = runCatching {
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/RequestForwarderTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/RequestForwarderTest.kt
@@ -28,6 +28,25 @@
         }
     }
 
+    // The caller's leaving said nothing about the server, so servers that answer nothing went on getting requests.
+    test("a server that a caller has left because its answer was overdue is not the first choice for the next one") {
+        val backends = List(2) { number ->
+            Backend("s$number") { socket, request ->
+                if (request.header("Request") == "left") Thread.sleep(2_000) else answer(socket, request)
+            }
+        }
+        ForwarderFixture(backends, RouteKind.RUN_ONCE, targetLatencyMillis = 100).use { fixture ->
+            fixture.open()
+            fixture.askAndDisconnect("left") {
+                eventually(5.seconds) { backends.sumOf { it.requests.get() } shouldBe 1 }
+                delay(400.milliseconds)
+            }
+            val silent = backends.single { it.requests.get() == 1 }
+            repeat(2) { fixture.ask("next$it", "hi") shouldContain "200 OK" }
+            silent.requests.get() shouldBe 1
+        }
+    }
+
     // The caller left while its request waited for tokens, and got neither an answer nor a refusal.
     test("a request waits for tokens no longer than its caller waits for the response") {
         val backend = Backend("s1") { socket, request -> answer(socket, request) }
