--- a/daemon/src/main/kotlin/org/lentilquay/transport/TcpConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/TcpConnection.kt
@@ -31,7 +31,7 @@
 
     /**
      * Ends the output, unless bytes have arrived that were not read or some are still to be sent; returns whether it
-     * did. The look and the end are one step, so that no request arrives between them while other coroutines run.
+     * did. Nothing is suspended between the look and the end, so that no other work of this process runs meanwhile.
      */
     fun endOutputIfIdle(): Boolean = input.unreadBytes() == 0L && output.endNow()
 
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ServedCaller.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ServedCaller.kt
@@ -51,7 +51,8 @@
             writer.respond(200, emptyList(), ByteArray(0))
         }
         val bodies = RequestBodyBudget()
-        connection = CallerConnection(accepted, handler, { limits.also { limitReads.incrementAndGet() } }, isStopping, now, bodies, maximumBodyMillis)
+        val readLimits = { limits.also { limitReads.incrementAndGet() } }
+        connection = CallerConnection(accepted, handler, readLimits, isStopping, now, bodies, maximumBodyMillis)
         served = scope.launch { connection.serve() }
         listener.close()
         // A test that changes the limits does so while the connection waits for a request.
