Wait for requests whose body is being read in a planned stop

Callers saw: the connection of a request whose body arrived while a VM of the product's own interface drained closed without an answer.

Cause: RequestLimiter accepts a request by its head, but the request counted as active only after its body had been read, its key checked and its handler begun. Daemon.stop saw no request in progress and stopped the listener.

Found by reading; not shown to be the cause of the report.

Change: RequestLimiter counts a request from before the check of its head to the end of its handling, without a gap between reading and handling.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/Daemon.kt
@@ -85,17 +85,23 @@
         // Requests are accepted for a while, because the load balancer needs time to see that the VM is not ready.
         delay(LOAD_BALANCER_DELAY_MILLIS)
         parts.requestLimiter.isOpen = false
-        withTimeoutOrNull(timing.drainMillis) {
-            while (parts.activeCalls.count > 0 || !parts.control.decide { parts.ownership.hasReleasedAll() }) {
-                delay(DRAIN_POLL_MILLIS)
-            }
-        }
+        withTimeoutOrNull(timing.drainMillis) { awaitDrained() }
         parts.atMostOnceCalls.settleRecords(System.currentTimeMillis())
         listeners.forEach { it.stop(LISTENER_GRACE_MILLIS, LISTENER_GRACE_MILLIS) }
         peerServer.close()
         log.event("stopped", "vm" to settings.vm, "active" to parts.activeCalls.count)
     }
 
+    private suspend fun awaitDrained() {
+        val bodiesUntil = parts.timer.now() + BODY_DRAIN_MILLIS
+        while (
+            parts.requestLimiter.hasRequests(includesBodies = parts.timer.now() < bodiesUntil) ||
+            !parts.control.decide { parts.ownership.hasReleasedAll() }
+        ) {
+            delay(DRAIN_POLL_MILLIS)
+        }
+    }
+
     private fun startLoops() {
         repeatEvery(MEMBER_TICK_MILLIS) { parts.control.decide { tickMembers() } }
         repeatEvery(SESSION_TICK_MILLIS) { parts.control.decide { parts.session.tick() } }
@@ -250,4 +256,7 @@
 /** Time in which the platform's load balancer is expected to see that a VM is not ready. */
 private const val LOAD_BALANCER_DELAY_MILLIS = 2_000L
 private const val DRAIN_POLL_MILLIS = 50L
+
+/** How long a planned stop waits for bodies, so that a caller that sends none does not use up the whole drain time. */
+private const val BODY_DRAIN_MILLIS = 10_000L
 private const val LISTENER_GRACE_MILLIS = 500L
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/requests/CallerApi.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/requests/CallerApi.kt
@@ -17,6 +17,7 @@
 import org.lentilquay.state.Failure
 import org.lentilquay.state.Outcome
 import org.lentilquay.state.failed
+import java.util.concurrent.atomic.AtomicInteger
 
 /** A caller's request with its complete body; [presentedKey] is the bearer token. */
 class CallerRequest(val call: ApplicationCall, val presentedKey: String?, val body: ByteArray)
@@ -32,11 +33,29 @@
     @Volatile
     var isOpen: Boolean = true
 
+    private val admittedCount = AtomicInteger()
+    private val bodiesBeingRead = AtomicInteger()
+
+    /**
+     * Whether accepted requests are in progress, from the check of the head to the end of the handling. Requests whose
+     * body is still being read count only if [includesBodies].
+     */
+    fun hasRequests(includesBodies: Boolean): Boolean {
+        val admitted = admittedCount.get()
+        return if (includesBodies) admitted > 0 else admitted > bodiesBeingRead.get()
+    }
+
+    /** Reads the request of [call] and passes it to [handle], or responds with the failure that rejects it. */
+    suspend fun serve(call: ApplicationCall, handle: suspend (CallerRequest) -> Unit) {
+        val refusal = readAndHandle(call, handle)
+        if (refusal != null) call.respondFailure(refusal)
+    }
+
     /** Reads the request of [call], or returns the failure with which it is rejected. */
     suspend fun read(call: ApplicationCall): Outcome<CallerRequest> {
         val refusal = refusal(call)
         if (refusal != null) return Outcome.Failed(refusal)
-        val body = when (val read = call.readBody(maximumBodyBytes)) {
+        val body = when (val read = readCounted(call)) {
             is Outcome.Failed -> return read
             is Outcome.Success -> read.value
         }
@@ -50,6 +69,31 @@
         }
     }
 
+    private suspend fun readAndHandle(call: ApplicationCall, handle: suspend (CallerRequest) -> Unit): Failure? {
+        // Counted before isOpen is read: a planned stop sets isOpen first and then reads the count, so it misses none.
+        admittedCount.incrementAndGet()
+        try {
+            return when (val read = read(call)) {
+                is Outcome.Failed -> read.failure
+                is Outcome.Success -> {
+                    handle(read.value)
+                    null
+                }
+            }
+        } finally {
+            admittedCount.decrementAndGet()
+        }
+    }
+
+    private suspend fun readCounted(call: ApplicationCall): Outcome<ByteArray> {
+        bodiesBeingRead.incrementAndGet()
+        return try {
+            call.readBody(maximumBodyBytes)
+        } finally {
+            bodiesBeingRead.decrementAndGet()
+        }
+    }
+
     private fun refusal(call: ApplicationCall): Failure? = when {
         !isOpen -> Failure(ErrorKind.SHUTTING_DOWN, "this VM is stopping; send the request again")
         activeCalls.count >= maximumRequests ->
@@ -72,12 +116,6 @@
     }
 }
 
-private suspend fun RequestLimiter.serve(call: ApplicationCall, handle: suspend (CallerRequest) -> Unit) =
-    when (val read = read(call)) {
-        is Outcome.Failed -> call.respondFailure(read.failure)
-        is Outcome.Success -> handle(read.value)
-    }
-
 private fun bearerToken(header: String): String? =
     header.takeIf { it.startsWith(BEARER_PREFIX, ignoreCase = true) }
         ?.substring(BEARER_PREFIX.length)?.trim()?.ifEmpty { null }
