Pass on the Content-Type of a service as it was sent

Callers saw: 500 in place of the answer of a service whose Content-Type does not follow the grammar ("text", "/", "text/html/x"). The call had run, and a call that is not repeatable was recorded as ended with that answer.

Cause: respondReply parsed the value with Ktor's parser, which throws, and sent the parsed value, which changes it (quotation marks, an added charset).

Change: the header is passed on like the others and not parsed. A service that sends two Content-Types now has both passed on; only the first one was.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/requests/ServiceHandler.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/requests/ServiceHandler.kt
@@ -4,7 +4,6 @@
  */
 package org.lentilquay.daemon.requests
 
-import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.request.header
@@ -219,17 +218,13 @@
     }
 }
 
-/** Sends a new or replayed reply to the caller. */
+/**
+ * Sends a new or replayed reply to the caller. The Content-Type is passed on as the service sent it, because Ktor's
+ * parser rejects values that callers accept.
+ */
 private suspend fun ApplicationCall.respondReply(reply: ServiceReply) {
-    val type = reply.headers.firstOrNull { (name, _) -> name.equals(HttpHeaders.ContentType, ignoreCase = true) }
-    reply.headers
-        .filterNot { (name, _) -> name.equals(HttpHeaders.ContentType, ignoreCase = true) }
-        .forEach { (name, value) -> response.header(name, value) }
-    respondBytes(
-        reply.body,
-        type?.let { io.ktor.http.ContentType.parse(it.second) },
-        HttpStatusCode.fromValue(reply.status),
-    )
+    reply.headers.forEach { (name, value) -> response.header(name, value) }
+    respondBytes(reply.body, contentType = null, HttpStatusCode.fromValue(reply.status))
 }
 
 /** Identifies a non-repeatable call, so that it runs at most once however often it is sent. */
