End the search for a slot when owners are silent and the wait is over

Callers saw: a request whose maximum wait (patienceMillis) was over was refused only after the owners of all ranked servers had been asked. Callers with a time limit near the maximum wait leave before the refusal.

Cause: the deadline was looked at between rounds only. In a round, each of the three owners that does not answer takes 900 ms, besides the look-up of it.

Change: once an owner has not answered and the maximum wait is over, at least 1 s after the start, no further owner is asked. Owners that answer are asked as before, also after the deadline, because they may have a free slot at once. One silent owner is passed over with any maximum wait. The last call that is under way (900 ms) and its look-up are not cut: a shorter timeout could end the long poll of a sound owner and remove it from the cache.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/control/FleetReservationClient.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/control/FleetReservationClient.kt
@@ -48,26 +48,33 @@
         data object NoAnswer : Round
     }
 
+    /** After [searchUntil], no further server is asked once an owner has not answered. */
+    private class WaitLimits(val deadline: Long, val searchUntil: Long)
+
     override suspend fun reserve(request: ReservationRequest): Outcome<Reservation> {
-        val deadline = now() + request.waitMillis
-        var outcome = tryOnce(request, deadline)
-        while (outcome == null && now() < deadline) {
+        val startedAt = now()
+        val limits = WaitLimits(
+            deadline = startedAt + request.waitMillis,
+            searchUntil = startedAt + maxOf(request.waitMillis, MINIMUM_SEARCH_MILLIS),
+        )
+        var outcome = tryOnce(request, limits)
+        while (outcome == null && now() < limits.deadline) {
             delay(RETRY_DELAY_MILLIS)
-            outcome = tryOnce(request, deadline)
+            outcome = tryOnce(request, limits)
         }
         return outcome ?: failed(ErrorKind.NO_CAPACITY, "no owner of a suitable backend server answered in time")
     }
 
     /** Asks the owners of the ranked servers once; null if none answered, so that another round may follow. */
-    private suspend fun tryOnce(request: ReservationRequest, deadline: Long): Outcome<Reservation>? {
+    private suspend fun tryOnce(request: ReservationRequest, limits: WaitLimits): Outcome<Reservation>? {
         val candidates = candidates(request)
         if (candidates.isEmpty()) {
             return failed(ErrorKind.NO_CAPACITY, "no backend server is available for this request")
         }
-        return when (val round = askInOrder(request, candidates, deadline)) {
+        return when (val round = askInOrder(request, candidates, limits)) {
             is Round.Found -> Outcome.Success(round.reservation)
             is Round.Refused -> Outcome.Failed(round.failure)
-            is Round.Busy -> queueAt(request, round, deadline)
+            is Round.Busy -> queueAt(request, round, limits.deadline)
             Round.NoAnswer -> null
         }
     }
@@ -106,12 +113,13 @@
     private suspend fun askInOrder(
         request: ReservationRequest,
         candidates: List<BackendServer>,
-        deadline: Long,
+        limits: WaitLimits,
     ): Round {
         var leastBusy: Round.Busy? = null
         var refusal: Failure? = null
-        candidates.forEachIndexed { rank, server ->
-            when (val answer = poll(request, server, deadline, SPILL_THRESHOLD_MILLIS)) {
+        for ((rank, server) in candidates.withIndex()) {
+            val answer = poll(request, server, limits.deadline, SPILL_THRESHOLD_MILLIS)
+            when (answer) {
                 is Polled.Granted -> return Round.Found(answer.reservation)
                 is Polled.Busy -> {
                     // A server of a later rank must save more waiting time than the additional load costs the fleet.
@@ -123,10 +131,15 @@
                 is Polled.Refused -> refusal = refusal ?: answer.failure
                 Polled.NoOwner -> Unit
             }
+            if (endsSearch(answer, limits)) break
         }
         return leastBusy ?: refusal?.let { Round.Refused(it) } ?: Round.NoAnswer
     }
 
+    /** Each silent owner takes the timeout of a call, so asking all of them would exceed the maximum wait by far. */
+    private fun endsSearch(answer: Polled, limits: WaitLimits): Boolean =
+        answer == Polled.NoOwner && now() >= limits.searchUntil
+
     /** Queues at the server of lowest cost, or fails at once if its expected wait exceeds the maximum wait. */
     private suspend fun queueAt(request: ReservationRequest, busy: Round.Busy, deadline: Long): Outcome<Reservation>? {
         val remaining = deadline - now()
@@ -237,6 +250,9 @@
 /** Cost of loading the adapter at a server of a later rank: an adapter slot and a permit of the weight store. */
 private const val LOAD_COST_MILLIS = 1_000L
 
+/** A request with a shorter maximum wait still asks another owner if the first one does not answer. */
+private const val MINIMUM_SEARCH_MILLIS = 1_000L
+
 /** Delay before the next round if no owner answered. */
 private const val RETRY_DELAY_MILLIS = 100L
 
