Close a connection at the end of a stream during which a planned stop began

The connection ends at once, by the same look at the socket as an idle one: a request that has arrived by then is answered, and its response says that the connection closes.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
@@ -202,6 +202,9 @@
 
     private val isIdleStopped: Boolean get() = stoppedIdleSince == idleSince
 
+    /** Whether a planned stop began during the last response, whose head could not say that the connection closes. */
+    private val isStoppedAfterResponse: Boolean get() = isAnswered && isStopping()
+
     /** What ends if the part of a request that is being read does not arrive in time; null if none is being read. */
     private var reading: CloseReason? = null
 
@@ -275,7 +278,7 @@
     /** Waits for the first byte of the next request. */
     private suspend fun awaitRequest(limitsBefore: CallerLimits): Boolean = runSuspendCatching {
         val idleMillis = {
-            if (isIdleStopped) 0 else limitsBefore.largerOf(presentLimits()).idleTimeoutMillis
+            if (isIdleStopped || isStoppedAfterResponse) 0 else limitsBefore.largerOf(presentLimits()).idleTimeoutMillis
         }
         connection.input.within(idleMillis) { connection.input.awaitContent() }
     }.getOrElse { failure ->
@@ -288,7 +291,7 @@
     }
 
     private fun reportIdleClose(timeout: InputTimeoutException) =
-        if (isIdleStopped) reportClose(CloseReason.PLANNED_STOP) else reportClose(CloseReason.IDLE_LIMIT, timeout)
+        if (isStopping()) reportClose(CloseReason.PLANNED_STOP) else reportClose(CloseReason.IDLE_LIMIT, timeout)
 
     private fun presentLimits(): CallerLimits = limits() ?: DEFAULT_LIMITS
 
