Add eras of the table service to its interfaces

The platform's table service can return from a copy of its data and then assigns versions again. No type could say to which era a version belongs, so a conditional write could succeed on a version that was read in another era. Results, watched rows, messages between VMs and records carry the era now, null by default; the member record also has room for duties and the offset of the wall clock.

The modules core, daemon and platform compile with their tests; no test was run.

--- a/core/src/main/kotlin/org/lentilquay/protocol/PeerMessages.kt
+++ b/core/src/main/kotlin/org/lentilquay/protocol/PeerMessages.kt
@@ -276,7 +276,12 @@
     /** Requests the receiver's copy of the watched [table], if it is newer than [afterVersion]. */
     @Serializable
     @SerialName("read-watched")
-    data class ReadWatched(val table: String, val afterVersion: Long) : PeerRequest
+    data class ReadWatched(
+        val table: String,
+        val afterVersion: Long,
+        /** The era of [afterVersion]; null if the table service has no eras, and from older builds. */
+        val era: Long? = null,
+    ) : PeerRequest
 
     /**
      * A follower's long poll: asks a reader of the table service for the rows of [table] that changed after
@@ -290,6 +295,8 @@
         val waitMillis: Long,
         /** Whether the answer may have [PeerAnswer.TableChanges.deflatedRows]; older builds do not read them. */
         val mayDeflate: Boolean = false,
+        /** The era of [afterVersion]; null if the table service has no eras, and from older builds. */
+        val era: Long? = null,
     ) : PeerRequest
 }
 
@@ -412,7 +419,7 @@
     /** All rows of a watched table as of [version]; null if the receiver has no newer copy. */
     @Serializable
     @SerialName("watched")
-    data class Watched(val version: Long, val rows: Map<String, String>?) : PeerAnswer
+    data class Watched(val version: Long, val rows: Map<String, String>?, val era: Long? = null) : PeerAnswer
 
     /** The rows that changed up to [version], read when the table service's clock showed [tableMillis]. */
     @Serializable
@@ -423,6 +430,7 @@
         val rows: Map<String, RowChange>,
         /** The rows in place of [rows], as deflated CBOR; null if [rows] holds them. */
         @ByteString val deflatedRows: ByteArray? = null,
+        val era: Long? = null,
     ) : PeerAnswer
 }
 
--- a/core/src/main/kotlin/org/lentilquay/state/QuotaSeatRecord.kt
+++ b/core/src/main/kotlin/org/lentilquay/state/QuotaSeatRecord.kt
@@ -16,6 +16,8 @@
     val incarnation: Incarnation,
     /** Identifies the write, so that its writer recognizes it when the response was lost. */
     val nonce: String,
+    /** The era of the table service in which the record was written; null if it has no eras. */
+    val era: Long? = null,
 )
 
 /** The table key of seat [number]. */
--- a/core/src/main/kotlin/org/lentilquay/state/gateway/MemberRecord.kt
+++ b/core/src/main/kotlin/org/lentilquay/state/gateway/MemberRecord.kt
@@ -58,8 +58,31 @@
     @SerialName("g") val leavingServers: Map<ServerId, Long?> = emptyMap(),
     /** The speed of the VM's link, in megabits a second; 0 if it is not known. */
     @SerialName("b") val linkMegabits: Int = 0,
+    /** The era of the table service in which the record was written; null if it has no eras. */
+    @SerialName("v") val era: Long? = null,
+    /** The duties that the VM holds. */
+    @SerialName("u") val duties: List<DutyRecord> = emptyList(),
+    /** Wall clock minus table clock of the VM, in milliseconds; null unless a duty needs the true time. */
+    @SerialName("w") val wallOffsetMillis: Long? = null,
 )
 
+/** A duty that a VM holds, with its fencing number. */
+@Serializable
+data class DutyRecord(@SerialName("s") val subject: DutySubject, @SerialName("f") val fence: Long)
+
+/** What a duty concerns: `usage`, or `scale/<service>/<failure domain>`. */
+@JvmInline
+@Serializable
+value class DutySubject(val text: String) {
+    override fun toString(): String = text
+}
+
 /** The controller of an engine. The fencing number [fence] rises with each change of controller. */
 @Serializable
-data class ControllerRecord(val vm: VmId, val incarnation: Incarnation, val fence: Long)
+data class ControllerRecord(
+    val vm: VmId,
+    val incarnation: Incarnation,
+    val fence: Long,
+    /** The era of the table service in which the record was written; null if it has no eras. */
+    val era: Long? = null,
+)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/administration/AdministrationService.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/administration/AdministrationService.kt
@@ -129,7 +129,7 @@
         }
         is TransactResult.Unavailable ->
             failed(ErrorKind.PLATFORM_UNAVAILABLE, "the table service does not answer: ${result.reason}")
-        is TransactResult.OutcomeUnknown -> {
+        is TransactResult.OutcomeUnknown, is TransactResult.OtherEra -> {
             configurationLoop.pollHead()
             if (store.revision > plan.baseRevision) confirm(plan, operator, attempt + 1) else outcomeUnknown(plan)
         }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/control/ConfigurationLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/control/ConfigurationLoop.kt
@@ -119,7 +119,7 @@
         when (result) {
             is TransactResult.Committed -> control.decide { headConfirmed(revision, sentAt) }
             is TransactResult.Conflict -> Unit
-            is TransactResult.Unavailable, is TransactResult.OutcomeUnknown ->
+            is TransactResult.Unavailable, is TransactResult.OutcomeUnknown, is TransactResult.OtherEra ->
                 control.decide { headUnanswered(sentAt) }
         }
         return result
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/control/TableRecords.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/control/TableRecords.kt
@@ -13,22 +13,31 @@
 import org.lentilquay.transport.platform.TableService
 import org.lentilquay.transport.platform.TransactResult
 
-/** Executes [operations] as one transaction and returns the result in the terms of the deciders. */
-suspend fun TableService.write(operations: List<TableOperation>): WriteResult = when (transact(operations)) {
+/**
+ * Executes [operations] as one transaction, with conditions that were read in [readEra], and returns the result in the
+ * terms of the deciders.
+ */
+suspend fun TableService.write(
+    operations: List<TableOperation>,
+    readEra: Long? = null,
+): WriteResult = when (transact(operations, readEra)) {
     is TransactResult.Committed -> WriteResult.COMMITTED
     is TransactResult.Conflict -> WriteResult.CONFLICT
     is TransactResult.Unavailable -> WriteResult.NOT_SENT
-    is TransactResult.OutcomeUnknown -> WriteResult.UNKNOWN
+    is TransactResult.OutcomeUnknown, is TransactResult.OtherEra -> WriteResult.UNKNOWN
 }
 
-/** A record as read: its value, or null if it is absent or cannot be decoded, and its version (0 if absent). */
-class VersionedRecord<T>(val value: T?, val version: Long)
+/**
+ * A record as read in [era]: its value, or null if it is absent or cannot be decoded, and its version (0 if absent).
+ */
+class VersionedRecord<T>(val value: T?, val version: Long, val era: Long? = null)
 
 /** Reads the item at [key] and decodes it from JSON; null if the table service did not answer. */
 suspend inline fun <reified T> TableService.readRecord(key: String): VersionedRecord<T>? =
     when (val result = item(key)) {
         is ReadResult.Unavailable -> null
-        is ReadResult.Read -> VersionedRecord(result.value?.let { decodeOrNull<T>(it) }, result.value?.version ?: 0)
+        is ReadResult.Read ->
+            VersionedRecord(result.value?.let { decodeOrNull<T>(it) }, result.value?.version ?: 0, result.era)
     }
 
 /** The decoded value of [item]; null, with a log message, if this build cannot read its format. */
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
@@ -118,11 +118,11 @@
         val renewal = Renewal(record, from, difference, sentAt = now())
         val nextDifference = clockDifference()
         val result = table.transact(listOf(put))
-        unconfirmed = renewal.takeIf { result is TransactResult.OutcomeUnknown }
+        unconfirmed = renewal.takeIf { result is TransactResult.OutcomeUnknown || result is TransactResult.OtherEra }
         recordVersion = when (result) {
             is TransactResult.Committed -> result.versions[put.key]
             is TransactResult.Unavailable -> expectedVersion
-            is TransactResult.Conflict, is TransactResult.OutcomeUnknown -> null
+            is TransactResult.Conflict, is TransactResult.OutcomeUnknown, is TransactResult.OtherEra -> null
         }
         if (result is TransactResult.Conflict) {
             log.event("renewal conflicted", "renewal" to record.renewal, "expectedVersion" to expectedVersion)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayPorts.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayPorts.kt
@@ -29,13 +29,18 @@
     val secret: suspend () -> Secret,
 )
 
-/** All rows of a table as of [version], as texts. */
-data class WatchedRows(val version: Long, val rows: Map<String, String>)
+/** All rows of a table as of [version] in [era], as texts. */
+data class WatchedRows(val version: Long, val rows: Map<String, String>, val era: Long? = null)
 
 /** The result of a request for the changes of a table. */
 sealed interface WatchResult {
     /** The rows that changed up to [version]; null marks a removed row. [isRelayed] if a reader VM answered. */
-    data class Changes(val version: Long, val rows: Map<String, String?>, val isRelayed: Boolean = false) : WatchResult
+    data class Changes(
+        val version: Long,
+        val rows: Map<String, String?>,
+        val isRelayed: Boolean = false,
+        val era: Long? = null,
+    ) : WatchResult
 
     /** The table service no longer has the changes; the whole table must be read again. */
     data object HistoryLost : WatchResult
@@ -58,6 +63,9 @@
 interface TableClock {
     /** The time in the latest answer of the table service, in milliseconds; null before the first answer. */
     val latestMillis: Long?
+
+    /** The highest era in any answer of the table service; null if it has sent none. */
+    val latestEra: Long? get() = null
 }
 
 /** Decodes the rows of the watched tables. Rows that cannot be decoded are omitted and logged. */
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/InstrumentedTable.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/InstrumentedTable.kt
@@ -19,8 +19,8 @@
     private val watch: WatchSource,
     private val metrics: GatewayMetrics,
 ) : TableService, WatchSource {
-    override suspend fun transact(operations: List<TableOperation>): TransactResult {
-        val result = table.transact(operations)
+    override suspend fun transact(operations: List<TableOperation>, readEra: Long?): TransactResult {
+        val result = table.transact(operations, readEra)
         val isAnswered = result is TransactResult.Committed || result is TransactResult.Conflict
         metrics.tableCalled(WRITE, operations.first().key.substringBefore('/'), isAnswered)
         return result
--- a/daemon/src/main/kotlin/org/lentilquay/transport/platform/PlatformClient.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/platform/PlatformClient.kt
@@ -70,7 +70,7 @@
     /** Number of table transactions and object writes, including failed ones. */
     val writes: Long get() = writeCount.sum()
 
-    override suspend fun transact(operations: List<TableOperation>): TransactResult {
+    override suspend fun transact(operations: List<TableOperation>, readEra: Long?): TransactResult {
         writeCount.increment()
         val body = json.encodeToString(TableTransaction.serializer(), TableTransaction(operations)).encodeToByteArray()
         val request = HttpRequest("POST", "/table/transact", headers + JSON_CONTENT, body)
--- a/daemon/src/main/kotlin/org/lentilquay/transport/platform/PlatformResults.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/platform/PlatformResults.kt
@@ -6,8 +6,8 @@
 
 /** The result of a table transaction. */
 sealed interface TransactResult {
-    /** All operations took effect; [versions] are the new versions of the written keys. */
-    data class Committed(val versions: Map<String, Long>) : TransactResult
+    /** All operations took effect in [era]; [versions] are the new versions of the written keys. */
+    data class Committed(val versions: Map<String, Long>, val era: Long? = null) : TransactResult
 
     /** Nothing took effect, because the versions of [keys] were not the expected ones. */
     data class Conflict(val keys: List<String>) : TransactResult
@@ -17,6 +17,12 @@
 
     /** The request was sent without a usable response; it may have taken effect. */
     data class OutcomeUnknown(val reason: String) : TransactResult
+
+    /**
+     * The table service is in [era], not in the one in which the versions of the conditions were read. Equal versions
+     * can then belong to other rows, so a transaction that took effect says nothing about the rows that were read.
+     */
+    data class OtherEra(val era: Long) : TransactResult
 }
 
 /** The result of writing or deleting an object. */
@@ -32,7 +38,8 @@
 
 /** The result of a read. The value may be stale. */
 sealed interface ReadResult<out T> {
-    data class Read<T>(val value: T) : ReadResult<T>
+    /** The [value] as of [era]; versions of rows can be compared within one era only. */
+    data class Read<T>(val value: T, val era: Long? = null) : ReadResult<T>
 
     data class Unavailable(val reason: String) : ReadResult<Nothing>
 }
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/control/QuotaSeatLoopTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/control/QuotaSeatLoopTest.kt
@@ -28,7 +28,7 @@
     private val writes = AtomicInteger()
     private val all = CompletableDeferred<Unit>()
 
-    override suspend fun transact(operations: List<TableOperation>): TransactResult {
+    override suspend fun transact(operations: List<TableOperation>, readEra: Long?): TransactResult {
         if (writes.incrementAndGet() == SEATS) all.complete(Unit)
         all.await()
         return TransactResult.Committed(emptyMap())
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/EngineControlLoopTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/EngineControlLoopTest.kt
@@ -72,7 +72,7 @@
     var beforeAnswer: (List<TableOperation>) -> Unit = {}
     override var latestMillis: Long? = null
 
-    override suspend fun transact(operations: List<TableOperation>): TransactResult {
+    override suspend fun transact(operations: List<TableOperation>, readEra: Long?): TransactResult {
         if (!delaysWrites) {
             val result = apply(operations).also { beforeAnswer(operations) }
             return if (losesAnswers) TransactResult.OutcomeUnknown("no answer") else result
