Send no body where a response has none, and take no cut answer for a whole one

The writer of a response did not know the method of its request. Now it does, a response without a body states the length of the server or none, and CONNECT is refused.

A server that answered a long upload with a 200 without a length and reset the connection while the upload was still being written was taken for complete: the write had met the reset, so the next read saw an end in order. The input asks the output whether a write has met a failure of the connection.

A request line without a version got 500, now 400.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/Daemon.kt
@@ -4,6 +4,7 @@
 package org.lentilquay.daemon
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.ktor.server.application.install
 import io.ktor.server.application.serverConfig
 import io.ktor.server.cio.CIO
 import io.ktor.server.engine.EmbeddedServer
@@ -21,6 +22,7 @@
 import org.lentilquay.daemon.control.CoordinationHandler
 import org.lentilquay.daemon.control.MembershipListener
 import org.lentilquay.daemon.logs.event
+import org.lentilquay.daemon.requests.BodilessResponses
 import org.lentilquay.daemon.requests.callerRoutes
 import org.lentilquay.daemon.settings.Settings
 import org.lentilquay.daemon.timer.TimerEvent
@@ -233,7 +235,12 @@
 }
 
 private fun listen(address: String, routes: Route.() -> Unit): EmbeddedServer<*, *> {
-    val properties = serverConfig { module { routing { routes() } } }
+    val properties = serverConfig {
+        module {
+            install(BodilessResponses)
+            routing { routes() }
+        }
+    }
     return embeddedServer(CIO, properties) {
         connector {
             host = address.substringBeforeLast(':')
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptRunner.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptRunner.kt
@@ -21,6 +21,8 @@
 import org.lentilquay.transport.http.PooledExchange
 import org.lentilquay.transport.http.PooledResponse
 import org.lentilquay.transport.http.answerNotice
+import org.lentilquay.transport.http.contentLength
+import org.lentilquay.transport.http.hasResponseBody
 import org.lentilquay.transport.runSuspendCatching
 import java.io.ByteArrayOutputStream
 
@@ -168,7 +170,7 @@
             isRefusal && isOwn && !isSuccess -> refused(routed, target, answer)
             answer.header(headerNames.signature) == null || !isOwn ->
                 lost("response ${answer.status} lacks a server signature or the id of this request")
-            isSuccess && routed.route.kind == RouteKind.STREAM ->
+            isSuccess && routed.route.kind == RouteKind.STREAM && hasBody(routed, answer) ->
                 passOnStream(routed, answer, writer, options)
             resumeAfter != null -> AttemptOutcome(
                 AttemptResult.BrokenStream("status ${answer.status}", resumeAfter),
@@ -178,6 +180,9 @@
         }
     }
 
+    private fun hasBody(routed: RoutedRequest, answer: PooledResponse) =
+        hasResponseBody(routed.request.head.method, answer.status)
+
     private fun lost(reason: String) = AttemptOutcome(AttemptResult.Failed(reason), ServerOutcome.LOST)
 
     /** Whether [answer] is that of another server process, which has taken over the address of [target]. */
@@ -249,14 +254,16 @@
         val isFailure = answer.status >= FIRST_SERVER_ERROR_STATUS
         val outcome = if (isFailure) ServerOutcome.FAILED else ServerOutcome.ANSWERED
         val headers = forwardedHeaders(answer)
+        val statedLength = if (hasBody(routed, answer)) body.size.toLong() else contentLength(answer.contentLengths)
         if (isFailure && options.mayRetry) {
             // A long body is not kept beyond its reservation.
             val failure =
-                BufferedResponse(answer.status, headers, body).takeIf { body.size <= UNCOUNTED_BODY_BYTES }
+                BufferedResponse(answer.status, headers, body, statedLength)
+                    .takeIf { body.size <= UNCOUNTED_BODY_BYTES }
             return AttemptOutcome(AttemptResult.Failed("status ${answer.status}", failure), outcome)
         }
         if (!options.watch.claim()) return supersededOutcome()
-        writer.respond(answer.status, headers, body)
+        writer.respond(answer.status, headers, body, statedLength)
         return AttemptOutcome(AttemptResult.Delivered(answer.status), outcome)
     }
 
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
@@ -7,7 +7,6 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.ktor.http.cio.ParserException
 import io.ktor.http.cio.parseRequest
-import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.charsets.TooLongLineException
 import io.ktor.utils.io.writeFully
 import kotlinx.coroutines.Job
@@ -23,17 +22,11 @@
 import org.lentilquay.transport.TcpConnection
 import org.lentilquay.transport.describe
 import org.lentilquay.transport.runSuspendCatching
-import org.lentilquay.transport.writeMessage
 
 private val log = KotlinLogging.logger {}
-private const val HEXADECIMAL_RADIX = 16
-private const val MILLIS_PER_SECOND = 1_000.0
-private val LINE_END = "\r\n".encodeToByteArray()
-private val NO_BYTES = ByteArray(0)
 
 /** Ktor's parser takes no longer line, whatever the limit of the configuration for the whole head. */
 private const val LONG_LINE = "a line of the head is longer than 8192 bytes"
-private val LAST_CHUNK = "0\r\n\r\n".encodeToByteArray()
 
 /** Time that a caller has to receive the last response before the connection is closed. */
 private const val LINGER_MILLIS = 1_000L
@@ -54,119 +47,6 @@
     suspend fun handle(request: CallerRequest, writer: ResponseWriter)
 }
 
-/**
- * Writes one response. A chunked response that is not ended is cut off when the connection closes, which shows the
- * caller that it is incomplete.
- */
-internal class ResponseWriter(
-    private val output: ByteWriteChannel,
-    private val now: () -> Long,
-    private val mayKeepAlive: () -> Boolean,
-) {
-    @Volatile
-    private var writeStartedAt: Long? = null
-
-    /** When a chunked response was started, in milliseconds; null if there was none. */
-    var startedAt: Long? = null
-        private set
-
-    /** Bytes of the response that were handed to the connection. */
-    var writtenBytes: Long = 0
-        private set
-
-    /** When the last bytes of the response were handed to the connection; null if there were none. */
-    var writtenAt: Long? = null
-        private set
-
-    /** Whether any byte of the response may have been written. */
-    var isStarted: Boolean = false
-        private set
-
-    /** Whether the response was written completely. */
-    var isEnded: Boolean = false
-        private set
-
-    /** The status of the response; 0 if none was started. */
-    var status: Int = 0
-        private set
-
-    /** Whether the caller was not told that the connection closes after the response. */
-    private var isKeptAlive = true
-
-    /** Whether the response was written completely and the connection may carry another request. */
-    val isReusable: Boolean get() = isEnded && isKeptAlive
-
-    /** The response of a connection that closes says so, or its caller would send the next request on it. */
-    fun closeAfterResponse() {
-        check(!isStarted) { "the head of the response is written" }
-        isKeptAlive = false
-    }
-
-    /** Writes a complete response. */
-    suspend fun respond(status: Int, headers: List<Pair<String, String>>, body: ByteArray) {
-        isKeptAlive = isKeptAlive && mayKeepAlive()
-        val head = head(status, headers + ("Content-Length" to body.size.toString()))
-        isStarted = true
-        write(head, body)
-        isEnded = true
-    }
-
-    /** Writes a complete response that tells the caller of [failure]. */
-    suspend fun respondFailure(failure: Failure) =
-        respond(failure.kind.status, failureHeaders(failure), failure.message.encodeToByteArray())
-
-    /** Starts a response of unknown length with chunked transfer coding. */
-    suspend fun startChunked(status: Int, headers: List<Pair<String, String>>) {
-        isStarted = true
-        startedAt = now()
-        isKeptAlive = isKeptAlive && mayKeepAlive()
-        write(head(status, headers + ("Transfer-Encoding" to "chunked")))
-    }
-
-    /** Writes one chunk of a chunked response. */
-    suspend fun writeChunk(bytes: ByteArray) =
-        write("${bytes.size.toString(HEXADECIMAL_RADIX)}\r\n".encodeToByteArray() + bytes + LINE_END)
-
-    /** Ends a chunked response. */
-    suspend fun endChunked() {
-        write(LAST_CHUNK)
-        isEnded = true
-    }
-
-    /** Whether a write is in progress, which can wait for the caller to take data. */
-    val isWriting: Boolean get() = writeStartedAt != null
-
-    /** How long the present write has waited for the caller to take data; 0 if none is in progress. */
-    fun stalledMillis(): Long = writeStartedAt?.let { now() - it } ?: 0
-
-    private suspend fun write(bytes: ByteArray, more: ByteArray = NO_BYTES) {
-        writeStartedAt = now()
-        try {
-            output.writeMessage(bytes, more)
-            writtenBytes += bytes.size + more.size
-            writtenAt = now()
-        } finally {
-            writeStartedAt = null
-        }
-    }
-
-    private fun head(status: Int, headers: List<Pair<String, String>>): ByteArray = buildString {
-        this@ResponseWriter.status = status
-        append("HTTP/1.1 ").append(status).append(' ').append(reason(status)).append("\r\n")
-        headers.forEach { (name, value) -> append(name).append(": ").append(value).append("\r\n") }
-        if (!isKeptAlive) append("Connection: close\r\n")
-        append("\r\n")
-    }.encodeToByteArray()
-}
-
-private fun failureHeaders(failure: Failure): List<Pair<String, String>> = buildList {
-    add("Content-Type" to "text/plain")
-    val retryAfterMillis = failure.retryAfterMillis ?: return@buildList
-    add("Retry-After" to "%.3f".format(java.util.Locale.ROOT, retryAfterMillis / MILLIS_PER_SECOND))
-}
-
-private fun reason(status: Int) = io.ktor.http.HttpStatusCode.fromValue(status).description
-
 internal class CallerConnection(
     private val connection: TcpConnection,
     private val handler: CallerHandler,
@@ -252,7 +132,10 @@
         val writer = ResponseWriter(connection.output, now) { !isStopping() }.also { this.writer = it }
         return runSuspendCatching {
             val result = connection.input.within({ current.headerTimeoutMillis }) {
-                parseRequest(connection.input)?.use { callerHead(it, current.headerBytes) }
+                parseRequest(connection.input)?.use { request ->
+                    writer.requestMethod = request.method.value
+                    callerHead(request, current.headerBytes)
+                }
             }
             when (result) {
                 null -> false.also { reportIncomplete() }
@@ -269,6 +152,8 @@
         failure is InputTimeoutException && reading != null -> refuseLate(writer, failure)
         failure is IOException && !isOpen() -> false.also { reportIncomplete() }
         failure is ParserException || failure is IOException && reading != null -> refuse(writer, malformed())
+        // Ktor's parser (3.5.2) reports an invalid version in this way.
+        failure is IllegalStateException && reading == CloseReason.HEAD_TIME -> refuse(writer, malformed())
         else -> {
             log.warning("request failed unexpectedly", "reason" to describe(failure), cause = failure)
             refuse(writer, Failure(ErrorKind.INTERNAL, "the request failed with an internal error"))
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerRequest.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerRequest.kt
@@ -15,6 +15,7 @@
 
 private val REQUEST_TARGET = Regex("/[\\x21\\x22\\x24-\\x7e]*")
 private val METHOD = Regex("[A-Z]{1,16}")
+private const val CONNECT = "CONNECT"
 private val HEADER_NAME = Regex("[A-Za-z0-9!#$%&'*+.^_`|~-]+")
 private val DIGITS = Regex("""\d{1,15}""")
 
@@ -79,7 +80,8 @@
     return when {
         size > maximumHeaderBytes -> malformed("the headers are longer than $maximumHeaderBytes bytes")
         request.version.toString() != "HTTP/1.1" -> malformed("only HTTP/1.1 is supported")
-        !METHOD.matches(head.method) || !REQUEST_TARGET.matches(head.target) ->
+        // After a success to CONNECT the caller takes all further bytes for those of a tunnel.
+        !METHOD.matches(head.method) || head.method == CONNECT || !REQUEST_TARGET.matches(head.target) ->
             malformed("the request line is not valid")
         !head.headers.all(::isPlain) -> malformed("a header is not valid")
         head.headerValues("Host").size != 1 -> malformed("exactly one Host header is required")
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestAttempts.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestAttempts.kt
@@ -330,7 +330,7 @@
         if (writer.isStarted) throw IOException("the stream broke off: $reason")
         val answer = errorResponse
         if (answer != null) {
-            writer.respond(answer.status, answer.headers, answer.body)
+            writer.respond(answer.status, answer.headers, answer.body, answer.statedLength)
             return answer.status
         }
         val failure = if (!mayHaveRun) notRunFailure(reason, retryAfterMillis) else unknownOutcome(reason)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RoutedRequest.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RoutedRequest.kt
@@ -67,8 +67,16 @@
     data class Superseded(val reason: String) : AttemptResult
 }
 
-/** An error response of a backend server, kept to be passed on if no other attempt succeeds. */
-internal class BufferedResponse(val status: Int, val headers: List<Pair<String, String>>, val body: ByteArray)
+/**
+ * An error response of a backend server, kept to be passed on if no other attempt succeeds. [statedLength] is the
+ * length that its head states, or null.
+ */
+internal class BufferedResponse(
+    val status: Int,
+    val headers: List<Pair<String, String>>,
+    val body: ByteArray,
+    val statedLength: Long?,
+)
 
 /** The steps of one request, for its log line. Thread-safe, because two attempts can run at the same time. */
 internal class RequestTrace(private val now: () -> Long) {
--- a/daemon/src/main/kotlin/org/lentilquay/transport/SocketDirection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/SocketDirection.kt
@@ -35,6 +35,11 @@
     var failure: IOException? = null
         private set
 
+    /** The failure that the socket itself has reported; null if there is none or this side ended the direction. */
+    @Volatile
+    var socketFailure: IOException? = null
+        private set
+
     fun throwIfFailed() {
         failure?.let { throw it }
     }
@@ -47,6 +52,18 @@
         }
     }
 
+    /** Runs [step], which calls the socket, and records its failure before anybody else can look for one. */
+    inline fun <T> recordingFailure(step: () -> T): T = try {
+        step()
+    } catch (failure: IOException) {
+        reportedBySocket(failure)
+        throw failure
+    }
+
+    fun reportedBySocket(cause: IOException) {
+        socketFailure = socketFailure ?: cause
+    }
+
     /** Fails this direction unless it has failed before. */
     fun fail(cause: Throwable?) {
         synchronized(this) {
--- a/daemon/src/main/kotlin/org/lentilquay/transport/SocketInput.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/SocketInput.kt
@@ -20,13 +20,19 @@
 /** Received bytes after which the socket is not read until some are taken. */
 private const val MAXIMUM_RECEIVED_BYTES = 64L shl 10
 
-/** Opens the input of [socket], which is registered with [selector]. */
-internal fun openInput(socket: Socket, selector: SelectorManager): TimedInput =
-    SocketInput(SocketDirection(socket, selector, SelectInterest.READ)).also { it.start() }
+/**
+ * Opens the input of [socket], which is registered with [selector]. [outputFailure] is the failure of the connection
+ * that its output has met.
+ */
+internal fun openInput(socket: Socket, selector: SelectorManager, outputFailure: () -> Throwable?): TimedInput =
+    SocketInput(SocketDirection(socket, selector, SelectInterest.READ), outputFailure).also { it.start() }
 
 /** One coroutine receives from the socket, and one at a time reads. */
 @OptIn(InternalAPI::class, UnsafeIoApi::class)
-private class SocketInput(private val socket: SocketDirection) : TimedInput {
+private class SocketInput(
+    private val socket: SocketDirection,
+    private val outputFailure: () -> Throwable?,
+) : TimedInput {
     private val lock = Any()
 
     /** Bytes that the socket has delivered, guarded by [lock]. */
@@ -77,6 +83,8 @@
 
     override fun cancel(cause: Throwable?) = socket.fail(cause)
 
+    override fun brokenEnd(): Throwable? = closedCause ?: outputFailure()
+
     override fun unreadBytes(): Long = synchronized(lock) {
         receiveNow()
         available.size + received.size
--- a/daemon/src/main/kotlin/org/lentilquay/transport/SocketOutput.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/SocketOutput.kt
@@ -33,6 +33,9 @@
 internal interface ConnectionOutput : ByteWriteChannel {
     /** Ends the output in the calling thread unless bytes are still to be sent; returns whether it did. */
     fun endNow(): Boolean
+
+    /** The failure of the connection that a write has met, also one in progress; null if there is none. */
+    fun connectionFailure(): IOException?
 }
 
 /** One coroutine sends to the socket, and one at a time writes. */
@@ -88,6 +91,8 @@
         return closedCause == null
     }
 
+    override fun connectionFailure(): IOException? = synchronized(lock) { socket.socketFailure }
+
     override fun cancel(cause: Throwable?) = socket.fail(cause)
 
     fun start() = socket.launch { send() }
@@ -101,7 +106,7 @@
     private suspend fun send() {
         while (closedCause == null) {
             val isLast = socket.isEnded
-            when (synchronized(lock) { writeSocket() }) {
+            when (synchronized(lock) { socket.recordingFailure { writeSocket() } }) {
                 WriteStep.WRITTEN -> socket.signalRoom()
                 WriteStep.BLOCKED -> socket.awaitSocket()
                 WriteStep.NOTHING_LEFT -> if (isLast) break else socket.awaitBytes()
--- a/daemon/src/main/kotlin/org/lentilquay/transport/TcpConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/TcpConnection.kt
@@ -22,8 +22,8 @@
     maximumPendingBytes: Long,
     onClosed: () -> Unit,
 ) : AutoCloseable {
-    val input: TimedInput = openInput(socket, selector)
     val output: ConnectionOutput = openOutput(socket, selector, maximumPendingBytes)
+    val input: TimedInput = openInput(socket, selector, output::connectionFailure)
 
     init {
         socket.socketContext.invokeOnCompletion { onClosed() }
--- a/daemon/src/main/kotlin/org/lentilquay/transport/TimedInput.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/TimedInput.kt
@@ -32,6 +32,12 @@
 
     /** Number of bytes that have arrived and were not read; those in the socket count as far as the buffer has room. */
     fun unreadBytes(): Long
+
+    /**
+     * Why the end of this input may not be where the other side ended its output, or null. A socket reports a reset
+     * once: if a write has met it, the next read sees an end in order.
+     */
+    fun brokenEnd(): Throwable?
 }
 
 /** Nothing arrived within [limitMillis], which was noticed [lateMillis] after their end. */
--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/BodyReader.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/BodyReader.kt
@@ -98,9 +98,10 @@
         return true
     }
 
-    /** Ktor reports the end of input after a reset as well; only the cause tells it from an orderly close. */
+    /** The end of input is reported after a reset as well; only its cause tells it from an orderly close. */
     private fun throwIfBroken() {
-        input.closedCause?.let { throw IOException("connection failed within the body: ${describe(it)}", it) }
+        val cause = if (input is TimedInput) input.brokenEnd() else input.closedCause
+        cause?.let { throw IOException("connection failed within the body: ${describe(it)}", it) }
     }
 
     private suspend fun startChunk() {
--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/HttpConnectionPool.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/HttpConnectionPool.kt
@@ -46,6 +46,10 @@
 ) : AutoCloseable {
     fun header(name: String): String? = headers.firstOrNull { it.first.equals(name, ignoreCase = true) }?.second
 
+    /** The lengths that the head states; of a response without a body, that of the body that GET would get. */
+    val contentLengths: List<String>
+        get() = headers.filter { it.first.equals(CONTENT_LENGTH, ignoreCase = true) }.map { it.second.trim() }
+
     /** Returns the connection to the pool if possible; call it after the body was read to its end. */
     fun releaseConnection() = onFinished(true)
 
--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/HttpMessages.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/HttpMessages.kt
@@ -10,10 +10,12 @@
 internal const val CONTENT_LENGTH = "Content-Length"
 internal const val TRANSFER_ENCODING = "Transfer-Encoding"
 private const val HEAD = "HEAD"
+private const val FIRST_FINAL_STATUS = 200
 
 /** Responses with these statuses have no body. */
 private val BODILESS_STATUSES = setOf(HttpStatusCode.NoContent.value, HttpStatusCode.NotModified.value)
 private val METHOD = Regex("[A-Z]{1,16}")
+private val LENGTH = Regex("""\d{1,18}""")
 
 /** Path and query as they are valid in a request line: printable ASCII without spaces and without a fragment. */
 private val TARGET = Regex("/[\\x21\\x22\\x24-\\x7e]*")
@@ -27,20 +29,36 @@
     .map { message.headers.nameAtOffset(it).toString() to message.headers.valueAtOffset(it).toString() }
     .toList()
 
-/** The framing of the body of a response with [status] to a request with [method]. */
+/** Whether a response with [status] to a request with [method] has a body, which may be empty. */
+internal fun hasResponseBody(method: String, status: Int): Boolean =
+    method != HEAD && status >= FIRST_FINAL_STATUS && status !in BODILESS_STATUSES
+
+/** Whether a response with [status] and without a body may state a length (RFC 9110, section 8.6). */
+internal fun mayStateLength(status: Int): Boolean =
+    status >= FIRST_FINAL_STATUS && status != HttpStatusCode.NoContent.value
+
+/**
+ * The framing of the body of a response with [status] to a request with [method]. A head that two recipients could read
+ * differently is refused, because the rest of the connection could then belong to another response.
+ */
 internal fun responseFraming(method: String, status: Int, headers: List<Pair<String, String>>): BodyFraming {
-    val encoding = headers.lastOrNull { it.first.equals(TRANSFER_ENCODING, ignoreCase = true) }?.second
-    val length = headers.firstOrNull { it.first.equals(CONTENT_LENGTH, ignoreCase = true) }?.second
+    val encodings = headers.filter { it.first.equals(TRANSFER_ENCODING, ignoreCase = true) }.map { it.second.trim() }
+    val lengths = headers.filter { it.first.equals(CONTENT_LENGTH, ignoreCase = true) }.map { it.second.trim() }
+    val isChunked = encodings.singleOrNull().equals("chunked", ignoreCase = true)
     return when {
-        method == HEAD || status in BODILESS_STATUSES -> BodyFraming.Length(0)
-        encoding != null && encoding.trim().endsWith("chunked", ignoreCase = true) -> BodyFraming.Chunked
-        length != null -> BodyFraming.Length(
-            length.trim().toLongOrNull()?.takeIf { it >= 0 } ?: throw IOException("Content-Length is not valid"),
-        )
-        else -> BodyFraming.UntilClose
+        !hasResponseBody(method, status) -> BodyFraming.Length(0)
+        encodings.isNotEmpty() && (!isChunked || lengths.isNotEmpty()) ->
+            throw IOException("the response has another framing than one length or one chunked encoding")
+        isChunked -> BodyFraming.Chunked
+        lengths.isEmpty() -> BodyFraming.UntilClose
+        else -> BodyFraming.Length(contentLength(lengths) ?: throw IOException("Content-Length is not valid"))
     }
 }
 
+/** The length that all of [lengths] state, or null if there is none or one is not a length. */
+internal fun contentLength(lengths: List<String>): Long? = lengths.distinct().singleOrNull()
+    ?.takeIf { LENGTH.matches(it) }?.toLong()
+
 /** The request line and headers; null if a part is invalid, so that a server could parse it as something else. */
 internal fun encodedHead(host: String, request: HttpRequest): ByteArray? {
     val headers = request.headers.filter { it.first.lowercase() !in RESERVED_HEADERS }
--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/ResponseHead.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/ResponseHead.kt
@@ -21,7 +21,12 @@
 private const val MAXIMUM_HEAD_LINE_BYTES = 8_192L
 private const val LINE_END = "\r\n"
 
-/** The next response head of [input]; throws an [IOException] if there is none or if it is too long. */
+/** The statuses of HTTP (RFC 9110, section 15); a server that sends another one is faulty. */
+private const val FIRST_STATUS = 100
+private const val LAST_STATUS = 599
+private const val SWITCHING_PROTOCOLS = 101
+
+/** The next response head of [input]; throws an [IOException] if there is none, if it is too long or not valid. */
 internal suspend fun readResponseHead(input: ByteReadChannel): Response {
     val head = StringBuilder()
     var lines = 0
@@ -34,5 +39,12 @@
             throw IOException("response head exceeds $MAXIMUM_HEAD_LINES lines or $MAXIMUM_HEAD_BYTES bytes")
         }
     } while (line.isNotEmpty())
-    return checkNotNull(parseResponse(ByteReadChannel(head.toString().encodeToByteArray())))
+    return checkNotNull(parseResponse(ByteReadChannel(head.toString().encodeToByteArray()))).also(::requireValidStatus)
+}
+
+/** No request asks for another protocol, so a switch of protocols is not valid either. */
+private fun requireValidStatus(response: Response) {
+    if (response.status in FIRST_STATUS..LAST_STATUS && response.status != SWITCHING_PROTOCOLS) return
+    response.release()
+    throw IOException("the status ${response.status} of the response is not valid")
 }
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ForwarderFixture.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ForwarderFixture.kt
@@ -219,12 +219,18 @@
         control.decide { !state.selection.isOpen(backend.registered(), now()) }
 
     /** Sends one request, with [promptParts] if there are any, and returns the response as the caller receives it. */
-    suspend fun ask(id: String, body: String, promptParts: String? = null, deadlineMillis: Int = 4_000): String {
+    suspend fun ask(
+        id: String,
+        body: String,
+        promptParts: String? = null,
+        deadlineMillis: Int = 4_000,
+        method: String = "POST",
+    ): String {
         val output = ByteChannel(autoFlush = true)
         val headers = listOf("Host" to "h", "Request" to id, "Key" to "secret", "Patience" to "$deadlineMillis") +
             listOfNotNull(promptParts?.let { "Parts" to it })
-        val request = CallerRequest(CallerHead("POST", "/orders", headers), body.encodeToByteArray(), now())
-        forwarder.handle(request, ResponseWriter(output, now) { true })
+        val request = CallerRequest(CallerHead(method, "/orders", headers), body.encodeToByteArray(), now())
+        forwarder.handle(request, ResponseWriter(output, now) { true }.apply { requestMethod = method })
         output.flushAndClose()
         return output.readRemaining().readString()
     }
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/InstrumentedTableTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/InstrumentedTableTest.kt
@@ -10,7 +10,8 @@
 import org.lentilquay.transport.platform.TransactResult
 
 private object AnsweringTable : TableService {
-    override suspend fun transact(operations: List<TableOperation>, readEra: Long?) = TransactResult.Committed(emptyMap())
+    override suspend fun transact(operations: List<TableOperation>, readEra: Long?) =
+        TransactResult.Committed(emptyMap())
 
     override suspend fun item(key: String): ReadResult<TableItem?> = ReadResult.Unavailable("no answer")
 
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/RepeatedRefusalTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/RepeatedRefusalTest.kt
@@ -50,7 +50,7 @@
             adapterVersion = null,
             attempt = 1,
         )
-        val writer = ResponseWriter(ByteChannel(autoFlush = true), now) { true }
+        val writer = ResponseWriter(ByteChannel(autoFlush = true), now) { true }.apply { requestMethod = "POST" }
         val watch = AttemptWatch(beside = null, resumeAfter = null, isCallerBusy = { false }, now) { false }
         val options = AttemptOptions(mayRetry = false, watch, onFirstEvent = {})
         return runner.run(request, target, writer, options).result
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/requests/ServiceReplyTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/requests/ServiceReplyTest.kt
@@ -2,6 +2,8 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldStartWith
+import io.ktor.server.application.install
 import io.ktor.server.cio.CIO
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.routing.route
@@ -66,10 +68,16 @@
     afterSpec { control.close() }
 
     /** The lines of the head and the body that a caller gets from a service that sends [headers]. */
-    suspend fun answerWith(headers: String): List<String> = answering(200, "parts", headers).use { service ->
+    suspend fun answerWith(
+        headers: String,
+        method: String = "GET",
+        status: Int = 200,
+        path: String = "/services/parts/list",
+    ): List<String> = answering(status, "parts", headers).use { service ->
         val services = handler(service, control)
         val limiter = RequestLimiter(ActiveCalls(), 1_000, 1_000, 10)
         val server = embeddedServer(CIO, port = 0, host = "127.0.0.1") {
+            install(BodilessResponses)
             routing {
                 route("/services/{route}/{path...}") {
                     handle { services.handle((limiter.read(call) as Outcome.Success).value) }
@@ -78,7 +86,7 @@
         }.start()
         try {
             Socket("127.0.0.1", server.engine.resolvedConnectors().first().port).use { socket ->
-                val request = "GET /services/parts/list HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+                val request = "$method $path HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
                 socket.getOutputStream().write(request.encodeToByteArray())
                 socket.getInputStream().bufferedReader().readLines()
             }
@@ -104,6 +112,24 @@
         }
     }
 
+    // Guards against a body that the caller reads where its next answer is due.
+    listOf("HEAD" to 200, "HEAD" to 404, "GET" to 204, "GET" to 304).forEach { (method, status) ->
+        test("the answer $status to $method has no body") {
+            answerWith("", method, status).run {
+                first() shouldStartWith "HTTP/1.1 $status"
+                last() shouldBe ""
+            }
+        }
+    }
+
+    test("the refusal of HEAD has no body") {
+        answerWith("", "HEAD", path = "/services/none/list").run {
+            first() shouldStartWith "HTTP/1.1 404"
+            last() shouldBe ""
+        }
+        answerWith("", "HEAD", path = "/none").last() shouldBe ""
+    }
+
     test("an answer without a Content-Type gets none") {
         answerWith("").filter { it.startsWith("Content-Type:", ignoreCase = true) } shouldBe emptyList()
     }
