Add the interface of duties, and room for their content in renewals

Duties of one VM at a time need a lease and a place to publish their state without further calls to the table service. DutyControl is what the code of a duty sees of its lease; RenewalContent adds the offset of the wall clock and further writes to the transaction that renews the member record. By default there is neither, so the records stay as they were. Compiled and linted only.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
@@ -55,6 +55,7 @@
     private val quarantines: QuarantineExchange,
     /** The wall clock minus the monotonic clock, in milliseconds. It changes when the VM is suspended. */
     private val clockDifference: () -> Long = ::systemClockDifference,
+    private val renewalContent: RenewalContent = RenewalContent(),
 ) {
     private val engines = HashMap<ServerId, ControlledEngine>()
     private var renewal = 0L
@@ -111,13 +112,15 @@
     private suspend fun renew(): Boolean {
         val expectedVersion = recordVersion ?: readBack() ?: return false
         val (from, difference) = leaseBasis ?: return false
-        val record = control.decide { ownRecord(from) }
+        val (record, additions) = control.decide {
+            ownRecord(from, difference) to renewalContent.additionalWrites()
+        }
         // A transaction without an answer may still take effect later; the condition keeps it from replacing a newer
         // renewal, which would let the lease look expired to other VMs while it is valid here.
         val put = TableOperation.Put(memberKey(options.vm), tolerantJson.encodeToString(record), expectedVersion)
         val renewal = Renewal(record, from, difference, sentAt = now())
         val nextDifference = clockDifference()
-        val result = table.transact(listOf(put))
+        val result = table.transact(listOf(put) + additions)
         unconfirmed = renewal.takeIf { result is TransactResult.OutcomeUnknown || result is TransactResult.OtherEra }
         recordVersion = when (result) {
             is TransactResult.Committed -> result.versions[put.key]
@@ -161,7 +164,7 @@
         return read.version
     }
 
-    private fun ownRecord(from: TableTime) = MemberRecord(
+    private fun ownRecord(from: TableTime, difference: Long) = MemberRecord(
         address = options.peerAddress,
         domain = options.domain,
         incarnation = incarnation,
@@ -172,6 +175,7 @@
         quarantines = quarantines.published(from),
         leavingServers = state.notices.observedLeaving,
         linkMegabits = options.linkMegabits,
+        wallOffsetMillis = (from.sentAt + difference - from.millis).takeIf { renewalContent.hasWallOffset() },
     )
 
     private suspend fun readRecords() {
