--- a/daemon/src/test/kotlin/org/lentilquay/daemon/logs/QueuedJsonLogsTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/logs/QueuedJsonLogsTest.kt
@@ -1,5 +1,6 @@
 package org.lentilquay.daemon.logs
 
+import ch.qos.logback.classic.Level
 import ch.qos.logback.classic.LoggerContext
 import ch.qos.logback.classic.spi.ILoggingEvent
 import ch.qos.logback.classic.util.LogbackMDCAdapter
@@ -45,4 +46,14 @@
         QueuedJsonLogs().configure(context).name shouldBe "DO_NOT_INVOKE_NEXT_IF_ANY"
         context.getLogger("ROOT").iteratorForAppenders().asSequence().count() shouldBe 1
     }
+
+    // Guards against a process that logs nothing because no configuration is searched for.
+    test("the provider sets up the queue by itself") {
+        val provider = QueuedLogsProvider().apply { initialize() }
+        val context = provider.loggerFactory as LoggerContext
+        val root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME)
+        root.level shouldBe Level.INFO
+        root.iteratorForAppenders().asSequence().map { it.isStarted }.toList() shouldBe listOf(true)
+        context.stop()
+    }
 })
