Report usage, and order servers by a decision that is still to come

The duties of one VM at a time had no code: nothing counted requests that began to run, published the counts, or called the platform's API. Each VM now counts at the first event of a stream and at each signed answer of other requests, writes its counts and its demand with the renewal of its member record, and the holder of the duty fixes and sends each window. ScaleLoop records and sends orders that a ScalePlanner wants; there is none yet, and NoDutyControl holds nothing until the leases are joined. Without cloud.duties there are no rows, no offset and no loops.

--- a/core/src/main/kotlin/org/lentilquay/state/gateway/GatewayConfiguration.kt
+++ b/core/src/main/kotlin/org/lentilquay/state/gateway/GatewayConfiguration.kt
@@ -77,8 +77,13 @@
     /** The request rate limit of a cold backend server. */
     val coldRequestsPerSecond: Double,
     val engine: EngineProfile?,
+    /** The limits of the number of servers in each failure domain; null if it is not ordered. */
+    val autoscale: AutoscaleLimits? = null,
 )
 
+/** The limits of the number of servers in a failure domain, and the time from an order until a new server serves. */
+data class AutoscaleLimits(val minimum: Int, val maximum: Int, val bootMillis: Long)
+
 /**
  * The rate limit and priority of requests with a team's keys. A request that states no token count is charged
  * [defaultTokenCharge]; a null [priority] means that of the route.
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptRunner.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptRunner.kt
@@ -65,6 +65,8 @@
     private val headerNames: HeaderNames,
     private val servers: HttpConnectionPool,
     private val now: () -> Long,
+    /** Called when a request began to run at a server, for each server at which it did. */
+    private val onBegan: (RoutedRequest) -> Unit = {},
     /** Called when the server has sent the head of a response, with what that says of the server. */
     private val onResponse: (AttemptTarget, AnswerNotice?) -> Unit,
 ) {
@@ -223,7 +225,7 @@
         options: AttemptOptions,
     ): AttemptOutcome {
         options.watch.watchFor(EVENT_WAIT_MILLIS)
-        return StreamRelay(routed, answer, writer, forwardedHeaders(answer), options, now).passOn()
+        return StreamRelay(routed, answer, writer, forwardedHeaders(answer), options, onBegan, now).passOn()
     }
 
     private suspend fun passOnWhole(
@@ -232,6 +234,8 @@
         writer: ResponseWriter,
         options: AttemptOptions,
     ): AttemptOutcome {
+        // A stream has begun to run only with its first event.
+        if (routed.route.kind != RouteKind.STREAM) onBegan(routed)
         options.watch.watchFor(null)
         // Two engines must not generate the same response for long, so the head of one ends the attempt at the other.
         val isGenerating = routed.model != null && isSuccess(answer.status)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
@@ -94,6 +94,8 @@
     private val table = InstrumentedTable(ports.table, ports.watch, metrics)
     private lateinit var fleet: TcpPeerCaller
     private val sharedWatches = SharedWatchSource(state.readers, table, ports.clock, { fleet }, control, timer::now)
+    private val watches = WatchAges(sharedWatches, timer::now)
+    private val duties = createDuties()
     private val crashes = CrashDetector({ fleet }, control, scope, { state.members.keys }, ::accepts, timer::now)
     private val engineControl = EngineControlLoop(
         options,
@@ -107,6 +109,7 @@
         scope,
         timer::now,
         crashes,
+        renewalContent = duties?.renewalContent ?: RenewalContent(),
     )
     private val operatorWatch = watchLoop(WatchedTableName.OPERATOR) { rows ->
         control.decide {
@@ -146,6 +149,7 @@
         startPeerServer(options.peerAddress, identity, secret, fleet.localHandler)
         val forwarder = RequestForwarder(
             ports.headers, state, control, quota, fleet, servers, crashes, metrics, scope, timer::now, ::requestsEndAt,
+            duties?.counter,
         )
         val limits = { state.rules?.configuration?.callerLimits }
         callers = GatewayListener(network, forwarder, limits, { isStopping }, scope, timer::now)
@@ -206,6 +210,7 @@
         scope.launch { operatorWatch.run() }
         scope.launch { serverWatch.run() }
         scope.launch(control.dispatcher) { everyTick("control of engines", TICK_MILLIS) { engineControl.tick() } }
+        duties?.let { startDuties(it) }
         scope.launch {
             everyTick("connections", SWEEP_MILLIS) {
                 servers.sweep()
@@ -224,6 +229,29 @@
         scope.launch { joinFleet(seats) }
     }
 
+    private fun createDuties(): Duties? = dutiesOf(
+        DutyContext(
+            options,
+            incarnation,
+            state,
+            table,
+            ports.clock,
+            control,
+            metrics,
+            timer::now,
+            isLeaving = { engineControl.isLeaving },
+            leases = { NoDutyControl },
+            serversAgeMillis = { watches.ageMillis(WatchedTableName.SERVERS) },
+        ),
+        ports.duties,
+    )
+
+    private fun startDuties(duties: Duties) {
+        scope.launch(control.dispatcher) { everyTick("duties", TICK_MILLIS) { duties.tick() } }
+        scope.launch { everyTick("usage reports", TICK_MILLIS) { duties.reportUsage() } }
+        scope.launch { everyTick("orders of servers", EXCHANGE_MILLIS) { duties.orderServers() } }
+    }
+
     /**
      * Exchanges member records and reviews the quota seats at once, and then at intervals: without seats, a process
      * that restarts under traffic would reject the requests of its teams. The seats come second, because their
@@ -288,7 +316,7 @@
     }
 
     private fun watchLoop(table: WatchedTableName, changed: suspend (WatchedRows) -> Unit) =
-        WatchLoop(table, sharedWatches, ::askPeer, timer::now, changed)
+        WatchLoop(table, watches, ::askPeer, timer::now, changed)
 
     private suspend fun askPeer(table: WatchedTableName, version: Long): PeerAnswer.Watched? {
         val peer = control.decide { state.members.keys.filter { it != options.vm }.randomOrNull() } ?: return null
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayMetrics.kt
@@ -33,6 +33,18 @@
     private val tableCalls = Counter.builder().name("lentilquay_gateway_table_calls")
         .help("Calls to the platform's table service").labelNames("call", "table", "answered").register(registry)
 
+    private val dutyCalls = Counter.builder().name("lentilquay_gateway_duty_calls")
+        .help("Calls to the platform for duties of the fleet").labelNames("duty", "outcome").register(registry)
+
+    private val usageWindows = Counter.builder().name("lentilquay_gateway_usage_windows")
+        .help("Usage windows by what became of them").labelNames("result").register(registry)
+
+    /** Counts a call to the platform for [duty]. */
+    fun dutyCalled(duty: String, outcome: DutyOutcome) = dutyCalls.labelValues(duty, outcome.name.lowercase()).inc()
+
+    /** Counts a usage window that was reported, missed, or collected without the counts of some VM. */
+    fun usageWindowEnded(result: String) = usageWindows.labelValues(result).inc()
+
     /** Counts a [call] to the table service that concerned [table]. */
     fun tableCalled(call: String, table: String, isAnswered: Boolean) =
         tableCalls.labelValues(call, table, isAnswered.toString()).inc()
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayPorts.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayPorts.kt
@@ -27,6 +27,8 @@
     val headers: HeaderNames,
     /** The shared secret with which the VMs authenticate each other; suspends until it can be read. */
     val secret: suspend () -> Secret,
+    /** Calls for the duties of the fleet; null if there are none. */
+    val duties: DutyClient? = null,
 )
 
 /** All rows of a table as of [version] in [era], as texts. */
@@ -147,4 +149,6 @@
     val quotaToleranceTokens: Long,
     /** The speed of the link of this VM, in megabits a second; 0 if it is not known. */
     val linkMegabits: Int = 0,
+    /** The duties that one VM at a time performs for the fleet; null if there are none. */
+    val duties: DutyOptions? = null,
 )
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarder.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarder.kt
@@ -5,6 +5,7 @@
 package org.lentilquay.daemon.gateway
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlin.random.Random
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.NonCancellable
@@ -14,6 +15,7 @@
 import kotlinx.io.IOException
 import org.lentilquay.coordination.configuration.sha256Of
 import org.lentilquay.coordination.gateway.pickService
+import org.lentilquay.coordination.gateway.usage.UsageCounter
 import org.lentilquay.coordination.quota.Charge
 import org.lentilquay.daemon.control.PeerCaller
 import org.lentilquay.daemon.logs.event
@@ -25,7 +27,6 @@
 import org.lentilquay.state.gateway.GatewayRoute
 import org.lentilquay.state.gateway.TeamAccess
 import org.lentilquay.transport.http.HttpConnectionPool
-import kotlin.random.Random
 
 private val log = KotlinLogging.logger {}
 
@@ -47,6 +48,9 @@
 /** Time reserved before the deadline for the response to reach the caller. */
 private const val RESPONSE_MARGIN_MILLIS = 5L
 
+/** The status of a refusal for lack of room. */
+private const val NO_ROOM_STATUS = 503
+
 internal class RequestForwarder(
     private val headerNames: HeaderNames,
     private val state: GatewayState,
@@ -60,16 +64,18 @@
     private val now: () -> Long,
     /** When a planned stop ends the requests in progress, or null if none is about to. */
     private val requestsEndAt: () -> Long? = { null },
+    /** Counts the requests that began to run and the demand; null if no duty needs them. */
+    private val counter: UsageCounter? = null,
 ) : CallerHandler {
     private val startedAt = now()
-    private val runner = AttemptRunner(headerNames, servers, now) { target, notice ->
+    private val runner = AttemptRunner(headerNames, servers, now, ::began) { target, notice ->
         scope.launch(control.dispatcher) {
             state.health.answerStarted(target.server.id, target.attempt)
             notice?.let { state.serverNoticed(target.server, it) }
         }
     }
     private val context = AttemptContext(
-        picker = ServerPicker(headerNames, state, control, fleet, scope, now),
+        picker = ServerPicker(headerNames, state, control, fleet, scope, now, counter),
         runner = runner,
         crashes = crashes,
         retries = state.retries,
@@ -106,11 +112,16 @@
             if (writer.isEnded) status = writer.status
             val millis = now() - request.arrivedAt
             metrics.requestEnded(routed?.route?.kind, status, millis)
+            if (status == NO_ROOM_STATUS) routed?.let { counter?.refused(it.service) }
             val unanswered = if (isAnswered(status)) null else Unanswered(interruption, writer, now())
             logRequest(RequestRecord(request, routed, status, millis, unanswered), trace)
         }
     }
 
+    private fun began(routed: RoutedRequest) {
+        routed.access?.let { counter?.began(it.team.id, now()) }
+    }
+
     private fun stoppedFailure(mayHaveRun: Boolean): Failure {
         val message = "this VM stops before the request can end"
         return if (mayHaveRun) unknownOutcome(message) else Failure(ErrorKind.SHUTTING_DOWN, message, 0)
@@ -204,6 +215,7 @@
 
     private suspend fun run(admitted: Admission.Admitted, attempts: RequestAttempts): Int {
         try {
+            counter?.arrived(admitted.routed.service)
             control.decide { state.retries.recordRequest(admitted.routed.service, now()) }
             return attempts.complete()
         } finally {
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ServerPicker.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ServerPicker.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.launch
 import org.lentilquay.coordination.gateway.ServerChoice
 import org.lentilquay.coordination.gateway.ServerRequirements
+import org.lentilquay.coordination.gateway.usage.UsageCounter
 import org.lentilquay.daemon.control.PeerCaller
 import org.lentilquay.daemon.timer.ControlThread
 import org.lentilquay.protocol.AdapterUnavailableReason
@@ -58,6 +59,8 @@
     private val fleet: PeerCaller,
     private val scope: CoroutineScope,
     private val now: () -> Long,
+    /** Counts the requests that wait for a server; null if no duty needs them. */
+    private val counter: UsageCounter? = null,
 ) {
     /**
      * Picks a server for [routed] that is not in [excluded]. The first round accepts only slots that are free at once;
@@ -69,6 +72,20 @@
         excluded: Set<ServerId>,
         withoutAdapter: Set<ServerId>,
         trace: RequestTrace,
+    ): Outcome<AttemptTarget> {
+        counter?.waitingChanged(routed.service, 1)
+        try {
+            return pickWaiting(routed, excluded, withoutAdapter, trace)
+        } finally {
+            counter?.waitingChanged(routed.service, -1)
+        }
+    }
+
+    private suspend fun pickWaiting(
+        routed: RoutedRequest,
+        excluded: Set<ServerId>,
+        withoutAdapter: Set<ServerId>,
+        trace: RequestTrace,
     ): Outcome<AttemptTarget> {
         val rejected = HashSet(excluded)
         var mayQueue = false
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/StreamRelay.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/StreamRelay.kt
@@ -23,11 +23,13 @@
     private val writer: ResponseWriter,
     private val headers: List<Pair<String, String>>,
     private val options: AttemptOptions,
+    private val onBegan: (RoutedRequest) -> Unit,
     private val now: () -> Long,
 ) {
     private val buffer = SseEventBuffer()
     private val watch = options.watch
     private var hasEvent = false
+    private var hasBegun = false
 
     /** Whether the connection was closed because no event came in time. */
     @Volatile
@@ -57,6 +59,7 @@
         while (!buffer.isTooLong) {
             val bytes = answer.body.next() ?: return end()
             buffer.append(bytes)?.let { events ->
+                if (!hasBegun) onBegan(routed).also { hasBegun = true }
                 if (!watch.claim(buffer.lastEventId)) return null
                 if (!hasEvent) options.onFirstEvent()
                 hasEvent = true
