Test the duties against VMs, a table service and an API that fail

UsageReportLoopTest found that the first holder of a new fleet reported windows that nobody had counted, because no VM had written a row; nothing is fixed without rows now. ScaleLoopTest found that an order which a return of the table service had lost was not recorded again.

--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/usage/UsageWindows.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/usage/UsageWindows.kt
@@ -202,7 +202,8 @@
                 states[window] = State.Ended
                 null
             }
-            missing.isNotEmpty() && now < end + options.lateMillis - SEND_MARGIN_MILLIS -> {
+            // A fleet without any row has not written one yet, so that nothing is known of the window.
+            rows.isEmpty() || missing.isNotEmpty() && now < end + options.lateMillis - SEND_MARGIN_MILLIS -> {
                 states[window] = State.Open(now + READ_RETRY_MILLIS)
                 null
             }
--- a/core/src/test/kotlin/org/lentilquay/coordination/gateway/usage/UsageWindowsTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/gateway/usage/UsageWindowsTest.kt
@@ -98,6 +98,13 @@
         windows.next(END + 2_700) shouldBe UsageStep.Wait
     }
 
+    // The first holder of a new fleet reads before the first renewals and reported windows that nobody had counted.
+    test("nothing is fixed while no VM has written a row") {
+        val windows = holder()
+        windows.collect(emptyMap(), END + 7_500).shouldBeEmpty()
+        windows.next(END + 7_500) shouldBe UsageStep.Wait
+    }
+
     test("a holder that changes between fixing and sending leaves the row to its successor, which sends it as it is") {
         val successor = windows()
         successor.adopt(listOf(fixedRow(9)), null, null, END + 5_000).shouldBeEmpty()
@@ -134,7 +141,8 @@
     // The write of a former holder that got no answer can be executed in the next era with other counts.
     test("a new holder does not send a row of a former era") {
         val successor = windows()
-        successor.adopt(listOf(fixedRow(8, era = 1)), 2, END + 3_000, END + 3_100).map { it.window }.last() shouldBe WINDOW
+        val skipped = successor.adopt(listOf(fixedRow(8, era = 1)), 2, END + 3_000, END + 3_100)
+        skipped.last() shouldBe MissedWindow(WINDOW, MissedReason.FORMER_ERA)
         successor.next(END + 3_100) shouldBe UsageStep.Wait
     }
 
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ScaleLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ScaleLoop.kt
@@ -82,7 +82,8 @@
             val order = orders.getOrPut(target) { Order(null, 0) }
             val count = wanted[target] ?: order.record?.desired
             val present = order.record?.desired ?: inputs.openServers(target)
-            if (count != null && (count != present || !order.isAccepted)) order(target, order, count, fence, inputs)
+            val isDone = count == present && order.isAccepted && order.isRecorded
+            if (count != null && !isDone) order(target, order, count, fence, inputs)
         }
     }
 
@@ -123,7 +124,11 @@
     private suspend fun order(target: ScaleTarget, order: Order, count: Int, fence: Long, inputs: ScaleInputs) {
         if (inputs.now < order.callAt && order.record?.desired == count) return
         val isNew = !order.isRecorded || order.record?.let { it.desired != count || it.fence != fence } ?: true
+        // A record that a return of the table service has lost is written again, without a further call.
+        val isKnown = order.isAccepted && order.record?.desired == count
         if (isNew && !record(target, order, count, fence, inputs)) return
+        order.isAccepted = isKnown
+        if (isKnown) return
         val outcome = client.orderServers(target, count, fence) {
             control.decide { duties().mayCall(target.subject, fence) }
         }
@@ -150,7 +155,6 @@
             is TransactResult.Committed -> {
                 order.record = record
                 order.version = result.versions[put.key]
-                order.isAccepted = false
                 order.isRecorded = true
                 true
             }
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ForwarderFixture.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ForwarderFixture.kt
@@ -6,6 +6,13 @@
 
 import io.ktor.utils.io.ByteChannel
 import io.ktor.utils.io.readRemaining
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -13,6 +20,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.io.readString
 import org.lentilquay.coordination.configuration.sha256Of
+import org.lentilquay.coordination.gateway.usage.UsageCounter
 import org.lentilquay.coordination.quota.Charge
 import org.lentilquay.daemon.control.PeerCaller
 import org.lentilquay.daemon.requests.Quota
@@ -36,13 +44,6 @@
 import org.lentilquay.transport.TcpNetwork
 import org.lentilquay.transport.http.HttpConnectionPool
 import org.lentilquay.transport.peer.PeerCallResult
-import java.net.InetAddress
-import java.net.ServerSocket
-import java.net.Socket
-import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.CopyOnWriteArrayList
-import java.util.concurrent.atomic.AtomicInteger
-import kotlin.concurrent.thread
 
 private val TEAM = Team(TeamId("kitchen"), tokensPerSecond = 1_000, burstTokens = 1_000)
 private val OTHER_VM = VmId("vm-2")
@@ -143,6 +144,9 @@
     val received = CopyOnWriteArrayList<PeerRequest>()
     val settled = CopyOnWriteArrayList<Long>()
 
+    /** The counts of requests that began to run, in one window. */
+    val counter = UsageCounter(Long.MAX_VALUE / 2).apply { setOffset(0, 0) }
+
     /** How long each request could have waited for tokens. */
     val tokenWaits = CopyOnWriteArrayList<Long>()
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
@@ -177,7 +181,7 @@
     private val crashes = CrashDetector({ fleet }, control, scope, { setOf(options.vm, OTHER_VM) }, ::accepts, now)
     val forwarder = RequestForwarder(
         HEADERS, state, control, quota, fleet, HttpConnectionPool(network), crashes, GatewayMetrics(), scope, now,
-        requestsEndAt,
+        requestsEndAt, counter,
     )
     private val route = GatewayRoute(
         name = "desk",
