--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarder.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarder.kt
@@ -5,7 +5,6 @@
 package org.lentilquay.daemon.gateway
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import kotlin.random.Random
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.NonCancellable
@@ -27,6 +26,7 @@
 import org.lentilquay.state.gateway.GatewayRoute
 import org.lentilquay.state.gateway.TeamAccess
 import org.lentilquay.transport.http.HttpConnectionPool
+import kotlin.random.Random
 
 private val log = KotlinLogging.logger {}
 
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ScaleLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ScaleLoop.kt
@@ -69,11 +69,7 @@
     /** Does what is due. Call once a second; not concurrently. */
     suspend fun step() {
         val holding = control.decide { holding() } ?: return
-        val isContinued = heldAt?.let { holding.now - it < continuityMillis } ?: false
-        if (!isContinued) orders.clear()
-        if (!isContinued || holding.era != era) isRead = false
-        heldAt = holding.now
-        if (!isRead && (holding.now < tableAt || !read(holding, isContinued))) return
+        if (!prepare(holding)) return
         val usage = rows.atMost(demandAgeMillis) ?: return
         val recorded = orders.mapNotNull { (target, order) -> order.record?.let { target to it } }.toMap()
         val inputs = control.decide { view.inputs(holding.fences.keys, recorded, usage) } ?: return
@@ -81,12 +77,24 @@
         holding.fences.forEach { (target, fence) ->
             val order = orders.getOrPut(target) { Order(null, 0) }
             val count = wanted[target] ?: order.record?.desired
-            val present = order.record?.desired ?: inputs.openServers(target)
-            val isDone = count == present && order.isAccepted && order.isRecorded
-            if (count != null && !isDone) order(target, order, count, fence, inputs)
+            if (count != null && !isDone(order, count, inputs.openServers(target))) {
+                order(target, order, count, fence, inputs)
+            }
         }
     }
 
+    /** Reads the recorded orders if that is needed; returns whether they are known. */
+    private suspend fun prepare(holding: Holding): Boolean {
+        val isContinued = heldAt?.let { holding.now - it < continuityMillis } ?: false
+        if (!isContinued) orders.clear()
+        if (!isContinued || holding.era != era) isRead = false
+        heldAt = holding.now
+        return isRead || (holding.now >= tableAt && read(holding, isContinued))
+    }
+
+    private fun isDone(order: Order, count: Int, openServers: Int) =
+        count == (order.record?.desired ?: openServers) && order.isAccepted && order.isRecorded
+
     private fun holding(): Holding? {
         val control = duties()
         val fences = targets().mapNotNull { target -> control.fenceOf(target.subject)?.let { target to it } }.toMap()
@@ -105,7 +113,8 @@
         val known = orders
         orders = HashMap(found)
         known.forEach { (target, own) -> keep(target, own) }
-        if (!isContinued) planner.taken(found.mapNotNull { (key, it) -> it.record?.let { key to it } }.toMap(), holding.now)
+        val recorded = found.mapNotNull { (target, order) -> order.record?.let { target to it } }.toMap()
+        if (!isContinued) planner.taken(recorded, holding.now)
         era = holding.era
         isRead = true
         log.event("scale orders read", "orders" to found.size, "era" to holding.era, "isTaken" to !isContinued)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/UsageReportLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/UsageReportLoop.kt
@@ -145,20 +145,16 @@
     }
 
     private fun logCollected(window: CollectedWindow, rowCount: Int, liveCount: Int) {
-        val fields = arrayOf(
+        log.event(
+            "usage window collected",
             "window" to window.window,
             "teams" to window.counts.size,
             "requests" to window.counts.values.sum(),
             "rows" to rowCount,
             "missing" to window.missing.take(NAMED_PROCESSES).takeIf { it.isNotEmpty() },
             "missingCount" to window.missing.size,
+            "isWithinTolerance" to (window.missing.size <= options.tolerance * liveCount),
         )
-        val isWithinTolerance = window.missing.size <= options.tolerance * liveCount
-        if (isWithinTolerance) {
-            log.event("usage window collected", *fields)
-        } else {
-            log.warning("usage window collected", *fields)
-        }
         if (window.missing.isNotEmpty()) metrics.usageWindowEnded("incomplete")
     }
 
@@ -205,9 +201,8 @@
     private fun removals(holding: Holding): List<TableOperation> {
         val oldWindows = writtenWindows.filter { windows.isRemovable(it, holding.now) }.take(MAXIMUM_REMOVALS)
         writtenWindows -= oldWindows.toSet()
-        val oldRows = rows.latest?.rows.orEmpty()
-            .filter { (process, row) -> process !in holding.live && windows.isRowRemovable(row.completeMillis, holding.now) }
-            .keys.take(MAXIMUM_REMOVALS)
+        val oldRows = rows.latest?.rows.orEmpty().filterKeys { it !in holding.live }
+            .filterValues { windows.isRowRemovable(it.completeMillis, holding.now) }.keys.take(MAXIMUM_REMOVALS)
         return (oldWindows.map(::usageWindowKey) + oldRows.map(::usageKey)).map { TableOperation.Delete(it) }
     }
 
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ForwarderFixture.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ForwarderFixture.kt
@@ -6,13 +6,6 @@
 
 import io.ktor.utils.io.ByteChannel
 import io.ktor.utils.io.readRemaining
-import java.net.InetAddress
-import java.net.ServerSocket
-import java.net.Socket
-import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.CopyOnWriteArrayList
-import java.util.concurrent.atomic.AtomicInteger
-import kotlin.concurrent.thread
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -44,6 +37,13 @@
 import org.lentilquay.transport.TcpNetwork
 import org.lentilquay.transport.http.HttpConnectionPool
 import org.lentilquay.transport.peer.PeerCallResult
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
 
 private val TEAM = Team(TeamId("kitchen"), tokensPerSecond = 1_000, burstTokens = 1_000)
 private val OTHER_VM = VmId("vm-2")
