--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ForwarderFixture.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ForwarderFixture.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.io.readString
 import org.lentilquay.coordination.configuration.sha256Of
+import org.lentilquay.coordination.gateway.usage.UsageCounter
 import org.lentilquay.coordination.quota.Charge
 import org.lentilquay.daemon.control.PeerCaller
 import org.lentilquay.daemon.requests.Quota
@@ -143,6 +144,9 @@
     val received = CopyOnWriteArrayList<PeerRequest>()
     val settled = CopyOnWriteArrayList<Long>()
 
+    /** The counts of requests that began to run, in one window. */
+    val counter = UsageCounter(Long.MAX_VALUE / 2).apply { setOffset(0, 0) }
+
     /** How long each request could have waited for tokens. */
     val tokenWaits = CopyOnWriteArrayList<Long>()
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
@@ -177,7 +181,7 @@
     private val crashes = CrashDetector({ fleet }, control, scope, { setOf(options.vm, OTHER_VM) }, ::accepts, now)
     val forwarder = RequestForwarder(
         HEADERS, state, control, quota, fleet, HttpConnectionPool(network), crashes, GatewayMetrics(), scope, now,
-        requestsEndAt,
+        requestsEndAt, counter,
     )
     private val route = GatewayRoute(
         name = "desk",
