Lease duties of the fleet as engines are leased

Cause: usage reports and scale orders must come from one VM at a time, and only engines could be leased.

Change: ControlLease works on subjects, which are engines and duties; the takeover by a conditional write is one class, ControlTakeover, for both. A duty has the record controllers/<subject> and is listed in the member record of its holder. All duties have one order of candidates. A holder may write a call until 500 ms before the end of its lease, because a call lasts up to 1 s and other VMs wait for 500 ms and the pause after the lease. In a planned stop the duties are released first: the record then says when, so that the others wait for the pause only, while the VM still serves. EngineControlLoop.duties is the DutyControl for the code that performs duties.

--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/ControlLease.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/ControlLease.kt
@@ -1,8 +1,9 @@
 /*
- * The control lease of this VM, and the rules for taking over engines. A record in the table service names the
- * controller of each engine. Control passes to another VM only after the former controller's lease expired, plus the
- * time for orders in transit and the pause that engines need between orders of two VMs. A controller sends orders only
- * while its lease is valid. A VM whose lease expired reads the records again before it sends orders.
+ * The control lease of this VM, and the rules for taking over engines and duties. A record in the table service names
+ * the controller of each engine and the holder of each duty, which is called its controller here as well. Control
+ * passes to another VM only after the former controller's lease expired, plus the time for orders in transit and the
+ * pause that engines need between orders of two VMs. A controller sends orders only while its lease is valid. A VM
+ * whose lease expired reads the records again before it sends orders.
  *
  * The leases of other VMs are measured on the clock of the table service. A VM that has just started thus knows the age
  * of the records at once, and no lease seems to expire while the table service is unreachable. A VM measures its own
@@ -16,7 +17,6 @@
 
 import org.lentilquay.coordination.rendezvousRank
 import org.lentilquay.state.Incarnation
-import org.lentilquay.state.ServerId
 import org.lentilquay.state.VmId
 import org.lentilquay.state.gateway.ControllerRecord
 import org.lentilquay.state.gateway.MemberRecord
@@ -33,6 +33,12 @@
  */
 private const val ORDER_MARGIN_MILLIS = 200L
 
+/**
+ * No call for a duty is written in this last part of a lease: a call is given up 1 s after it began, of which
+ * [ORDER_TRANSIT_MILLIS] may lie after the lease.
+ */
+private const val CALL_MARGIN_MILLIS = 500L
+
 /** A larger change of the difference between wall clock and monotonic clock means that the VM was suspended. */
 private const val CLOCK_TOLERANCE_MILLIS = 400L
 
@@ -87,9 +93,9 @@
     private val incarnation: Incarnation,
     /** The pause that engines need between orders of two VMs. */
     private val pauseMillis: Long,
-    /** The position of this VM in the ranking of the given members for an engine. */
-    private val rankFor: (ServerId, Set<VmId>) -> Int = { server, members ->
-        rendezvousRank(server.text, members, own) { it.text }
+    /** The position of this VM in the ranking of the given members for a subject. */
+    private val rankFor: (ControlSubject, Set<VmId>) -> Int = { subject, members ->
+        rendezvousRank(subject.rankText, members, own) { it.text }
     },
 ) {
     /** [sinceMillis] is the table time at which this VM first read this version. */
@@ -100,16 +106,16 @@
     /** The table time of the last reading of the member records. */
     private var observedMillis = 0L
 
-    /** Since when an engine has had no live controller, on the clock of this VM. */
-    private val vacantSince = HashMap<ServerId, Long>()
+    /** Since when a subject has had no live controller, on the clock of this VM. */
+    private val vacantSince = HashMap<ControlSubject, Long>()
 
     /**
-     * The controllers in the engine records that this VM read, with the time of the reading. Records that name this VM
-     * are trusted without a time limit: after an expiry of its lease it takes its own engines back first.
+     * The controller records that this VM read, with the time of the reading. Records that name this VM are trusted
+     * without a time limit: after an expiry of its lease it takes its own engines back first.
      */
-    private val recordedControllers = HashMap<ServerId, RecordedController>()
+    private val recordedControllers = HashMap<ControlSubject, RecordedController>()
 
-    private class RecordedController(val vm: VmId, val readAt: Long)
+    private class RecordedController(val record: ControllerRecord, val readAt: Long)
 
     /** The start of this VM's lease on its monotonic clock, or null before the first renewal. */
     private var leaseStart: Long? = null
@@ -123,17 +129,17 @@
     var overdueMembers: Set<VmId> = emptySet()
         private set
 
-    /** The engines that live members other than this VM control. */
-    private var controlledByOthers: Set<ServerId> = emptySet()
+    /** The subjects that live members other than this VM control. */
+    private var controlledByOthers: Set<ControlSubject> = emptySet()
 
-    /** The highest fencing number of each engine in the records of other members, including those that expired. */
-    private var fencesOfOthers: Map<ServerId, Long> = emptyMap()
+    /** The highest fencing number of each subject in the records of other members, including those that expired. */
+    private var fencesOfOthers: Map<ControlSubject, Long> = emptyMap()
 
     /** The live members that are not overdue. */
     private var candidates: Set<VmId> = emptySet()
 
-    /** The rank of this VM among the [candidates] for engines without a controller, which are looked at often. */
-    private val ranks = HashMap<ServerId, Int>()
+    /** The rank of this VM among the [candidates] for subjects without a controller, which are looked at often. */
+    private val ranks = HashMap<ControlSubject, Int>()
 
     /** The number of members that did not leave in a planned stop, including those with expired leases. */
     val knownMembers: Int get() = members.values.count { !it.row.record.isLeaving }
@@ -147,7 +153,10 @@
         if (isLargeFleet) LARGE_FLEET_CANDIDATE_DELAY_MILLIS else CANDIDATE_DELAY_MILLIS
 
     /** The age of a member record from which on another VM may take over the member's engines. */
-    private val expiryMillis get() = ORDER_LEASE_MILLIS + ORDER_TRANSIT_MILLIS + pauseMillis
+    private val expiryMillis get() = ORDER_LEASE_MILLIS + handoverMillis
+
+    /** The wait of the next controller after the last order of the former one. */
+    private val handoverMillis get() = ORDER_TRANSIT_MILLIS + pauseMillis
 
     /** The members that at the last reading had not renewed for so long that they count as permanently gone. */
     fun departedMembers(): Set<VmId> = members.filterValues { ageMillis(it) > DEPARTED_MILLIS }.keys
@@ -167,10 +176,10 @@
             .filterValues { !it.row.record.isLeaving && ageMillis(it) < expiryMillis }
             .mapValues { it.value.row.record }
         overdueMembers = members.filterValues { ageMillis(it) > renewalMillis * OVERDUE_RENEWALS }.keys - own
-        controlledByOthers = (liveMembers - own).values.flatMap { it.engines }.mapTo(HashSet()) { it.server }
-        fencesOfOthers = (members - own).values.flatMap { it.row.record.engines }
-            .groupingBy { it.server }
-            .fold(0L) { highest, engine -> maxOf(highest, engine.fence) }
+        controlledByOthers = (liveMembers - own).values.flatMap { fences(it) }.mapTo(HashSet()) { it.first }
+        fencesOfOthers = (members - own).values.flatMap { fences(it.row.record) }
+            .groupingBy { it.first }
+            .fold(0L) { highest, (_, fence) -> maxOf(highest, fence) }
         val present = liveMembers.keys - overdueMembers
         if (present != candidates) ranks.clear()
         candidates = present
@@ -198,51 +207,64 @@
     /** Whether an order that begins at [now] reaches its engine before another VM may take the engine over. */
     fun mayOrder(now: Long, difference: Long): Boolean = isValid(now + ORDER_MARGIN_MILLIS, difference)
 
-    /** Whether [server] has no live controller and it is this VM's turn to take it. */
-    fun isCandidate(server: ServerId, now: Long): Boolean {
-        if (server in controlledByOthers || own !in liveMembers) {
-            vacantSince.remove(server)
+    /** Whether a call for a duty that is written at [now] ends before another VM may take the duty over. */
+    fun mayCall(now: Long, difference: Long): Boolean = isValid(now + CALL_MARGIN_MILLIS, difference)
+
+    /** Whether [subject] has no live controller and it is this VM's turn to take it. */
+    fun isCandidate(subject: ControlSubject, now: Long): Boolean {
+        if (subject in controlledByOthers || own !in liveMembers) {
+            vacantSince.remove(subject)
             return false
         }
-        val since = vacantSince.getOrPut(server) { now }
-        val controller = recordedControllers[server]
-            ?.takeIf { it.vm == own || now - it.readAt < TRUSTED_RECORD_MILLIS }?.vm
-        if (controller != null && controller != own && !mayReplace(controller)) return false
-        val rank = ranks.getOrPut(server) { rankFor(server, candidates) }
-        return controller == own || now - since >= rank * candidateDelayMillis
+        val since = vacantSince.getOrPut(subject) { now }
+        val controller = recordedControllers[subject]
+            ?.takeIf { it.record.vm == own || now - it.readAt < TRUSTED_RECORD_MILLIS }?.record
+        if (controller != null && controller.vm != own && !mayReplace(controller)) return false
+        val rank = ranks.getOrPut(subject) { rankFor(subject, candidates) }
+        return controller?.vm == own || now - since >= rank * candidateDelayMillis
     }
 
     /**
-     * The fencing number of a VM that has taken over [server] since this VM took it with the fencing number [fence];
+     * The fencing number of a VM that has taken over [subject] since this VM took it with the fencing number [fence];
      * null if there is none.
      */
-    fun supersedingFence(server: ServerId, fence: Long): Long? = fencesOfOthers[server]?.takeIf { it > fence }
+    fun supersedingFence(subject: ControlSubject, fence: Long): Long? = fencesOfOthers[subject]?.takeIf { it > fence }
 
-    /** Drops engines that are no longer [registered]. */
-    fun retain(registered: Set<ServerId>) {
-        vacantSince.keys.retainAll(registered)
-        recordedControllers.keys.retainAll(registered)
-        ranks.keys.retainAll(registered)
+    /** Drops subjects other than [subjects]. */
+    fun retain(subjects: Set<ControlSubject>) {
+        vacantSince.keys.retainAll(subjects)
+        recordedControllers.keys.retainAll(subjects)
+        ranks.keys.retainAll(subjects)
     }
 
-    /** Decides about [server] by its controller record, which was read just now; null means that there is none. */
-    fun decideTakeover(server: ServerId, reading: VersionedControllerRecord?, now: Long): TakeoverDecision {
+    /** Decides about [subject] by its controller record, which was read just now; null means that there is none. */
+    fun decideTakeover(subject: ControlSubject, reading: VersionedControllerRecord?, now: Long): TakeoverDecision {
         val fence = (reading?.record?.fence ?: 0) + 1
         val record = ControllerRecord(own, incarnation, fence)
-        val former = reading?.record?.vm
-        if (former != null) recordedControllers[server] = RecordedController(former, now)
-        if (former == null || former == own) return TakeoverDecision.Due(record, reading?.version ?: 0, null)
-        val member = members[former]
-        if (member == null || !mayReplace(former)) return TakeoverDecision.NotDue
-        return TakeoverDecision.Due(record, reading.version, former to member.row.version)
+        if (reading == null) return TakeoverDecision.Due(record, 0, null)
+        val former = reading.record
+        recordedControllers[subject] = RecordedController(former, now)
+        return when {
+            former.vm == own -> TakeoverDecision.Due(record, reading.version, null)
+            !mayReplace(former) -> TakeoverDecision.NotDue
+            former.releasedMillis != null -> TakeoverDecision.Due(record, reading.version, null)
+            else -> TakeoverDecision.Due(record, reading.version, former.vm to members.getValue(former.vm).row.version)
+        }
     }
 
-    /** Whether the engines of [former] can be taken over: it left or its lease expired, and its last order arrived. */
-    private fun mayReplace(former: VmId): Boolean {
-        val member = members[former] ?: return false
+    /**
+     * Whether the subject of [record] can be taken over: its controller released it, left, or its lease expired, and
+     * the last order or call of the controller has arrived.
+     */
+    private fun mayReplace(record: ControllerRecord): Boolean {
+        if (record.releasedMillis != null) return observedMillis - record.releasedMillis >= handoverMillis
+        val member = members[record.vm] ?: return false
         // A VM that left may have sent orders after the time in its record, so the wait counts from the first reading.
-        val leftMillis = observedMillis - member.sinceMillis
-        val hasLeft = member.row.record.isLeaving && leftMillis >= pauseMillis + ORDER_TRANSIT_MILLIS
+        val hasLeft = member.row.record.isLeaving && observedMillis - member.sinceMillis >= handoverMillis
         return hasLeft || ageMillis(member) >= expiryMillis
     }
 }
+
+private fun fences(record: MemberRecord): List<Pair<ControlSubject, Long>> =
+    record.engines.map { ControlSubject.Engine(it.server) to it.fence } +
+        record.duties.map { ControlSubject.Duty(it.subject) to it.fence }
--- a/core/src/main/kotlin/org/lentilquay/state/gateway/MemberRecord.kt
+++ b/core/src/main/kotlin/org/lentilquay/state/gateway/MemberRecord.kt
@@ -24,6 +24,9 @@
 /** The key of the record that names the controller of [server]. */
 fun controllerKey(server: ServerId): String = CONTROLLER_TABLE + server
 
+/** The key of the record that names the holder of [duty]. */
+fun controllerKey(duty: DutySubject): String = CONTROLLER_TABLE + duty
+
 /** The load of an engine in the view of its controller. */
 @Serializable
 data class EngineRecord(
@@ -77,7 +80,7 @@
     override fun toString(): String = text
 }
 
-/** The controller of an engine. The fencing number [fence] rises with each change of controller. */
+/** The controller of an engine, or the holder of a duty. The fencing number [fence] rises with each change. */
 @Serializable
 data class ControllerRecord(
     val vm: VmId,
@@ -85,4 +88,6 @@
     val fence: Long,
     /** The era of the table service in which the record was written; null if it has no eras. */
     val era: Long? = null,
+    /** The table time at which [vm] gave the subject up for good; null while it holds it. */
+    val releasedMillis: Long? = null,
 )
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
@@ -1,8 +1,8 @@
 /*
- * Membership of this VM and control of engines: renews the member record of this VM, reads those of the others, and
- * takes control of engines that have no controller. The record also carries the state of this VM's engines, so that one
- * write and one read a second inform all VMs. Large fleets write every two seconds, and most VMs read from a reader
- * instead of the table service.
+ * Membership of this VM and control of engines and duties: renews the member record of this VM, reads those of the
+ * others, and takes control of engines and duties that have no controller. The record also carries the state of this
+ * VM's engines, so that one write and one read a second inform all VMs. Large fleets write every two seconds, and most
+ * VMs read from a reader instead of the table service.
  */
 package org.lentilquay.daemon.gateway
 
@@ -10,23 +10,21 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import org.lentilquay.coordination.WriteResult
+import org.lentilquay.coordination.gateway.ControlSubject
+import org.lentilquay.coordination.gateway.DutyControl
 import org.lentilquay.coordination.gateway.TableTime
-import org.lentilquay.coordination.gateway.TakeoverDecision
-import org.lentilquay.coordination.gateway.VersionedControllerRecord
+import org.lentilquay.coordination.gateway.isCandidate
 import org.lentilquay.daemon.control.readRecord
 import org.lentilquay.daemon.control.tolerantJson
-import org.lentilquay.daemon.control.write
 import org.lentilquay.daemon.logs.event
 import org.lentilquay.daemon.timer.ControlThread
 import org.lentilquay.protocol.TableOperation
 import org.lentilquay.state.Incarnation
 import org.lentilquay.state.ServerId
 import org.lentilquay.state.VmId
-import org.lentilquay.state.gateway.ControllerRecord
+import org.lentilquay.state.gateway.DutyRecord
 import org.lentilquay.state.gateway.MemberRecord
 import org.lentilquay.state.gateway.RegisteredServer
-import org.lentilquay.state.gateway.controllerKey
 import org.lentilquay.state.gateway.memberKey
 import org.lentilquay.transport.platform.TableService
 import org.lentilquay.transport.platform.TransactResult
@@ -56,18 +54,21 @@
     /** The wall clock minus the monotonic clock, in milliseconds. It changes when the VM is suspended. */
     private val clockDifference: () -> Long = ::systemClockDifference,
     private val renewalContent: RenewalContent = RenewalContent(),
-) {
+) : LeaseWatch {
+    private val dutyLoop = DutyLoop(options.vm, table, clock, state.lease, control, now, clockDifference)
+    private val takeover = ControlTakeover(table, state.lease, this, control, now)
     private val engines = HashMap<ServerId, ControlledEngine>()
     private var renewal = 0L
     private var isTakingControl = false
 
-    /** Incremented whenever the lease is found expired. */
-    private var leaseLapses = 0L
+    override var lapses: Long = 0L
+        private set
     private var wasRenewed = false
     private var renewedAt = Long.MIN_VALUE / 2
 
     /** The engines in the member record as it was last written. */
     private var publishedEngines: Set<ServerId> = emptySet()
+    private var publishedDuties: List<DutyRecord> = emptyList()
 
     /** The table time from which the next renewal extends the lease, and the [clockDifference] at that time. */
     private var leaseBasis: Pair<TableTime, Long>? = null
@@ -88,6 +89,12 @@
     @Volatile
     var isLeaving: Boolean = false
 
+    /** The duties of the fleet, for the code that performs them. */
+    val duties: DutyControl get() = dutyLoop
+
+    /** The number of duties that this VM holds. Readable from any thread. */
+    val heldDuties: Int get() = dutyLoop.heldCount
+
     /** The engine [server], or null if this VM does not control it. Call on the control thread. */
     fun engine(server: ServerId): ControlledEngine? = engines[server]
 
@@ -103,10 +110,11 @@
     }
 
     /**
-     * A change of the controlled engines is published at once, besides the renewals at their interval, because other
-     * VMs learn from the member records which VM controls an engine.
+     * A change of the controlled engines and duties is published at once, besides the renewals at their interval,
+     * because other VMs learn from the member records which VM controls an engine or duty.
      */
     private fun isRenewalDue(): Boolean = isLeaving || engines.keys != publishedEngines ||
+        dutyLoop.records != publishedDuties ||
         now() - renewedAt >= state.lease.renewalMillis - RENEWAL_SLACK_MILLIS
 
     private suspend fun renew(): Boolean {
@@ -147,6 +155,7 @@
         state.lease.renewed(renewal.basis, renewal.difference)
         renewedAt = renewal.sentAt
         publishedEngines = renewal.record.engines.mapTo(HashSet()) { it.server }
+        publishedDuties = renewal.record.duties
     }
 
     /**
@@ -175,6 +184,7 @@
         quarantines = quarantines.published(from),
         leavingServers = state.notices.observedLeaving,
         linkMegabits = options.linkMegabits,
+        duties = if (isLeaving) emptyList() else dutyLoop.records,
         wallOffsetMillis = (from.sentAt + difference - from.millis).takeIf { renewalContent.hasWallOffset() },
     )
 
@@ -202,36 +212,44 @@
         val registered = state.selection.registered
         engines.keys.filter { it !in registered }.forEach(::release)
         engines.values.toList().forEach(::releaseIfSuperseded)
+        dutyLoop.releaseSuperseded()
         registered.values.forEach { server -> engines[server.id]?.server = server }
-        state.lease.retain(registered.keys)
+        state.lease.retain(dutyLoop.subjects + registered.keys.map(ControlSubject::Engine))
         assignModels()
         if (isTakingControl || isLeaving) return
         val uncontrolled = registered.values.filter { isEngine(it) && it.id !in engines }
             .filter { state.lease.isCandidate(it.id, now()) }
-        if (uncontrolled.isEmpty()) return
+        val vacantDuties = dutyLoop.vacant()
+        if (uncontrolled.isEmpty() && vacantDuties.isEmpty()) return
         isTakingControl = true
         scope.launch {
             try {
-                uncontrolled.forEach { takeControl(it) }
+                vacantDuties.forEach { duty -> takeover.take(duty) { dutyLoop.taken(duty, it) } }
+                uncontrolled.forEach { server ->
+                    takeover.take(ControlSubject.Engine(server.id)) { started(server, it.record.fence, it.former) }
+                }
             } finally {
                 control.decide { isTakingControl = false }
             }
         }
     }
 
-    /** Ends control of all engines if the lease has expired, and returns whether it has. */
-    private fun releaseIfExpired(): Boolean {
+    /** Gives up the duties of this VM, at the begin of a planned stop; it takes none afterwards. */
+    suspend fun releaseDuties() = dutyLoop.release()
+
+    override fun releaseIfExpired(): Boolean {
         if (state.lease.isValid(now(), clockDifference())) return false
-        leaseLapses++
+        lapses++
         if (engines.isNotEmpty()) log.event("lease lapsed", "engines" to engines.keys.sorted())
         releaseAll()
+        dutyLoop.lapsed()
         return true
     }
 
     /** Ends control of [engine] if another VM has taken it over. */
     private fun releaseIfSuperseded(engine: ControlledEngine) {
         val server = engine.server.id
-        val successor = state.lease.supersedingFence(server, engine.fence) ?: return
+        val successor = state.lease.supersedingFence(ControlSubject.Engine(server), engine.fence) ?: return
         log.event("superseded as controller", "server" to server, "fence" to engine.fence, "successor" to successor)
         release(server)
     }
@@ -261,27 +279,6 @@
         engine.assignModel(profile.models.minByOrNull { enginesByModel[it.name] ?: 0 }?.name)
     }
 
-    /** Takes control of [server] by a conditional write, if the lease of its former controller has expired. */
-    private suspend fun takeControl(server: RegisteredServer) {
-        val read = table.readRecord<ControllerRecord>(controllerKey(server.id)) ?: return
-        val reading = read.value?.let { VersionedControllerRecord(it, read.version) }
-        val (decision, lapses) =
-            control.decide { state.lease.decideTakeover(server.id, reading, now()) to leaseLapses }
-        val due = decision as? TakeoverDecision.Due ?: return
-        val operations = buildList {
-            val record = tolerantJson.encodeToString(due.record)
-            add(TableOperation.Put(controllerKey(server.id), record, due.expectedVersion))
-            // Fails the write if the former controller has renewed its record, and so its lease, in the meantime.
-            due.former?.let { (vm, version) -> add(TableOperation.Check(memberKey(vm), version)) }
-        }
-        val result = table.write(operations)
-        if (result != WriteResult.COMMITTED) return
-        control.decide {
-            // If the lease expired before the answer came, another VM may have taken the engine over.
-            if (!releaseIfExpired() && leaseLapses == lapses) started(server, due.record.fence, reading?.record?.vm)
-        }
-    }
-
     private fun started(server: RegisteredServer, fence: Long, former: VmId?) {
         val profile = state.operator.configuration?.services?.get(server.service)?.engine ?: return
         val (formerRecord, formerAgeMillis) = former?.let { state.lease.recordWithAge(it) } ?: (null to null)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
@@ -153,12 +153,16 @@
         startLoops()
     }
 
-    /** Stops in order: becomes unready, lets requests in progress end, then releases control of the engines. */
+    /**
+     * Stops in order: becomes unready and releases its duties, lets requests in progress end, then releases control of
+     * the engines.
+     */
     suspend fun stop() {
         val startedAt = timer.now()
         isStopping = true
         val callers = callers ?: return
         log.event("stop begins", "busy" to callers.busyConnections)
+        scope.launch { engineControl.releaseDuties() }
         delay(READINESS_DELAY_MILLIS)
         val endAt = startedAt + options.maximumStopMillis - LAST_ANSWERS_MILLIS
         requestsEndAt = endAt
@@ -188,6 +192,9 @@
         metrics.gauge("lentilquay_gateway_log_lines_dropped", "Log lines that a full queue has dropped") {
             droppedLogLines.toDouble()
         }
+        metrics.gauge("lentilquay_gateway_duties_held", "Duties of the fleet that this VM holds") {
+            engineControl.heldDuties.toDouble()
+        }
         val status = CallerHandler { request, writer ->
             when (request.head.path) {
                 options.readinessPath ->
