Resume streams elsewhere before a server that leaves at short notice is gone

Cause: a draining registration may name the time after which its server is gone. Streams stayed there until they were cut, and their requests counted as suspects of a crash.

Change: the end is kept on the monotonic clock from the first reading on (ShortNotices). A resumable stream gets an attempt beside it, by the mechanism for slow servers, at the latest 1.5 s before the end. The attempt at the leaving server would always have the first event, so it waits with its next one while the other attempt is made.

--- a/core/src/main/kotlin/org/lentilquay/state/gateway/RegisteredServer.kt
+++ b/core/src/main/kotlin/org/lentilquay/state/gateway/RegisteredServer.kt
@@ -31,4 +31,6 @@
     val models: Set<String>,
     /** The loaded adapters with their versions. */
     val adapters: Map<AdapterName, Long> = emptyMap(),
+    /** How long a draining server was still going to run when it wrote this, in milliseconds; null if it names none. */
+    val remainingMillis: Long? = null,
 )
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptRunner.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptRunner.kt
@@ -8,9 +8,16 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.flow.distinctUntilChanged
+import kotlinx.coroutines.flow.map
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import org.lentilquay.coordination.gateway.Departure
 import org.lentilquay.coordination.gateway.ServerOutcome
+import org.lentilquay.coordination.gateway.departureOf
+import org.lentilquay.state.ServerId
 import org.lentilquay.state.gateway.RouteKind
 import org.lentilquay.transport.InputTimeoutException
 import org.lentilquay.transport.describe
@@ -38,6 +45,9 @@
 /** Time without an event after which another server is asked to resume a stream, beside the slow one. */
 private const val EVENT_WAIT_MILLIS = 1_500L
 
+/** Shortest time before the end of a server that leaves at which its streams are resumed elsewhere. */
+private const val MINIMUM_LEAD_MILLIS = 1_500L
+
 /** The body of a refusal is read no further than this; it has one line. */
 private const val MAXIMUM_REFUSAL_BYTES = 16 shl 10
 
@@ -65,6 +75,8 @@
     private val headerNames: HeaderNames,
     private val servers: HttpConnectionPool,
     private val now: () -> Long,
+    /** The servers that leave at short notice. */
+    private val departures: StateFlow<Map<ServerId, Departure>> = MutableStateFlow(emptyMap()),
     /** Called when the server has sent the head of a response, with what that says of the server. */
     private val onResponse: (AttemptTarget, AnswerNotice?) -> Unit,
 ) {
@@ -88,19 +100,34 @@
                 options.watch.awaitReplacement()
                 work.cancel()
             }
+            val departure = launch { watchDeparture(routed, target, options.watch) }
             try {
                 work.await()
             } catch (cancelled: CancellationException) {
                 ensureActive()
                 if (!options.watch.isReplaced) throw cancelled
-                // The server was silent until another one had answered.
-                supersededOutcome().copy(serverOutcome = ServerOutcome.LOST)
+                // Unless it leaves, the server was silent until another one had answered.
+                if (options.watch.isLeaving) {
+                    supersededOutcome()
+                } else {
+                    supersededOutcome().copy(serverOutcome = ServerOutcome.LOST)
+                }
             } finally {
                 replacement.cancel()
+                departure.cancel()
             }
         }
     }
 
+    /** Has a stream that may be resumed go on elsewhere before its server is gone. */
+    private suspend fun watchDeparture(routed: RoutedRequest, target: AttemptTarget, watch: AttemptWatch) {
+        if (routed.route.kind != RouteKind.STREAM || !routed.route.isResumable) return
+        val leadMillis = maxOf(routed.route.targetLatencyMillis * 2, MINIMUM_LEAD_MILLIS)
+        departures.map { departureOf(it, target.server)?.endsAt }.distinctUntilChanged().collect { endsAt ->
+            watch.leaveAt(endsAt?.let { it - leadMillis })
+        }
+    }
+
     private suspend fun exchange(
         routed: RoutedRequest,
         target: AttemptTarget,
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayMetrics.kt
@@ -33,6 +33,9 @@
     private val tableCalls = Counter.builder().name("lentilquay_gateway_table_calls")
         .help("Calls to the platform's table service").labelNames("call", "table", "answered").register(registry)
 
+    private val movedStreams = Counter.builder().name("lentilquay_gateway_moved_streams")
+        .help("Attempts to move a stream from a server that leaves").labelNames("outcome").register(registry)
+
     /** Counts a [call] to the table service that concerned [table]. */
     fun tableCalled(call: String, table: String, isAnswered: Boolean) =
         tableCalls.labelValues(call, table, isAnswered.toString()).inc()
@@ -44,6 +47,9 @@
         seconds.labelValues(label).observe(millis / MILLIS_PER_SECOND)
     }
 
+    /** Counts an attempt beside one whose server leaves at short notice, and whether the stream goes on there. */
+    fun streamMoved(isMoved: Boolean) = movedStreams.labelValues(if (isMoved) "moved" else "stayed").inc()
+
     /** Registers a gauge whose value is computed by [value] at each scrape. */
     fun gauge(name: String, help: String, value: () -> Double) {
         GaugeWithCallback.builder().name(name).help(help).callback { it.call(value()) }.register(registry)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayState.kt
@@ -5,13 +5,17 @@
 package org.lentilquay.daemon.gateway
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
 import org.lentilquay.coordination.gateway.ColdStartLimit
 import org.lentilquay.coordination.gateway.ControlLease
+import org.lentilquay.coordination.gateway.Departure
 import org.lentilquay.coordination.gateway.RetryBudget
 import org.lentilquay.coordination.gateway.RouteTable
 import org.lentilquay.coordination.gateway.ServerHealth
 import org.lentilquay.coordination.gateway.ServerNotices
 import org.lentilquay.coordination.gateway.ServerSelection
+import org.lentilquay.coordination.gateway.ShortNotices
 import org.lentilquay.coordination.gateway.TableReaders
 import org.lentilquay.coordination.quota.TeamBuckets
 import org.lentilquay.coordination.quota.TransferPlanner
@@ -44,6 +48,12 @@
     val buckets = TeamBuckets(options.vm, transfers = transfers, startedAt = now())
     val readers = TableReaders(options.vm, options.domain, options.linkMegabits)
 
+    private val shortNotices = ShortNotices()
+    private val departing = MutableStateFlow(emptyMap<ServerId, Departure>())
+
+    /** The servers that leave at short notice. Readable from any thread. */
+    val departures: StateFlow<Map<ServerId, Departure>> get() = departing
+
     var operator = OperatorState()
         private set
     var members: Map<VmId, MemberRecord> = emptyMap()
@@ -87,9 +97,11 @@
             log.event("backend server is gone", "server" to id, "tableVersion" to version)
         }
         changed.values.filter { it.isDraining && before[it.id]?.isDraining == false }.forEach {
-            log.event("backend server is leaving", "server" to it.id, "tableVersion" to version)
+            val remaining = "remainingMillis" to it.remainingMillis
+            log.event("backend server is leaving", "server" to it.id, "tableVersion" to version, remaining)
         }
         selection.serversChanged(changed, now())
+        departing.value = shortNotices.serversChanged(changed, now())
     }
 
     /** Applies what an answer of [server] said of the server itself. */
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestAttempts.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestAttempts.kt
@@ -12,13 +12,16 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.onTimeout
 import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withContext
 import kotlinx.io.IOException
+import org.lentilquay.coordination.gateway.Departure
 import org.lentilquay.coordination.gateway.RetryBudget
 import org.lentilquay.coordination.gateway.ServerOutcome
+import org.lentilquay.coordination.gateway.departureOf
 import org.lentilquay.daemon.timer.ControlThread
 import org.lentilquay.state.Failure
 import org.lentilquay.state.Outcome
@@ -48,6 +51,10 @@
     val runner: AttemptRunner,
     val crashes: CrashDetector,
     val retries: RetryBudget,
+    /** The servers that leave at short notice. */
+    val departures: StateFlow<Map<ServerId, Departure>>,
+    /** Called when an attempt beside one whose server leaves has gone on, or has ended without that. */
+    val onMove: (Boolean) -> Unit,
     val control: ControlThread,
     val scope: CoroutineScope,
     val now: () -> Long,
@@ -222,7 +229,7 @@
         val target = if (obstacle == null) findBeside(server) else null
         when {
             target == null -> trace.addNoteOnce("stays at $server: ${obstacle ?: "no other server takes the request"}")
-            slow.decided != null -> release(target)
+            !slow.hold() -> release(target)
             else -> return runBeside(scope, target, slow)
         }
         return false
@@ -282,6 +289,7 @@
             if (mayRunBeside(others = 2)) onTimeout(routed.route.targetLatencyMillis * 2) { null }
         }
         val isReplaced = decision == SlowOutcome.REPLACED || !slow.resume()
+        if (slow.isLeaving) context.onMove(isReplaced)
         if (!isReplaced) {
             other.stop()
             parallel = null
@@ -343,7 +351,9 @@
         progress: AttemptProgress,
     ) = context.control.decide {
         context.picker.attemptEnded(routed, target, outcome)
-        if (outcome.serverOutcome == ServerOutcome.LOST) {
+        // The end of a server that leaves looks like a crash, and would make suspects of all requests that stayed there.
+        val isLeaving = departureOf(context.departures.value, target.server) != null
+        if (outcome.serverOutcome == ServerOutcome.LOST && !isLeaving) {
             context.crashes.connectionLost(target.server, routed.fingerprint, progress)
         } else {
             context.crashes.ended(progress, outcome.result)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarder.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarder.kt
@@ -62,7 +62,7 @@
     private val requestsEndAt: () -> Long? = { null },
 ) : CallerHandler {
     private val startedAt = now()
-    private val runner = AttemptRunner(headerNames, servers, now) { target, notice ->
+    private val runner = AttemptRunner(headerNames, servers, now, state.departures) { target, notice ->
         scope.launch(control.dispatcher) {
             state.health.answerStarted(target.server.id, target.attempt)
             notice?.let { state.serverNoticed(target.server, it) }
@@ -73,6 +73,8 @@
         runner = runner,
         crashes = crashes,
         retries = state.retries,
+        departures = state.departures,
+        onMove = metrics::streamMoved,
         control = control,
         scope = scope,
         now = now,
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ServerPicker.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ServerPicker.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.launch
 import org.lentilquay.coordination.gateway.ServerChoice
 import org.lentilquay.coordination.gateway.ServerRequirements
+import org.lentilquay.coordination.gateway.departureOf
 import org.lentilquay.daemon.control.PeerCaller
 import org.lentilquay.daemon.timer.ControlThread
 import org.lentilquay.protocol.AdapterUnavailableReason
@@ -256,8 +257,8 @@
 
     /**
      * Records the start of an attempt at the server of [choice]. Unless a slot [isReserved] with its controller, the
-     * controller is notified of the use of the adapter. Null if an answer has said since the choice that the server
-     * takes no more requests.
+     * controller is notified of the use of the adapter. Null if an answer or a short notice has said since the choice
+     * that the server takes no more requests.
      */
     private suspend fun startAttempt(
         routed: RoutedRequest,
@@ -265,7 +266,8 @@
         isReserved: Boolean,
     ): AttemptTarget? =
         control.decide {
-            if (!state.selection.isOpen(choice.server, now())) return@decide null
+            val isLeaving = departureOf(state.departures.value, choice.server) != null
+            if (isLeaving || !state.selection.isOpen(choice.server, now())) return@decide null
             val overdueAt = now() + routed.route.targetLatencyMillis * 2
             val isVersioned = routed.adapter != null && routed.adapter in state.operator.adapterVersions
             if (!isReserved) routed.adapter?.let { notifyUse(routed, choice.server.id, it, millisLeft(routed)) }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/StreamRelay.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/StreamRelay.kt
@@ -57,20 +57,20 @@
         while (!buffer.isTooLong) {
             val bytes = answer.body.next() ?: return end()
             buffer.append(bytes)?.let { events ->
-                if (!watch.claim(buffer.lastEventId)) return null
-                if (!hasEvent) options.onFirstEvent()
-                hasEvent = true
-                passOn(events)
+                val isPassed = watch.passOn(buffer.lastEventId) {
+                    if (!hasEvent) options.onFirstEvent()
+                    hasEvent = true
+                    write(events)
+                }
+                if (!isPassed) return null
             }
         }
         return null
     }
 
-    private suspend fun passOn(events: ByteArray) {
+    private suspend fun write(events: ByteArray) {
         if (!writer.isStarted) writer.startChunked(answer.status, headers)
         writer.writeChunk(events)
-        // The time that the caller took for these events does not count.
-        watch.passedOn()
     }
 
     private suspend fun end(): AttemptOutcome? {
@@ -78,11 +78,13 @@
         // Only a stream that is resumed may have nothing left to send.
         val mayBeEmpty = watch.resumeAfter != null || routed.isResumedByCaller
         if (!hasEvent && !mayBeEmpty) throw EOFException("the stream ended without an event")
-        if (!watch.claim()) return null
-        answer.releaseConnection()
-        buffer.remainder().takeIf { it.isNotEmpty() }?.let { passOn(it) }
-        if (!writer.isStarted) writer.startChunked(answer.status, headers)
-        writer.endChunked()
+        val isPassed = watch.passOn(lastEventId = null, isLast = true) {
+            answer.releaseConnection()
+            buffer.remainder().takeIf { it.isNotEmpty() }?.let { write(it) }
+            if (!writer.isStarted) writer.startChunked(answer.status, headers)
+            writer.endChunked()
+        }
+        if (!isPassed) return null
         val firstMillis = writer.startedAt?.let { it - routed.request.arrivedAt }
         return AttemptOutcome(AttemptResult.Delivered(answer.status, firstMillis), ServerOutcome.ANSWERED)
     }
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ForwarderFixture.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ForwarderFixture.kt
@@ -214,6 +214,14 @@
         state.serversChanged(backends.filter { !it.isCrashed }.map { it.registered() }.associateBy { it.id }, 2)
     }
 
+    /** Registers all servers, and [leaving] ones as draining with the time left of each in milliseconds. */
+    suspend fun announceLeaving(leaving: Map<Backend, Long>) = control.decide {
+        val servers = backends.map { backend ->
+            backend.registered().let { it.copy(isDraining = backend in leaving, remainingMillis = leaving[backend]) }
+        }
+        state.serversChanged(servers.associateBy { it.id }, 2)
+    }
+
     /** Whether [backend] gets no requests because of its own answers. */
     suspend fun isClosed(backend: Backend): Boolean =
         control.decide { !state.selection.isOpen(backend.registered(), now()) }
