Test that a stream waits for the attempt beside it, and describe short notices

Cause: two tests of short notices were green without the mechanism, because the one for slow servers acted first.

Change: the test without a first event has a target latency at which its server is not yet slow. AttemptWatchTest covers the waiting and the order of writes.

--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/ShortNotices.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/ShortNotices.kt
@@ -1,7 +1,7 @@
 /*
- * When backend servers that leave at short notice are gone. A registration names the time left when it was written; the
- * end is kept on the monotonic clock of this VM from the first reading on, because the same row may be read again later,
- * also from a copy of the table. A notice belongs to one process of a server. Single-threaded use.
+ * When backend servers that leave at short notice are gone. A registration names the time left when it was written;
+ * the end is kept on the monotonic clock of this VM from the first reading on, because the same row may be read again
+ * later, also from a copy of the table. A notice belongs to one process of a server. Single-threaded use.
  */
 package org.lentilquay.coordination.gateway
 
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptWatch.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/AttemptWatch.kt
@@ -1,8 +1,8 @@
 /*
  * Watches one attempt of a request that may also be made elsewhere. When the attempt is slow, another one is made
  * beside it. Slowness is measured by what the server has sent that can be passed on, so a server that sends a byte now
- * and then is slow as well. Time in which the caller takes no data does not count. Another attempt is also made when the server is
- * about to leave.
+ * and then is slow as well. Time in which the caller takes no data does not count. Another attempt is also
+ * made when the server is about to leave.
  */
 package org.lentilquay.daemon.gateway
 
@@ -85,7 +85,7 @@
      * because the server leaves, unless this [isLast] part completes the response. Returns false if that one goes on.
      */
     suspend fun passOn(lastEventId: String?, isLast: Boolean = false, write: suspend () -> Unit): Boolean {
-        // An attempt that is about to be left may still be writing the last event before the one with which this begins.
+        // An attempt that is about to be left may still be writing the event before the one with which this begins.
         if (!hasClaimed) beside?.passing?.withLock { }
         while (true) {
             val mayPass = passing.withLock {
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestAttempts.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestAttempts.kt
@@ -351,7 +351,7 @@
         progress: AttemptProgress,
     ) = context.control.decide {
         context.picker.attemptEnded(routed, target, outcome)
-        // The end of a server that leaves looks like a crash, and would make suspects of all requests that stayed there.
+        // The end of a server that leaves looks like a crash, and would make suspects of the requests that stayed.
         val isLeaving = departureOf(context.departures.value, target.server) != null
         if (outcome.serverOutcome == ServerOutcome.LOST && !isLeaving) {
             context.crashes.connectionLost(target.server, routed.fingerprint, progress)
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/AttemptWatchTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/AttemptWatchTest.kt
@@ -1,13 +1,19 @@
 package org.lentilquay.daemon.gateway
 
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.ints.shouldBeLessThan
 import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.CyclicBarrier
 import java.util.concurrent.atomic.AtomicInteger
 
@@ -44,6 +50,67 @@
         slow.resume() shouldBe false
     }
 
+    test("an attempt whose server leaves waits while another one is made, and goes on if that one ends") {
+        val decided = CompletableDeferred<Boolean>()
+        val passed = CopyOnWriteArrayList<String>()
+        val watch = watch(beside = null) {
+            it.hold()
+            decided.await()
+            it.resume()
+            false
+        }
+        watch.watchFor(WATCHED_MILLIS)
+        watch.leaveAt(0)
+        coroutineScope {
+            val replacement = launch { watch.awaitReplacement() }
+            val event = launch {
+                delay(WATCHED_MILLIS / 2)
+                watch.passOn("2") { passed += "2" }
+            }
+            delay(WATCHED_MILLIS)
+            passed.shouldBeEmpty()
+            decided.complete(true)
+            event.join()
+            passed shouldBe listOf("2")
+            replacement.cancel()
+        }
+    }
+
+    // The caller takes its time for an event; the next one of the other server must not overtake it.
+    test("the other attempt writes nothing while the one that is left still writes an event") {
+        val passed = CopyOnWriteArrayList<String>()
+        val written = CompletableDeferred<Unit>()
+        val spans = CompletableDeferred<SlowAttempt>()
+        val watch = watch(beside = null) {
+            it.hold()
+            spans.complete(it)
+            it.decision.await() == SlowOutcome.REPLACED
+        }
+        coroutineScope {
+            val former = async {
+                watch.passOn("2") {
+                    written.await()
+                    passed += "2"
+                }
+                watch.passOn("3") { passed += "3 of the former server" }
+            }
+            delay(WATCHED_MILLIS / 2)
+            watch.watchFor(WATCHED_MILLIS)
+            watch.leaveAt(0)
+            val replacement = launch { watch.awaitReplacement() }
+            val slow = spans.await()
+            slow.lastEventId shouldBe "2"
+            val other = async { watch(slow).passOn("3") { passed += "3" } }
+            delay(WATCHED_MILLIS / 2)
+            passed.shouldBeEmpty()
+            written.complete(Unit)
+            other.await() shouldBe true
+            former.await() shouldBe false
+            replacement.join()
+        }
+        passed shouldBe listOf("2", "3")
+    }
+
     // The loop of a route without a target latency never suspended, and held the only thread of its VM.
     test("a watch without a time limit asks for other attempts only now and then") {
         val asked = AtomicInteger()
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ShortNoticeTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ShortNoticeTest.kt
@@ -83,8 +83,9 @@
 private suspend fun Streamers.use(
     isResumable: Boolean = true,
     maximumAttempts: Int = 2,
+    targetLatencyMillis: Long = 500,
     act: suspend (ForwarderFixture) -> Unit,
-) = ForwarderFixture(all, RouteKind.STREAM, isResumable, maximumAttempts, targetLatencyMillis = 500).use {
+) = ForwarderFixture(all, RouteKind.STREAM, isResumable, maximumAttempts, targetLatencyMillis).use {
     it.open()
     act(it)
 }
@@ -209,7 +210,8 @@
             if (arrival == 0) Thread.sleep(3 * LEFT_MILLIS)
             arrival == 0
         }
-        servers.use { fixture ->
+        // A target latency with which the server is slow only after its end.
+        servers.use(targetLatencyMillis = 1_000) { fixture ->
             fixture.allowRetries()
             val startedAt = System.nanoTime()
             val answer = fixture.askOverSocket("r1") {
@@ -218,7 +220,7 @@
             }
             answer shouldEndWith LAST_CHUNK
             wholeBody(answer) shouldBe events(1..5).trimEnd()
-            (System.nanoTime() - startedAt) / 1_000_000 shouldBeLessThan LEFT_MILLIS
+            (System.nanoTime() - startedAt) / 1_000_000 shouldBeLessThan LEFT_MILLIS - NOTICE_MILLIS
         }
     }
 })
