--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarder.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestForwarder.kt
@@ -68,7 +68,7 @@
     private val counter: UsageCounter? = null,
 ) : CallerHandler {
     private val startedAt = now()
-    private val runner = AttemptRunner(headerNames, servers, now, ::began) { target, notice ->
+    private val runner = AttemptRunner(headerNames, servers, now, ::began, state.departures) { target, notice ->
         scope.launch(control.dispatcher) {
             state.health.answerStarted(target.server.id, target.attempt)
             notice?.let { state.serverNoticed(target.server, it) }
@@ -79,6 +79,8 @@
         runner = runner,
         crashes = crashes,
         retries = state.retries,
+        departures = state.departures,
+        onMove = metrics::streamMoved,
         control = control,
         scope = scope,
         now = now,
