Keep leases and fencing numbers safe when the table service returns from a copy

Cause: after a return, records in the copy look old, versions are assigned again and numbers are lost, so two VMs could control one engine or duty.

Change: records of a former era count from the first sight of the present era, and nothing is taken over before a full expiry after it. The row fleet/era tells new processes of that time; with bootstrap=true and no row, or in era 0, there is no wait. Fencing numbers are above all recorded and known ones and above era * 2^41 + table time. A controller with a valid lease writes its records again with a new number, or yields to one of the present era.

--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/ControlLease.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/ControlLease.kt
@@ -10,6 +10,10 @@
  * lease on its monotonic clock, from the sending of the call whose answer gave the time in its record; that moment is
  * never later than the time in the record.
  *
+ * The table service may return from a copy, in a new era. A record in the copy may be older than the lease that its VM
+ * holds, and may name a VM that has since lost the subject. No VM takes anything over until a full expiry after it
+ * first saw the era. A controller whose lease is valid goes on, and writes its records again.
+ *
  * Single-threaded use; `now` is the monotonic clock of this VM in milliseconds, `table` times are milliseconds on the
  * clock of the table service.
  */
@@ -88,6 +92,24 @@
     data object NotDue : TakeoverDecision
 }
 
+/** What a controller does about a controller record that it wrote in a former era. */
+sealed interface RewriteDecision {
+    /** Write [record], whose fencing number is new, on condition that the record has [expectedVersion]. */
+    data class Due(val record: ControllerRecord, val expectedVersion: Long) : RewriteDecision
+
+    /** The record is in place. */
+    data object InPlace : RewriteDecision
+
+    /** [successor] took the subject over in the present era; this VM ends its control. */
+    data class Lost(val successor: ControllerRecord) : RewriteDecision
+
+    /** The record was read in another era than the one that this VM knows; read it again. */
+    data object Unknown : RewriteDecision
+}
+
+/** A controller record, or null if there is none, as read in [era] no later than the table time [tableMillis]. */
+data class ControllerReading(val row: VersionedControllerRecord?, val era: Long?, val tableMillis: Long)
+
 class ControlLease(
     private val own: VmId,
     private val incarnation: Incarnation,
@@ -98,14 +120,21 @@
         rendezvousRank(subject.rankText, members, own) { it.text }
     },
 ) {
-    /** [sinceMillis] is the table time at which this VM first read this version. */
-    private class Member(val row: VersionedMemberRecord, val sinceMillis: Long)
+    /** [sinceMillis] is the table time at which this VM first read this version, which is one of [readEra]. */
+    private class Member(val row: VersionedMemberRecord, val sinceMillis: Long, val readEra: Long?)
 
     private var members: Map<VmId, Member> = emptyMap()
 
     /** The table time of the last reading of the member records. */
     private var observedMillis = 0L
 
+    /** The present era and its start; null if the table service has no eras. */
+    var era: EraStart? = null
+        private set
+
+    /** The era in which [members] were read. */
+    private var membersEra: Long? = null
+
     /** Since when a subject has had no live controller, on the clock of this VM. */
     private val vacantSince = HashMap<ControlSubject, Long>()
 
@@ -135,6 +164,9 @@
     /** The highest fencing number of each subject in the records of other members, including those that expired. */
     private var fencesOfOthers: Map<ControlSubject, Long> = emptyMap()
 
+    /** The same for the records of all members. */
+    private var knownFences: Map<ControlSubject, Long> = emptyMap()
+
     /** The live members that are not overdue. */
     private var candidates: Set<VmId> = emptySet()
 
@@ -164,27 +196,63 @@
     /** The member record of [vm] at the last reading, with its age in milliseconds; null if there was none. */
     fun recordWithAge(vm: VmId): Pair<MemberRecord, Long>? = members[vm]?.let { it.row.record to ageMillis(it) }
 
-    private fun ageMillis(member: Member) = observedMillis - member.row.record.tableMillis
+    private fun ageMillis(member: Member): Long {
+        val record = member.row.record
+        val since = era?.takeIf { it.isFormer(record.era) }?.sinceMillis ?: return observedMillis - record.tableMillis
+        return observedMillis - maxOf(record.tableMillis, since)
+    }
+
+    /** Whether every lease that was in force before the present era has been renewed since, or has expired. */
+    private fun isSettled(): Boolean = era?.let { observedMillis - it.sinceMillis >= expiryMillis } ?: true
 
-    /** Replaces the member records by [readings], which were read at the table time [tableMillis]. */
-    fun updateMembers(readings: Map<VmId, VersionedMemberRecord>, tableMillis: Long) {
+    /** The table service is in a new era. */
+    fun eraStarted(start: EraStart) {
+        if (start.era <= (era?.era ?: -1)) return
+        era = start
+        recordedControllers.clear()
+    }
+
+    /**
+     * Replaces the member records by [readings], which were read in the era [readEra] at the table time [tableMillis].
+     * Of members that have not renewed in the present era, the newest known record counts, which the table service may
+     * have lost.
+     */
+    fun updateMembers(readings: Map<VmId, VersionedMemberRecord>, tableMillis: Long, readEra: Long? = null) {
         observedMillis = maxOf(observedMillis, tableMillis)
+        membersEra = readEra
+        val lost = if (isSettled()) emptyMap() else members.filter { (vm, known) -> vm !in readings && isLost(known) }
         members = readings.mapValues { (vm, row) ->
-            members[vm]?.takeIf { it.row.version >= row.version } ?: Member(row, tableMillis)
-        }
+            val known = members[vm]
+            when {
+                known == null -> Member(row, tableMillis, readEra)
+                known.readEra == readEra && known.row.version >= row.version -> known
+                era?.isFormer(row.record.era) == true && isNewer(known.row.record, row.record) ->
+                    Member(VersionedMemberRecord(known.row.record, row.version), tableMillis, readEra)
+                else -> Member(row, tableMillis, readEra)
+            }
+        } + lost.mapValues { (_, known) -> Member(VersionedMemberRecord(known.row.record, 0), tableMillis, readEra) }
         liveMembers = members
             .filterValues { !it.row.record.isLeaving && ageMillis(it) < expiryMillis }
             .mapValues { it.value.row.record }
         overdueMembers = members.filterValues { ageMillis(it) > renewalMillis * OVERDUE_RENEWALS }.keys - own
         controlledByOthers = (liveMembers - own).values.flatMap { fences(it) }.mapTo(HashSet()) { it.first }
-        fencesOfOthers = (members - own).values.flatMap { fences(it.row.record) }
-            .groupingBy { it.first }
-            .fold(0L) { highest, (_, fence) -> maxOf(highest, fence) }
+        knownFences = highestFences(members.values)
+        fencesOfOthers = highestFences((members - own).values)
         val present = liveMembers.keys - overdueMembers
         if (present != candidates) ranks.clear()
         candidates = present
     }
 
+    private fun isLost(member: Member) = era?.isFormer(member.row.record.era) == true
+
+    private fun isNewer(one: MemberRecord, other: MemberRecord) =
+        one.incarnation > other.incarnation || one.incarnation == other.incarnation && one.renewal > other.renewal
+
+    private fun highestFences(members: Collection<Member>): Map<ControlSubject, Long> =
+        members.flatMap { fences(it.row.record) }
+            .groupingBy { it.first }
+            .fold(0L) { highest, (_, fence) -> maxOf(highest, fence) }
+
     /**
      * A renewal with the time [basis] in its record took effect. [difference] is the wall clock minus the monotonic
      * clock at the time when the call for [basis] was sent.
@@ -212,7 +280,7 @@
 
     /** Whether [subject] has no live controller and it is this VM's turn to take it. */
     fun isCandidate(subject: ControlSubject, now: Long): Boolean {
-        if (subject in controlledByOthers || own !in liveMembers) {
+        if (subject in controlledByOthers || own !in liveMembers || !isSettled()) {
             vacantSince.remove(subject)
             return false
         }
@@ -238,29 +306,65 @@
     }
 
     /** Decides about [subject] by its controller record, which was read just now; null means that there is none. */
-    fun decideTakeover(subject: ControlSubject, reading: VersionedControllerRecord?, now: Long): TakeoverDecision {
-        val fence = (reading?.record?.fence ?: 0) + 1
-        val record = ControllerRecord(own, incarnation, fence)
-        if (reading == null) return TakeoverDecision.Due(record, 0, null)
-        val former = reading.record
+    fun decideTakeover(subject: ControlSubject, reading: VersionedControllerRecord?, now: Long): TakeoverDecision =
+        decideTakeover(subject, ControllerReading(reading, era?.era, observedMillis), now)
+
+    /** Decides about [subject] by its controller record, which was read just now. */
+    fun decideTakeover(subject: ControlSubject, reading: ControllerReading, now: Long): TakeoverDecision {
+        // The write has conditions on versions of the controller record and of a member record, so both must have been
+        // read in the present era.
+        if (reading.era != era?.era || membersEra != era?.era || !isSettled()) return TakeoverDecision.NotDue
+        val record = nextRecord(subject, reading)
+        val row = reading.row ?: return TakeoverDecision.Due(record, 0, null)
+        val former = row.record
         recordedControllers[subject] = RecordedController(former, now)
         return when {
-            former.vm == own -> TakeoverDecision.Due(record, reading.version, null)
+            former.vm == own -> TakeoverDecision.Due(record, row.version, null)
             !mayReplace(former) -> TakeoverDecision.NotDue
-            former.releasedMillis != null -> TakeoverDecision.Due(record, reading.version, null)
-            else -> TakeoverDecision.Due(record, reading.version, former.vm to members.getValue(former.vm).row.version)
+            former.releasedMillis != null -> TakeoverDecision.Due(record, row.version, null)
+            else -> TakeoverDecision.Due(record, row.version, former.vm to (members[former.vm]?.row?.version ?: 0))
         }
     }
 
+    /**
+     * Decides about the controller record of [subject], which this VM controls with the number [fence], after a return
+     * of the table service. The lease of this VM must be valid.
+     */
+    fun decideRewrite(subject: ControlSubject, fence: Long, reading: ControllerReading): RewriteDecision {
+        val present = era
+        if (reading.era != present?.era) return RewriteDecision.Unknown
+        val record = reading.row?.record
+        val isPresent = record != null && present?.isFormer(record.era) != true
+        return when {
+            record != null && isPresent && record.vm != own -> RewriteDecision.Lost(record)
+            record != null && isPresent && record.incarnation == incarnation && record.fence == fence ->
+                RewriteDecision.InPlace
+            else -> {
+                val next = nextRecord(subject, reading)
+                RewriteDecision.Due(next.copy(fence = maxOf(next.fence, fence + 1)), reading.row?.version ?: 0)
+            }
+        }
+    }
+
+    /** The record with which this VM takes [subject]. Its number is above all that are known to have been assigned. */
+    private fun nextRecord(subject: ControlSubject, reading: ControllerReading): ControllerRecord {
+        val recorded = maxOf(reading.row?.record?.fence ?: 0, knownFences[subject] ?: 0)
+        val fence = maxOf(recorded + 1, era?.lowestFence(reading.tableMillis) ?: 0)
+        return ControllerRecord(own, incarnation, fence, era?.era)
+    }
+
     /**
      * Whether the subject of [record] can be taken over: its controller released it, left, or its lease expired, and
      * the last order or call of the controller has arrived.
      */
     private fun mayReplace(record: ControllerRecord): Boolean {
         if (record.releasedMillis != null) return observedMillis - record.releasedMillis >= handoverMillis
-        val member = members[record.vm] ?: return false
+        // After a return, the record of a VM that has not renewed since may be lost.
+        val member = members[record.vm] ?: return era?.let { it.era > 0 } == true
         // A VM that left may have sent orders after the time in its record, so the wait counts from the first reading.
-        val hasLeft = member.row.record.isLeaving && observedMillis - member.sinceMillis >= handoverMillis
+        // In the copy, the record may be that of a former process on a VM that has come back.
+        val hasLeft = member.row.record.isLeaving && observedMillis - member.sinceMillis >= handoverMillis &&
+            era?.isFormer(member.row.record.era) != true
         return hasLeft || ageMillis(member) >= expiryMillis
     }
 }
--- a/core/src/main/kotlin/org/lentilquay/state/gateway/MemberRecord.kt
+++ b/core/src/main/kotlin/org/lentilquay/state/gateway/MemberRecord.kt
@@ -91,3 +91,10 @@
     /** The table time at which [vm] gave the subject up for good; null while it holds it. */
     val releasedMillis: Long? = null,
 )
+
+/** The key of the record that tells since when the table service has been in its era. */
+const val ERA_KEY: String = "fleet/era"
+
+/** The era [era], which a VM first saw at the table time [sinceMillis]; null if the system started in it. */
+@Serializable
+data class EraRecord(val era: Long, val sinceMillis: Long? = null)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ControlledEngine.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ControlledEngine.kt
@@ -40,7 +40,7 @@
 
 class ControlledEngine(
     initial: RegisteredServer,
-    val fence: Long,
+    initialFence: Long,
     /** The id of this VM. */
     private val vm: String,
     profile: EngineProfile,
@@ -59,10 +59,20 @@
     @Volatile
     var server: RegisteredServer = initial
 
+    /** The fencing number of this VM; it rises when the controller record is written again. */
+    @Volatile
+    var fence: Long = initialFence
+        private set
+
     fun start(scope: CoroutineScope) {
         jobs = listOf(scope.launch { pollReports() }, scope.launch { sendOrders() })
     }
 
+    /** Sends orders with the number [fence] from now on. */
+    fun renumbered(fence: Long) {
+        this.fence = fence
+    }
+
     /** Stops reports and orders. */
     fun stop() = jobs.forEach { it.cancel() }
 
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/DutyLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/DutyLoop.kt
@@ -31,7 +31,7 @@
     private val now: () -> Long,
     private val clockDifference: () -> Long,
 ) : DutyControl {
-    private val held = LinkedHashMap<DutySubject, TakenSubject>()
+    private val holdings = LinkedHashMap<DutySubject, TakenSubject>()
     private var required: Set<DutySubject> = emptySet()
 
     /** The number of duties that this VM holds. Readable from any thread. */
@@ -43,24 +43,27 @@
     private var isReleased = false
 
     /** The duties of this VM for its member record. Call on the control thread. */
-    val records: List<DutyRecord> get() = held.map { (subject, taken) -> DutyRecord(subject, taken.record.fence) }
+    val records: List<DutyRecord> get() = holdings.map { (subject, taken) -> DutyRecord(subject, taken.record.fence) }
+
+    /** The subjects that this VM holds. Call on the control thread. */
+    val held: List<ControlSubject.Duty> get() = holdings.keys.map { ControlSubject.Duty(it) }
 
     /** The required subjects. Call on the control thread. */
     val subjects: Set<ControlSubject.Duty> get() = required.mapTo(LinkedHashSet()) { ControlSubject.Duty(it) }
 
     override fun require(subjects: Set<DutySubject>) {
         required = subjects
-        held.keys.filter { it !in subjects }.forEach { ended(it, "not required") }
+        holdings.keys.filter { it !in subjects }.forEach { ended(it, "not required") }
     }
 
-    override fun fenceOf(subject: DutySubject): Long? = held[subject]?.record?.fence
+    override fun fenceOf(subject: DutySubject): Long? = holdings[subject]?.record?.fence
 
     override fun mayCall(subject: DutySubject, fence: Long): Boolean =
         fenceOf(subject) == fence && !isReleased && lease.mayCall(now(), clockDifference())
 
     /** The duties that this VM should try to take. Call on the control thread. */
     fun vacant(): List<ControlSubject.Duty> =
-        if (isReleased) emptyList() else subjects.filter { it.subject !in held && lease.isCandidate(it, now()) }
+        if (isReleased) emptyList() else subjects.filter { it.subject !in holdings && lease.isCandidate(it, now()) }
 
     /** Records that this VM has taken [duty]. Call on the control thread. */
     fun taken(duty: ControlSubject.Duty, taken: TakenSubject) {
@@ -74,18 +77,26 @@
             "formerRenewal" to formerRecord?.renewal,
             "formerAgeMillis" to formerAgeMillis,
         )
-        held[duty.subject] = taken
-        heldCount = held.size
+        holdings[duty.subject] = taken
+        heldCount = holdings.size
+    }
+
+    /** The record of [duty] was written again, with a new number. Call on the control thread. */
+    fun renumbered(duty: ControlSubject.Duty, taken: TakenSubject) {
+        if (duty.subject in holdings) holdings[duty.subject] = taken
     }
 
+    /** Ends [duty], which another VM took over with the number [successor]. Call on the control thread. */
+    fun lost(duty: ControlSubject.Duty, successor: Long) = ended(duty.subject, "superseded by $successor")
+
     /** Ends the duties that another VM has taken over. Call on the control thread. */
-    fun releaseSuperseded() = held.entries.toList().forEach { (subject, taken) ->
-        val successor = lease.supersedingFence(ControlSubject.Duty(subject), taken.record.fence)
-        if (successor != null) ended(subject, "superseded by $successor")
+    fun releaseSuperseded() = holdings.entries.toList().forEach { (subject, taken) ->
+        val duty = ControlSubject.Duty(subject)
+        lease.supersedingFence(duty, taken.record.fence)?.let { lost(duty, it) }
     }
 
     /** Ends all duties because the lease has expired. Call on the control thread. */
-    fun lapsed() = held.keys.toList().forEach { ended(it, "lease lapsed") }
+    fun lapsed() = holdings.keys.toList().forEach { ended(it, "lease lapsed") }
 
     /**
      * Ends all duties in a planned stop, and tells the other VMs in the records, so that they need not wait for the end
@@ -94,14 +105,16 @@
     suspend fun release() {
         val released = control.decide {
             isReleased = true
-            val released = held.toMap()
+            val released = holdings.toMap()
             released.keys.forEach { ended(it, "planned stop") }
-            released
+            // The versions of records that were written in a former era say nothing in this one.
+            released.filterValues { it.record.era == lease.era?.era }
         }
         if (released.isEmpty()) return
         // The time of an answer to a call that was sent after the end of the duties is not before that end.
         table.item(memberKey(own)) as? ReadResult.Read ?: return
         val releasedMillis = clock.latestMillis ?: return
+        val era = released.values.first().record.era
         val puts = released.map { (subject, taken) ->
             val record = taken.record.copy(releasedMillis = releasedMillis)
             TableOperation.Put(
@@ -110,13 +123,13 @@
                 taken.version,
             )
         }
-        val isWritten = table.transact(puts) is TransactResult.Committed
+        val isWritten = table.transact(puts, era) is TransactResult.Committed
         log.event("duties released", "duties" to released.keys, "isWritten" to isWritten)
     }
 
     private fun ended(subject: DutySubject, reason: String) {
-        val taken = held.remove(subject) ?: return
-        heldCount = held.size
+        val taken = holdings.remove(subject) ?: return
+        heldCount = holdings.size
         log.event("duty ended", "duty" to subject, "fence" to taken.record.fence, "reason" to reason)
     }
 }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
@@ -36,6 +36,9 @@
 private const val MAXIMUM_RENEWAL_ATTEMPTS = 3
 private const val RENEWAL_RETRY_MILLIS = 250L
 
+/** Attempts to read the member records in one era; a second return within one reading is left to the next exchange. */
+private const val MAXIMUM_READ_ATTEMPTS = 2
+
 /** A renewal is due this much earlier than its interval, because the exchanges do not come at exact intervals. */
 private const val RENEWAL_SLACK_MILLIS = 200L
 
@@ -56,7 +59,8 @@
     private val renewalContent: RenewalContent = RenewalContent(),
 ) : LeaseWatch {
     private val dutyLoop = DutyLoop(options.vm, table, clock, state.lease, control, now, clockDifference)
-    private val takeover = ControlTakeover(table, state.lease, this, control, now)
+    private val takeover = ControlTakeover(table, clock, state.lease, this, control, now)
+    private val eras = EraLoop(table, clock, state.lease, control, options.isBootstrap)
     private val engines = HashMap<ServerId, ControlledEngine>()
     private var renewal = 0L
     private var isTakingControl = false
@@ -79,6 +83,9 @@
      */
     private var recordVersion: Long? = null
 
+    /** The era of the table service in which [recordVersion] was read or written. */
+    private var recordEra: Long? = null
+
     /** A write of the member record, and what the lease is based on once it has taken effect. */
     private class Renewal(val record: MemberRecord, val basis: TableTime, val difference: Long, val sentAt: Long)
 
@@ -118,7 +125,8 @@
         now() - renewedAt >= state.lease.renewalMillis - RENEWAL_SLACK_MILLIS
 
     private suspend fun renew(): Boolean {
-        val expectedVersion = recordVersion ?: readBack() ?: return false
+        val expectedVersion = recordVersion.takeIf { recordEra == clock.latestEra } ?: readBack() ?: return false
+        val readEra = recordEra
         val (from, difference) = leaseBasis ?: return false
         val (record, additions) = control.decide {
             ownRecord(from, difference) to renewalContent.additionalWrites()
@@ -128,17 +136,17 @@
         val put = TableOperation.Put(memberKey(options.vm), tolerantJson.encodeToString(record), expectedVersion)
         val renewal = Renewal(record, from, difference, sentAt = now())
         val nextDifference = clockDifference()
-        val result = table.transact(listOf(put) + additions)
-        unconfirmed = renewal.takeIf { result is TransactResult.OutcomeUnknown || result is TransactResult.OtherEra }
+        val result = table.transact(listOf(put) + additions, readEra)
+        val isRenewed = result is TransactResult.Committed && result.era == readEra
+        unconfirmed = renewal.takeIf { result is TransactResult.OutcomeUnknown }
         recordVersion = when (result) {
-            is TransactResult.Committed -> result.versions[put.key]
+            is TransactResult.Committed -> result.versions[put.key].takeIf { isRenewed }
             is TransactResult.Unavailable -> expectedVersion
             is TransactResult.Conflict, is TransactResult.OutcomeUnknown, is TransactResult.OtherEra -> null
         }
         if (result is TransactResult.Conflict) {
             log.event("renewal conflicted", "renewal" to record.renewal, "expectedVersion" to expectedVersion)
         }
-        val isRenewed = result is TransactResult.Committed
         if (isRenewed) {
             tookEffect(renewal)
             clock.latestMillis?.let { leaseBasis = TableTime(it, renewal.sentAt) to nextDifference }
@@ -166,10 +174,13 @@
         val askedAt = now()
         val difference = clockDifference()
         val read = table.readRecord<MemberRecord>(memberKey(options.vm)) ?: return null
-        val isSame = read.value?.incarnation == incarnation && read.value.renewal == unconfirmed?.record?.renewal
+        // In another era, a record shows only that the copy has it.
+        val isSame = read.value?.incarnation == incarnation &&
+            read.value.renewal == unconfirmed?.record?.renewal && read.value.era == read.era
         unconfirmed?.takeIf { isSame }?.let { tookEffect(it) }
         unconfirmed = null
         clock.latestMillis?.let { leaseBasis = TableTime(it, askedAt) to difference }
+        recordEra = read.era
         return read.version
     }
 
@@ -184,18 +195,27 @@
         quarantines = quarantines.published(from),
         leavingServers = state.notices.observedLeaving,
         linkMegabits = options.linkMegabits,
+        era = recordEra,
         duties = if (isLeaving) emptyList() else dutyLoop.records,
         wallOffsetMillis = (from.sentAt + difference - from.millis).takeIf { renewalContent.hasWallOffset() },
     )
 
     private suspend fun readRecords() {
-        val askedAt = now()
-        val difference = clockDifference()
-        // A lease may be based only on a time that this VM itself has read from the table service.
-        val reading = records.read(mayFollow = leaseBasis != null) ?: return
-        if (reading.isOwn) leaseBasis = TableTime(reading.tableMillis, askedAt) to difference
+        repeat(MAXIMUM_READ_ATTEMPTS) {
+            val era = clock.latestEra
+            val askedAt = now()
+            val difference = clockDifference()
+            // A lease may be based only on a time that this VM itself has read from the table service.
+            val reading = records.read(mayFollow = leaseBasis != null) ?: return
+            if (reading.isOwn) leaseBasis = TableTime(reading.tableMillis, askedAt) to difference
+            // Records that may have been read in a former era are not used: their versions say nothing in this one.
+            if (eras.follow() && clock.latestEra == era) return updateMembers(reading, askedAt, era)
+        }
+    }
+
+    private suspend fun updateMembers(reading: MemberSnapshot, askedAt: Long, era: Long?) {
         control.decide {
-            state.lease.updateMembers(reading.members, reading.tableMillis)
+            state.lease.updateMembers(reading.members, reading.tableMillis, era)
             state.membersChanged(state.lease.liveMembers, state.lease.overdueMembers)
             // The records of departed VMs and of the former process on this VM count as well.
             val at = TableTime(reading.tableMillis, askedAt)
@@ -220,10 +240,12 @@
         val uncontrolled = registered.values.filter { isEngine(it) && it.id !in engines }
             .filter { state.lease.isCandidate(it.id, now()) }
         val vacantDuties = dutyLoop.vacant()
-        if (uncontrolled.isEmpty() && vacantDuties.isEmpty()) return
+        val outdated = takeover.outdated(engines.keys.map(ControlSubject::Engine) + dutyLoop.held)
+        if (uncontrolled.isEmpty() && vacantDuties.isEmpty() && outdated.isEmpty()) return
         isTakingControl = true
         scope.launch {
             try {
+                outdated.forEach { rewrite(it) }
                 vacantDuties.forEach { duty -> takeover.take(duty) { dutyLoop.taken(duty, it) } }
                 uncontrolled.forEach { server ->
                     takeover.take(ControlSubject.Engine(server.id)) { started(server, it.record.fence, it.former) }
@@ -234,6 +256,17 @@
         }
     }
 
+    private suspend fun rewrite(subject: ControlSubject) = when (subject) {
+        is ControlSubject.Duty -> control.decide { dutyLoop.fenceOf(subject.subject) }?.let { fence ->
+            takeover.rewrite(subject, fence, { dutyLoop.renumbered(subject, it) }) { dutyLoop.lost(subject, it.fence) }
+        }
+        is ControlSubject.Engine -> control.decide { engines[subject.server] }?.let { engine ->
+            takeover.rewrite(subject, engine.fence, { engine.renumbered(it.record.fence) }) {
+                superseded(engine, it.fence)
+            }
+        }
+    }
+
     /** Gives up the duties of this VM, at the begin of a planned stop; it takes none afterwards. */
     suspend fun releaseDuties() = dutyLoop.release()
 
@@ -248,8 +281,13 @@
 
     /** Ends control of [engine] if another VM has taken it over. */
     private fun releaseIfSuperseded(engine: ControlledEngine) {
+        val subject = ControlSubject.Engine(engine.server.id)
+        state.lease.supersedingFence(subject, engine.fence)?.let { superseded(engine, it) }
+    }
+
+    private fun superseded(engine: ControlledEngine, successor: Long) {
         val server = engine.server.id
-        val successor = state.lease.supersedingFence(ControlSubject.Engine(server), engine.fence) ?: return
+        if (engines[server] !== engine) return
         log.event("superseded as controller", "server" to server, "fence" to engine.fence, "successor" to successor)
         release(server)
     }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayPorts.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayPorts.kt
@@ -147,4 +147,6 @@
     val quotaToleranceTokens: Long,
     /** The speed of the link of this VM, in megabits a second; 0 if it is not known. */
     val linkMegabits: Int = 0,
+    /** Whether the whole system starts for the first time, so that the table service has lost nothing. */
+    val isBootstrap: Boolean = false,
 )
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ControlLoopFixture.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ControlLoopFixture.kt
@@ -63,15 +63,41 @@
     var beforeAnswer: (List<TableOperation>) -> Unit = {}
     override var latestMillis: Long? = null
 
+    /** The era, which rises with each return from a copy; null if the service has no eras. */
+    var era: Long? = null
+    override var latestEra: Long? = null
+    private var copy: Pair<Map<String, TableItem>, Long> = emptyMap<String, TableItem>() to 0L
+
+    /** Takes the copy from which [returnFromCopy] goes on. */
+    fun takeCopy() {
+        copy = items.toMap() to version
+    }
+
+    /** Loses what was written since the last [takeCopy]; the versions of these writes are assigned again. */
+    @Synchronized
+    fun returnFromCopy() {
+        items.clear()
+        items += copy.first
+        version = copy.second
+        era = era?.plus(1)
+    }
+
     override suspend fun transact(operations: List<TableOperation>, readEra: Long?): TransactResult {
+        latestEra?.takeIf { readEra != null && it != readEra }?.let { return TransactResult.OtherEra(it) }
         if (!delaysWrites) {
-            val result = apply(operations).also { beforeAnswer(operations) }
+            val result = inEraOf(readEra, apply(operations)).also { beforeAnswer(operations) }
             return if (losesAnswers) TransactResult.OutcomeUnknown("no answer") else result
         }
         delayed += operations
         return TransactResult.OutcomeUnknown("no answer")
     }
 
+    private fun inEraOf(readEra: Long?, result: TransactResult): TransactResult {
+        val answered = era ?: return result
+        val isOther = result !is TransactResult.Unavailable && readEra != null && answered != readEra
+        return if (isOther) TransactResult.OtherEra(answered) else result
+    }
+
     /** Executes the writes that got no answer, each if its conditions still hold. */
     fun executeDelayed() {
         delayed.forEach { apply(it) }
@@ -81,7 +107,7 @@
     @Synchronized
     private fun apply(operations: List<TableOperation>): TransactResult {
         if (!isReachable) return TransactResult.Unavailable("out of reach")
-        latestMillis = time
+        answered()
         val missed = operations.filter { operation ->
             val expected = when (operation) {
                 is TableOperation.Put -> operation.expectedVersion
@@ -94,7 +120,7 @@
         version++
         val puts = operations.filterIsInstance<TableOperation.Put>()
         puts.forEach { items[it.key] = TableItem(it.key, it.value, version) }
-        return TransactResult.Committed(puts.associate { it.key to version })
+        return TransactResult.Committed(puts.associate { it.key to version }, era)
     }
 
     override suspend fun item(key: String): ReadResult<TableItem?> = read { items[key] }
@@ -102,11 +128,16 @@
     override suspend fun scan(prefix: String): ReadResult<List<TableItem>> =
         read { items.values.filter { it.key.startsWith(prefix) } }
 
+    private fun answered() {
+        latestMillis = time
+        latestEra = era
+    }
+
     @Synchronized
     private fun <T> read(value: () -> T): ReadResult<T> {
         if (!isReachable) return ReadResult.Unavailable("out of reach")
-        latestMillis = time
-        return ReadResult.Read(value())
+        answered()
+        return ReadResult.Read(value(), era)
     }
 }
 
@@ -126,6 +157,7 @@
     private val own: VmId = OWN,
     val table: InMemoryTable = InMemoryTable(),
     private val incarnation: Incarnation = Incarnation(1),
+    isBootstrap: Boolean = false,
 ) : AutoCloseable {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val control = ControlThread()
@@ -133,7 +165,7 @@
     /** The monotonic clock of the VM, which only the test advances. */
     private val clock = AtomicLong()
     private val now = clock::get
-    private val options = gatewayOptions(own, controllerChangePauseMillis = PAUSE_MILLIS)
+    private val options = gatewayOptions(own, PAUSE_MILLIS).copy(isBootstrap = isBootstrap)
     private val state = GatewayState(options, incarnation, now)
     private val relay = SharedWatchSource(state.readers, NoWatch, table, { NoFleet }, control, now)
     private val records = MemberRecordReader(table, table, relay)
