Merge leases across returns of the table service, and join the duties to them

Duties are held by the leases, and the number of servers is decided by ScaleDecision from the registered servers, the member records and the rows of demand. The decision needs the adapters that were used lately, so controllers of engines whose service has limits publish their number.

--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/EngineController.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/EngineController.kt
@@ -120,6 +120,9 @@
     fun readyAdapters(now: Long): Map<AdapterName, Long> =
         held.filterValues { it.readyAt <= now && !it.isUnloading }.mapValues { it.value.version }
 
+    /** The number of adapters that requests use now or used after [since]. */
+    fun usedAdapters(since: Long): Int = held.values.count { it.uses.isNotEmpty() || it.usedAt > since }
+
     /**
      * Adds or renews the load demand for [adapter] in [version] or later, unless it is ready. Without [mayQueue], the
      * answer is [AdapterAvailability.Full] while requests use every adapter of the engine or all its batch slots.
--- a/core/src/main/kotlin/org/lentilquay/state/gateway/MemberRecord.kt
+++ b/core/src/main/kotlin/org/lentilquay/state/gateway/MemberRecord.kt
@@ -39,6 +39,8 @@
     @SerialName("q") val queued: Int,
     /** The loaded adapters by base model, as `name@version`. */
     @SerialName("a") val adapters: Map<String, List<String>> = emptyMap(),
+    /** The adapters that requests used lately; null unless the number of servers is decided from it. */
+    @SerialName("u") val usedAdapters: Int? = null,
 )
 
 /** One VM of the gateway. [renewal] increases with each renewal of the lease. */
@@ -91,3 +93,10 @@
     /** The table time at which [vm] gave the subject up for good; null while it holds it. */
     val releasedMillis: Long? = null,
 )
+
+/** The key of the record that tells since when the table service has been in its era. */
+const val ERA_KEY: String = "fleet/era"
+
+/** The era [era], which a VM first saw at the table time [sinceMillis]; null if the system started in it. */
+@Serializable
+data class EraRecord(val era: Long, val sinceMillis: Long? = null)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ControlledEngine.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ControlledEngine.kt
@@ -40,7 +40,7 @@
 
 class ControlledEngine(
     initial: RegisteredServer,
-    val fence: Long,
+    initialFence: Long,
     /** The id of this VM. */
     private val vm: String,
     profile: EngineProfile,
@@ -48,6 +48,8 @@
     private val control: ControlThread,
     private val mayOrder: () -> Boolean,
     private val now: () -> Long,
+    /** The time for which adapters count as used; null if nobody asks for their number. */
+    private val usedMillis: Long? = null,
 ) {
     private val controller = EngineController(profile)
     private val orderDue = Channel<Unit>(Channel.CONFLATED)
@@ -59,10 +61,20 @@
     @Volatile
     var server: RegisteredServer = initial
 
+    /** The fencing number of this VM; it rises when the controller record is written again. */
+    @Volatile
+    var fence: Long = initialFence
+        private set
+
     fun start(scope: CoroutineScope) {
         jobs = listOf(scope.launch { pollReports() }, scope.launch { sendOrders() })
     }
 
+    /** Sends orders with the number [fence] from now on. */
+    fun renumbered(fence: Long) {
+        this.fence = fence
+    }
+
     /** Stops reports and orders. */
     fun stop() = jobs.forEach { it.cancel() }
 
@@ -75,6 +87,7 @@
         adapters = controller.readyAdapters(now()).entries
             .groupBy({ it.key.model }, { "${it.key.adapter}@${it.value}" })
             .ifEmpty { server.models.associateWith { emptyList() } },
+        usedAdapters = usedMillis?.let { controller.usedAdapters(now() - it) },
     )
 
     /** Whether the engine has reported that it holds no base model. Call on the control thread. */
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Duties.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Duties.kt
@@ -18,6 +18,12 @@
 import org.lentilquay.state.gateway.usageKey
 import org.lentilquay.transport.platform.TableService
 
+/**
+ * The age from which the rows of demand are read again for the number of servers; with the time between two decisions
+ * it stays below the age at which the decision changes nothing.
+ */
+private const val MAXIMUM_DEMAND_AGE_MILLIS = 3_000L
+
 /** What [Duties] use of the gateway. */
 class DutyContext(
     val options: GatewayOptions,
@@ -90,7 +96,7 @@
             planner,
             context.control,
             context.metrics,
-            options.windowMillis,
+            MAXIMUM_DEMAND_AGE_MILLIS,
             context.options.controllerChangePauseMillis,
         )
     }
@@ -168,12 +174,3 @@
         )
     }
 }
-
-/** The leases of a fleet in which no VM holds a duty. */
-object NoDutyControl : DutyControl {
-    override fun require(subjects: Set<DutySubject>) = Unit
-
-    override fun fenceOf(subject: DutySubject): Long? = null
-
-    override fun mayCall(subject: DutySubject, fence: Long): Boolean = false
-}
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
@@ -247,8 +247,9 @@
             metrics,
             timer::now,
             isLeaving = { engineControl.isLeaving },
-            leases = { NoDutyControl },
+            leases = { engineControl.duties },
             serversAgeMillis = { watches.ageMillis(WatchedTableName.SERVERS) },
+            planner = DecidedScalePlanner(),
         ),
         ports.duties,
     )
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayPorts.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayPorts.kt
@@ -151,4 +151,6 @@
     val linkMegabits: Int = 0,
     /** The duties that one VM at a time performs for the fleet; null if there are none. */
     val duties: DutyOptions? = null,
+    /** Whether the whole system starts for the first time, so that the table service has lost nothing. */
+    val isBootstrap: Boolean = false,
 )
