Make the test of two returns lose counts that only a former holder knew

The test passed also without the rule that a new holder skips windows that ended before the present era, because all VMs published their counts again and the window had the same ones. A VM that is lost with the first return makes them differ: without the rule the test fails with two reports of window 10204, with it UsageReportLoopTest is green. UsageWindowsTest fails without the rule as well.

--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/UsageReportLoopTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/UsageReportLoopTest.kt
@@ -172,6 +172,8 @@
     test("two returns 1 s apart and a new holder lead to no second report of a window") {
         fleet(hasEras = true) {
             pass(28_000)
+            // The counts that this VM published last are in no copy, so that the window cannot be collected again.
+            vms[4].isAlive = false
             table.returnFrom(6_000)
             holder = null
             pass(1_000, isBusy = false)
