--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/DecidedScalePlanner.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/DecidedScalePlanner.kt
@@ -38,7 +38,7 @@
             val numbers = decisions.getOrPut(name, ::ScaleDecision).decide(serviceInputs, inputs.now)
             numbers.domains.forEach { (domain, number) ->
                 if (number.isChanged) {
-                    log.event("number of servers decided", "service" to name, *numbers.logFields(domain).toTypedArray())
+                    log.event("number of servers decided", listOf("service" to name) + numbers.logFields(domain))
                 }
                 val target = ScaleTarget(name, domain)
                 if (target in inputs.targets) put(target, number.wanted)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/EngineControlLoop.kt
@@ -330,7 +330,8 @@
         )
         val mayOrder = { !isLeaving && state.lease.mayOrder(now(), clockDifference()) }
         // The number of servers may fall by what adapters in use leave free.
-        val usedMillis = state.operator.configuration?.services?.get(server.service)?.autoscale?.let { it.bootMillis * 2 }
+        val limits = state.operator.configuration?.services?.get(server.service)?.autoscale
+        val usedMillis = limits?.let { it.bootMillis * 2 }
         val engine =
             ControlledEngine(server, fence, options.vm.text, profile, client, control, mayOrder, now, usedMillis)
         engines.put(server.id, engine)?.stop()
