Compare eras in watches, caches and copies between VMs

Cause: versions go back with a return of the table service. A watch that was ahead kept its copy forever, because the version that it read was lower; changes of two eras were merged; a reader answered followers of another era; the reader of member records kept the records of the former era. Change: WatchLoop, SharedWatchSource, WatchCache and MemberRecordReader compare (era, version). A new era means a full read, a reader refuses followers of another era, copies between VMs carry their era, and state of a former era is dropped with a log line. GatewayState merges the operator's state and the servers with what was known. A counter of returns, a gauge of the era. ReturningTable is a stand-in for tests of all parts. Without eras all comparisons are those of versions, and no call is added.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/DeflatedRows.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/DeflatedRows.kt
@@ -39,7 +39,7 @@
     } finally {
         deflater.end()
     }
-    return PeerAnswer.TableChanges(version, tableMillis, emptyMap(), bytes.toByteArray())
+    return PeerAnswer.TableChanges(version, tableMillis, emptyMap(), bytes.toByteArray(), era)
 }
 
 /** These changes with readable rows. Throws an exception if the deflated rows are malformed or too long. */
@@ -47,5 +47,6 @@
     val deflated = deflatedRows ?: return this
     val bytes = InflaterInputStream(ByteArrayInputStream(deflated)).use { it.readNBytes(MAXIMUM_INFLATED_BYTES + 1) }
     require(bytes.size <= MAXIMUM_INFLATED_BYTES) { "the inflated rows are longer than $MAXIMUM_INFLATED_BYTES bytes" }
-    return PeerAnswer.TableChanges(version, tableMillis, peerCbor.decodeFromByteArray<Map<String, RowChange>>(bytes))
+    val rows = peerCbor.decodeFromByteArray<Map<String, RowChange>>(bytes)
+    return PeerAnswer.TableChanges(version, tableMillis, rows, era = era)
 }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
@@ -28,6 +28,7 @@
 import org.lentilquay.state.ErrorKind
 import org.lentilquay.state.Failure
 import org.lentilquay.state.Incarnation
+import org.lentilquay.state.ServerId
 import org.lentilquay.state.VmId
 import org.lentilquay.transport.TcpNetwork
 import org.lentilquay.transport.http.HttpConnectionPool
@@ -91,7 +92,7 @@
     private val servers = HttpConnectionPool(network)
     private val state = GatewayState(options, incarnation, timer::now)
     private val metrics = GatewayMetrics()
-    private val table = InstrumentedTable(ports.table, ports.watch, metrics)
+    private val table = InstrumentedTable(ports.table, ports.watch, metrics) { ports.clock.latestEra }
     private lateinit var fleet: TcpPeerCaller
     private val sharedWatches = SharedWatchSource(state.readers, table, ports.clock, { fleet }, control, timer::now)
     private val crashes = CrashDetector({ fleet }, control, scope, { state.members.keys }, ::accepts, timer::now)
@@ -108,18 +109,19 @@
         timer::now,
         crashes,
     )
-    private val operatorWatch = watchLoop(WatchedTableName.OPERATOR) { rows ->
+    private val operatorWatch = watchLoop(WatchedTableName.OPERATOR) { rows, written ->
         control.decide {
             applying(WatchedTableName.OPERATOR, rows) {
-                state.operatorChanged(ports.decoder.operatorState(rows.rows, state.operator), rows.version)
+                val read = ports.decoder.operatorState(rows.rows, state.previousOperator(rows.era))
+                state.operatorRead(read, rows, ports.decoder.operatorRows(written))
                 engineControl.versionsAnnounced()
             }
         }
     }
-    private val serverWatch = watchLoop(WatchedTableName.SERVERS) { rows ->
+    private val serverWatch = watchLoop(WatchedTableName.SERVERS) { rows, written ->
         control.decide {
             applying(WatchedTableName.SERVERS, rows) {
-                state.serversChanged(ports.decoder.servers(rows.rows), rows.version)
+                state.serversRead(ports.decoder.servers(rows.rows), rows, written.mapTo(HashSet()) { ServerId(it) })
             }
         }
     }
@@ -188,6 +190,9 @@
         metrics.gauge("lentilquay_gateway_log_lines_dropped", "Log lines that a full queue has dropped") {
             droppedLogLines.toDouble()
         }
+        metrics.gauge("lentilquay_gateway_table_era", "Era of the table service; 0 if it sends none") {
+            ports.clock.latestEra?.toDouble() ?: 0.0
+        }
         val status = CallerHandler { request, writer ->
             when (request.head.path) {
                 options.readinessPath ->
@@ -205,7 +210,7 @@
     private fun startLoops() {
         scope.launch { operatorWatch.run() }
         scope.launch { serverWatch.run() }
-        scope.launch(control.dispatcher) { everyTick("control of engines", TICK_MILLIS) { engineControl.tick() } }
+        scope.launch(control.dispatcher) { everyTick("control of engines", TICK_MILLIS) { tick() } }
         scope.launch {
             everyTick("connections", SWEEP_MILLIS) {
                 servers.sweep()
@@ -224,6 +229,11 @@
         scope.launch { joinFleet(seats) }
     }
 
+    private fun tick() {
+        if (state.dropFormerEra()) engineControl.versionsAnnounced()
+        engineControl.tick()
+    }
+
     /**
      * Exchanges member records and reviews the quota seats at once, and then at intervals: without seats, a process
      * that restarts under traffic would reject the requests of its teams. The seats come second, because their
@@ -287,12 +297,13 @@
         )
     }
 
-    private fun watchLoop(table: WatchedTableName, changed: suspend (WatchedRows) -> Unit) =
-        WatchLoop(table, sharedWatches, ::askPeer, timer::now, changed)
+    private fun watchLoop(table: WatchedTableName, changed: suspend (WatchedRows, Set<String>) -> Unit) =
+        WatchLoop(table, sharedWatches, ::askPeer, timer::now, { ports.clock.latestEra }, changed)
 
     private suspend fun askPeer(table: WatchedTableName, version: Long): PeerAnswer.Watched? {
+        val era = watched(table)?.copy?.era
         val peer = control.decide { state.members.keys.filter { it != options.vm }.randomOrNull() } ?: return null
-        val result = fleet.call(peer, PeerRequest.ReadWatched(table.text, version), COPY_TIMEOUT_MILLIS)
+        val result = fleet.call(peer, PeerRequest.ReadWatched(table.text, version, era), COPY_TIMEOUT_MILLIS)
         return (result as? PeerCallResult.Answered)?.answer as? PeerAnswer.Watched
     }
 
@@ -324,11 +335,16 @@
     }
 
     private fun watched(request: PeerRequest.ReadWatched): PeerAnswer {
-        val loop = listOf(WatchedTableName.OPERATOR to operatorWatch, WatchedTableName.SERVERS to serverWatch)
-            .firstOrNull { it.first.text == request.table }?.second
-        val copy = loop?.copy
-        val isNewer = copy != null && copy.version > request.afterVersion
-        return PeerAnswer.Watched(copy?.version ?: -1, if (isNewer) copy.rows else null)
+        val copy = WatchedTableName.entries.firstOrNull { it.text == request.table }?.let(::watched)?.copy
+        val isNewer =
+            copy != null && compareVersions(copy.era, copy.version, request.era, request.afterVersion) > 0
+        return PeerAnswer.Watched(copy?.version ?: -1, if (isNewer) copy.rows else null, copy?.era)
+    }
+
+    private fun watched(table: WatchedTableName): WatchLoop? = when (table) {
+        WatchedTableName.OPERATOR -> operatorWatch
+        WatchedTableName.SERVERS -> serverWatch
+        WatchedTableName.MEMBERS -> null
     }
 }
 
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayMetrics.kt
@@ -33,6 +33,12 @@
     private val tableCalls = Counter.builder().name("lentilquay_gateway_table_calls")
         .help("Calls to the platform's table service").labelNames("call", "table", "answered").register(registry)
 
+    private val tableReturns = Counter.builder().name("lentilquay_gateway_table_returns")
+        .help("Returns of the platform's table service from a copy").register(registry)
+
+    /** Counts [returns] of the table service from a copy. */
+    fun tableReturned(returns: Long) = tableReturns.inc(returns)
+
     /** Counts a [call] to the table service that concerned [table]. */
     fun tableCalled(call: String, table: String, isAnswered: Boolean) =
         tableCalls.labelValues(call, table, isAnswered.toString()).inc()
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayPorts.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayPorts.kt
@@ -6,6 +6,7 @@
 
 import org.lentilquay.coordination.gateway.EngineOrder
 import org.lentilquay.coordination.gateway.EngineReport
+import org.lentilquay.coordination.gateway.OperatorRows
 import org.lentilquay.coordination.gateway.OrderOutcome
 import org.lentilquay.coordination.gateway.RetryBounds
 import org.lentilquay.state.DomainId
@@ -32,6 +33,10 @@
 /** All rows of a table as of [version] in [era], as texts. */
 data class WatchedRows(val version: Long, val rows: Map<String, String>, val era: Long? = null)
 
+/** Compares versions of two eras; a version without an era is older than one with an era. */
+internal fun compareVersions(era: Long?, version: Long, otherEra: Long?, otherVersion: Long): Int =
+    compareValuesBy(era to version, otherEra to otherVersion, { it.first }, { it.second })
+
 /** The result of a request for the changes of a table. */
 sealed interface WatchResult {
     /** The rows that changed up to [version]; null marks a removed row. [isRelayed] if a reader VM answered. */
@@ -57,6 +62,10 @@
 
     /** The changes after version [after]; waits up to [waitMillis] for the first one. */
     suspend fun changes(table: WatchedTableName, after: Long, waitMillis: Long): WatchResult
+
+    /** The same for a version [after] that was read in [era], for sources that compare eras. */
+    suspend fun changes(table: WatchedTableName, after: Long, waitMillis: Long, era: Long?): WatchResult =
+        changes(table, after, waitMillis)
 }
 
 /** The clock of the table service, which is the same for all VMs and never stops. */
@@ -73,7 +82,11 @@
     /** The operator's state; parts that cannot be decoded keep their [previous] value. */
     fun operatorState(rows: Map<String, String>, previous: OperatorState): OperatorState
 
+    /** The registered servers. The key of a row is the id of its server. */
     fun servers(rows: Map<String, String>): Map<ServerId, RegisteredServer>
+
+    /** What the operator's rows with [keys] concern, also of rows that have been removed. */
+    fun operatorRows(keys: Set<String>): OperatorRows = OperatorRows()
 }
 
 /** Calls to engines: load reports, and orders to load and unload models and adapters. */
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayState.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayState.kt
@@ -7,9 +7,12 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.lentilquay.coordination.gateway.ColdStartLimit
 import org.lentilquay.coordination.gateway.ControlLease
+import org.lentilquay.coordination.gateway.OperatorMerge
+import org.lentilquay.coordination.gateway.OperatorRows
 import org.lentilquay.coordination.gateway.RetryBudget
 import org.lentilquay.coordination.gateway.RouteTable
 import org.lentilquay.coordination.gateway.ServerHealth
+import org.lentilquay.coordination.gateway.ServerMerge
 import org.lentilquay.coordination.gateway.ServerNotices
 import org.lentilquay.coordination.gateway.ServerSelection
 import org.lentilquay.coordination.gateway.TableReaders
@@ -44,6 +47,11 @@
     val buckets = TeamBuckets(options.vm, transfers = transfers, startedAt = now())
     val readers = TableReaders(options.vm, options.domain, options.linkMegabits)
 
+    private val operatorMerge = OperatorMerge()
+    private val serverMerge = ServerMerge()
+    private var operatorVersion = 0L
+    private var serversVersion = 0L
+
     var operator = OperatorState()
         private set
     var members: Map<VmId, MemberRecord> = emptyMap()
@@ -54,6 +62,49 @@
     var rules: RequestRules? = null
         private set
 
+    /**
+     * What a row of the operator's table that has been read in [era] and cannot be decoded leaves as it is. While the
+     * state of a former era is merged, that is nothing, because the merge compares what the rows say.
+     */
+    fun previousOperator(era: Long?): OperatorState =
+        if (operatorMerge.isMerging || operatorMerge.isReturn(era)) OperatorState() else operator
+
+    /** Applies the operator's state as [read]; [written] was written since the table service returned. */
+    fun operatorRead(read: OperatorState, rows: WatchedRows, written: OperatorRows) {
+        operatorVersion = rows.version
+        operatorMerge.observed(read, rows.era, written, now())
+        operatorChanged(operatorMerge.merged, rows.version)
+    }
+
+    /** Applies the registered servers as [read]; [written] was written since the table service returned. */
+    fun serversRead(read: Map<ServerId, RegisteredServer>, rows: WatchedRows, written: Set<ServerId>) {
+        serversVersion = rows.version
+        serverMerge.observed(read, rows.era, written, now())
+        serversChanged(serverMerge.merged, rows.version)
+    }
+
+    /** Drops state of a former era that nobody has written again in time; returns whether the operator's changed. */
+    fun dropFormerEra(): Boolean {
+        val servers = serverMerge.expire(now())
+        if (servers.isNotEmpty()) {
+            log.event("state of a former era dropped", "table" to WatchedTableName.SERVERS.text, "servers" to servers)
+            serversChanged(serverMerge.merged, serversVersion)
+        }
+        val before = operatorMerge.expire(now()) ?: return false
+        val present = operatorMerge.merged
+        log.event(
+            "state of a former era dropped",
+            "table" to WatchedTableName.OPERATOR.text,
+            "configuration" to before.configuration?.version.takeIf { it != present.configuration?.version },
+            "drainedDomains" to before.drainedDomains - present.drainedDomains,
+            "adapterVersions" to before.adapterVersions.filter { (name, version) ->
+                present.adapterVersions[name] != version
+            },
+        )
+        operatorChanged(present, operatorVersion)
+        return true
+    }
+
     fun operatorChanged(changed: OperatorState, version: Long) {
         val configuration = changed.configuration
         if (configuration != null && configuration != operator.configuration) {
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/InstrumentedTable.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/InstrumentedTable.kt
@@ -9,19 +9,25 @@
 import org.lentilquay.transport.platform.ReadResult
 import org.lentilquay.transport.platform.TableService
 import org.lentilquay.transport.platform.TransactResult
+import java.util.concurrent.atomic.AtomicLong
 
 private const val WRITE = "write"
 private const val READ = "read"
 private const val FOLLOW = "follow"
+private const val NO_ERA = -1L
 
 class InstrumentedTable(
     private val table: TableService,
     private val watch: WatchSource,
     private val metrics: GatewayMetrics,
+    private val latestEra: () -> Long? = { null },
 ) : TableService, WatchSource {
+    private val countedEra = AtomicLong(NO_ERA)
+
     override suspend fun transact(operations: List<TableOperation>, readEra: Long?): TransactResult {
         val result = table.transact(operations, readEra)
         val isAnswered = result is TransactResult.Committed || result is TransactResult.Conflict
+        countReturns()
         metrics.tableCalled(WRITE, operations.first().key.substringBefore('/'), isAnswered)
         return result
     }
@@ -37,8 +43,20 @@
 
     override suspend fun changes(table: WatchedTableName, after: Long, waitMillis: Long): WatchResult =
         watch.changes(table, after, waitMillis)
-            .also { metrics.tableCalled(FOLLOW, table.text, isAnswered = it !is WatchResult.Unavailable) }
+            .also {
+                countReturns()
+                metrics.tableCalled(FOLLOW, table.text, isAnswered = it !is WatchResult.Unavailable)
+            }
 
-    private fun count(call: String, table: String, result: ReadResult<*>) =
+    private fun count(call: String, table: String, result: ReadResult<*>) {
+        countReturns()
         metrics.tableCalled(call, table, isAnswered = result is ReadResult.Read)
+    }
+
+    /** The era rises by one with each return; the first one that this process sees is none. */
+    private fun countReturns() {
+        val era = latestEra() ?: return
+        val before = countedEra.getAndAccumulate(era, ::maxOf)
+        if (before != NO_ERA && era > before) metrics.tableReturned(era - before)
+    }
 }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/SharedWatchSource.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/SharedWatchSource.kt
@@ -59,10 +59,14 @@
         return read
     }
 
-    override suspend fun changes(table: WatchedTableName, after: Long, waitMillis: Long): WatchResult {
-        val relayed = ask(table, after, FOLLOWER_HOLD_MILLIS)
+    override suspend fun changes(table: WatchedTableName, after: Long, waitMillis: Long): WatchResult =
+        changes(table, after, waitMillis, era = null)
+
+    override suspend fun changes(table: WatchedTableName, after: Long, waitMillis: Long, era: Long?): WatchResult {
+        val relayed = ask(table, after, FOLLOWER_HOLD_MILLIS, era)
         if (relayed != null) {
-            return WatchResult.Changes(relayed.version, relayed.rows.mapValues { it.value.text }, isRelayed = true)
+            val rows = relayed.rows.mapValues { it.value.text }
+            return WatchResult.Changes(relayed.version, rows, isRelayed = true, era = relayed.era)
         }
         val hold = if (control.decide { readers.hasFollowers }) minOf(waitMillis, READER_HOLD_MILLIS) else waitMillis
         val answer = source.changes(table, after, hold)
@@ -70,21 +74,34 @@
             is WatchResult.Changes -> {
                 // The rows get the version of the answer; a row that is older reaches followers once more.
                 val rows = answer.rows.mapValues { RowChange(it.value, answer.version) }
-                cache(table).change(after, rows, answer.version, clock.latestMillis ?: 0)
+                // Rows that changed since a version of another era are no continuation of that version.
+                if (answer.era == era) {
+                    cache(table).change(after, rows, answer.version, clock.latestMillis ?: 0, era)
+                } else {
+                    cache(table).invalidate()
+                }
             }
             WatchResult.HistoryLost, is WatchResult.Unavailable -> cache(table).invalidate()
         }
         return answer
     }
 
-    /** Asks a reader for the changes of [table] after version [after]; null if this VM must ask the table service. */
-    suspend fun ask(table: WatchedTableName, after: Long, waitMillis: Long): PeerAnswer.TableChanges? {
+    /**
+     * Asks a reader for the changes of [table] after version [after] of [era]; null if this VM must ask the table
+     * service, also because the reader is in another era.
+     */
+    suspend fun ask(
+        table: WatchedTableName,
+        after: Long,
+        waitMillis: Long,
+        era: Long? = null,
+    ): PeerAnswer.TableChanges? {
         val reader = control.decide { readers.readerFor(table.text, now()) } ?: return null
-        val request = PeerRequest.FollowTable(table.text, after, waitMillis, mayDeflate = true)
+        val request = PeerRequest.FollowTable(table.text, after, waitMillis, mayDeflate = true, era)
         val result = fleet().call(reader, request, waitMillis + READER_MARGIN_MILLIS)
         val answer = (result as? PeerCallResult.Answered)?.answer
         val inflated = (answer as? PeerAnswer.TableChanges)?.let { runSuspendCatching { it.inflated() } }
-        inflated?.getOrNull()?.let { return it }
+        inflated?.getOrNull()?.takeIf { it.era == era }?.let { return it }
         control.decide { readers.readerFailed(reader, table.text, now()) }
         val reason = inflated?.exceptionOrNull()?.let { describe(it) } ?: answer ?: result
         log.event("reader has no current copy", "vm" to reader, "table" to table.text, "reason" to reason)
@@ -98,7 +115,7 @@
     suspend fun answer(request: PeerRequest.FollowTable): PeerAnswer {
         val table = WatchedTableName.entries.firstOrNull { it.text == request.table }
         val wait = request.waitMillis.coerceIn(0, FOLLOWER_HOLD_MILLIS)
-        val changes = table?.let { cache(it).changesAfter(request.afterVersion, wait, request.mayDeflate) }
+        val changes = table?.let { cache(it).changesAfter(request.afterVersion, wait, request.mayDeflate, request.era) }
         val bytes = changes?.run { deflatedRows?.size ?: characters } ?: 0
         if (changes != null && bytes >= REPORTED_RELAY_BYTES) {
             log.event(
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/WatchCache.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/WatchCache.kt
@@ -26,7 +26,11 @@
     private var completeFrom: Long? = null
     private var tableMillis = 0L
     private var readAt = 0L
-    private val version = MutableStateFlow(-1L)
+
+    /** The era and the version up to which the cache was read. */
+    private data class Position(val era: Long?, val version: Long)
+
+    private val position = MutableStateFlow(Position(null, -1L))
 
     /** The last deflated changes and the version after which they begin; most followers ask for the same ones. */
     private var deflated: Pair<Long, PeerAnswer.TableChanges>? = null
@@ -34,27 +38,39 @@
     /** Replaces the cache by the whole table, which was read at [tableMillis] of the table clock. */
     @Synchronized
     fun replace(all: WatchedRows, tableMillis: Long) {
+        if (isFormer(all.era)) return
         rows.clear()
         completeFrom = all.version
-        apply(all.rows.mapValues { RowChange(it.value, all.version) }, all.version, tableMillis)
+        apply(all.rows.mapValues { RowChange(it.value, all.version) }, Position(all.era, all.version), tableMillis)
     }
 
-    /** Applies the rows that [changed] after version [after] up to [upTo], read at [tableMillis] of the table clock. */
+    /**
+     * Applies the rows that [changed] after version [after] up to [upTo], read at [tableMillis] of the table clock in
+     * [era]. Changes of a new era do not continue the rows of the former one, so the whole table must be read first.
+     */
     @Synchronized
-    fun change(after: Long, changed: Map<String, RowChange>, upTo: Long, tableMillis: Long) {
-        val isContiguous = completeFrom != null && after <= version.value
+    fun change(after: Long, changed: Map<String, RowChange>, upTo: Long, tableMillis: Long, era: Long? = null) {
+        if (isFormer(era)) return
+        if (era != position.value.era && position.value.version >= 0) {
+            completeFrom = null
+            return
+        }
+        val isContiguous = completeFrom != null && after <= position.value.version
         if (!isContiguous || rows.size > MAXIMUM_ROWS) {
             rows.clear()
             completeFrom = after
         }
-        apply(changed, upTo, tableMillis)
+        apply(changed, Position(era, upTo), tableMillis)
     }
 
-    private fun apply(changed: Map<String, RowChange>, upTo: Long, tableMillis: Long) {
+    private fun isFormer(era: Long?) = compareValues(era, position.value.era) < 0
+
+    private fun apply(changed: Map<String, RowChange>, upTo: Position, tableMillis: Long) {
         rows += changed
         this.tableMillis = tableMillis
         readAt = now()
-        version.value = maxOf(version.value, upTo)
+        val known = position.value
+        position.value = if (known.era == upTo.era) upTo.copy(version = maxOf(known.version, upTo.version)) else upTo
     }
 
     /** Marks the cache as possibly incomplete, because the table service did not answer this VM. */
@@ -64,28 +80,36 @@
     }
 
     /**
-     * The rows that changed after version [after], as soon as there are any or after [waitMillis]; null if the cache
-     * may lack some or is too old. Long ones are deflated if the follower [mayDeflate].
+     * The rows that changed after version [after] of [era], as soon as there are any or after [waitMillis]; null if the
+     * cache may lack some, is too old or is in another era. Long ones are deflated if the follower [mayDeflate].
      */
-    suspend fun changesAfter(after: Long, waitMillis: Long, mayDeflate: Boolean = false): PeerAnswer.TableChanges? {
-        if (version.value <= after) withTimeoutOrNull(waitMillis) { version.first { it > after } }
-        return if (mayDeflate) deflatedAnswer(after) else answer(after)
+    suspend fun changesAfter(
+        after: Long,
+        waitMillis: Long,
+        mayDeflate: Boolean = false,
+        era: Long? = null,
+    ): PeerAnswer.TableChanges? {
+        val isDue = { known: Position -> known.era != era || known.version > after }
+        if (!isDue(position.value)) withTimeoutOrNull(waitMillis) { position.first(isDue) }
+        return if (mayDeflate) deflatedAnswer(after, era) else answer(after, era)
     }
 
     @Synchronized
-    private fun deflatedAnswer(after: Long): PeerAnswer.TableChanges? {
-        val answer = answer(after) ?: return null
+    private fun deflatedAnswer(after: Long, era: Long?): PeerAnswer.TableChanges? {
+        val answer = answer(after, era) ?: return null
         deflated?.takeIf { (from, last) ->
-            from == after && last.version == answer.version && last.tableMillis == answer.tableMillis
+            from == after && last.era == answer.era && last.version == answer.version &&
+                last.tableMillis == answer.tableMillis
         }?.let { return it.second }
         return answer.deflated().also { if (it !== answer) deflated = after to it }
     }
 
     @Synchronized
-    private fun answer(after: Long): PeerAnswer.TableChanges? {
+    private fun answer(after: Long, era: Long?): PeerAnswer.TableChanges? {
         val from = completeFrom
-        if (from == null || after < from || now() - readAt > MAXIMUM_AGE_MILLIS) return null
+        val known = position.value
+        if (from == null || era != known.era || after < from || now() - readAt > MAXIMUM_AGE_MILLIS) return null
         val changed = rows.filterValues { it.version > after }
-        return PeerAnswer.TableChanges(maxOf(after, version.value), tableMillis, changed)
+        return PeerAnswer.TableChanges(maxOf(after, known.version), tableMillis, changed, era = era)
     }
 }
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/WatchLoopTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/WatchLoopTest.kt
@@ -31,7 +31,7 @@
 private suspend fun expectCopies(source: WatchSource, peer: PeerAnswer.Watched? = null, expected: List<WatchedRows>) {
     val seen = CopyOnWriteArrayList<WatchedRows>()
     val now = { System.nanoTime() / 1_000_000 }
-    val loop = WatchLoop(WatchedTableName.OPERATOR, source, { _, _ -> peer }, now) { seen += it }
+    val loop = WatchLoop(WatchedTableName.OPERATOR, source, { _, _ -> peer }, now) { rows, _ -> seen += rows }
     coroutineScope {
         val job = launch { loop.run() }
         eventually(5.seconds) { seen.toList() shouldBe expected }
@@ -68,9 +68,9 @@
             val seen = CopyOnWriteArrayList<Long>()
             val source = ScriptedSource(ReadResult.Read(FIRST), *changes)
             val now = { System.nanoTime() / 1_000_000 }
-            val loop = WatchLoop(WatchedTableName.OPERATOR, source, { _, _ -> null }, now) {
-                seen += it.version
-                if (it.version < 7) throw failure
+            val loop = WatchLoop(WatchedTableName.OPERATOR, source, { _, _ -> null }, now) { rows, _ ->
+                seen += rows.version
+                if (rows.version < 7) throw failure
             }
             coroutineScope {
                 val job = launch(SupervisorJob() + CoroutineExceptionHandler { _, _ -> }) { loop.run() }
