--- a/core/src/main/kotlin/org/lentilquay/coordination/gateway/OperatorMerge.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/gateway/OperatorMerge.kt
@@ -59,7 +59,7 @@
         )
     }
 
-    /** Ends the merge when its time is over; returns what was in force until now if that changes, and null otherwise. */
+    /** Ends the merge when its time is over; returns what was in force until now if that changes. */
     fun expire(now: Long): OperatorState? {
         if (endsAt?.let { now >= it } != true) return null
         endsAt = null
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/WatchLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/WatchLoop.kt
@@ -156,7 +156,13 @@
     private suspend fun update(rows: WatchedRows) {
         val known = copy
         if (known != null && compareVersions(rows.era, rows.version, known.era, known.version) < 0) return
-        if (known != null && known.era != rows.era) returned(rows, known)
+        when {
+            known == null -> Unit
+            known.era != rows.era -> returned(rows, known)
+            // A whole read and the copy of a peer do not say which rows were written, but show those that differ.
+            returnedAt != null -> writtenSinceReturn += (known.rows.keys + rows.rows.keys)
+                .filter { known.rows[it] != rows.rows[it] }
+        }
         copy = rows
         if (known?.rows != rows.rows || known.era != rows.era || returnedAt != null) {
             onChange(rows, writtenSinceReturn)
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/InstrumentedTableTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/InstrumentedTableTest.kt
@@ -34,4 +34,16 @@
         text shouldContain "$name{answered=\"true\",call=\"read\",table=\"seats\"} 2.0"
         text shouldContain "$name{answered=\"false\",call=\"follow\",table=\"operator\"} 1.0"
     }
+
+    // A VM that was cut off sees the era rise by more than one.
+    test("each return of the table service is counted once, and the first era is none") {
+        val metrics = GatewayMetrics()
+        var era: Long? = null
+        val table = InstrumentedTable(AnsweringTable, NoWatch, metrics) { era }
+        listOf(null, 3L, 3L, 4L, 6L, 6L).forEach {
+            era = it
+            table.scan("seats/")
+        }
+        metrics.text().decodeToString() shouldContain "lentilquay_gateway_table_returns_total 3.0"
+    }
 })
