Pace whole reads that bring nothing newer, and follow the linter

Change: such a read is followed by the delay of a failed one. Style of WatchCache and WatchAfterReturnTest.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/WatchCache.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/WatchCache.kt
@@ -108,7 +108,8 @@
     private fun answer(after: Long, era: Long?): PeerAnswer.TableChanges? {
         val from = completeFrom
         val known = position.value
-        if (from == null || era != known.era || after < from || now() - readAt > MAXIMUM_AGE_MILLIS) return null
+        val isCurrent = era == known.era && now() - readAt <= MAXIMUM_AGE_MILLIS
+        if (from == null || after < from || !isCurrent) return null
         val changed = rows.filterValues { it.version > after }
         return PeerAnswer.TableChanges(maxOf(after, known.version), tableMillis, changed, era = era)
     }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/WatchLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/WatchLoop.kt
@@ -74,8 +74,13 @@
     }
 
     private suspend fun readAll() {
+        val known = copy
         when (val read = source.readAll(table)) {
-            is ReadResult.Read -> succeeded(read.value)
+            is ReadResult.Read -> {
+                succeeded(read.value)
+                // A read that is older than the copy would otherwise be repeated at once, and each call is billed.
+                if (known != null && copy === known) delay(RETRY_MILLIS)
+            }
             is ReadResult.Unavailable -> failed(read.reason)
         }
     }
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ReturningTable.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/ReturningTable.kt
@@ -5,6 +5,7 @@
 package org.lentilquay.daemon.gateway
 
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.yield
 import org.lentilquay.protocol.TableItem
 import org.lentilquay.protocol.TableOperation
 import org.lentilquay.transport.platform.ReadResult
@@ -157,8 +158,10 @@
         WatchedRows(store.version, rows, store.era)
     }
 
-    private fun <T> read(value: () -> T): ReadResult<T> {
+    private suspend fun <T> read(value: () -> T): ReadResult<T> {
         calls++
+        // Lets a loop that reads again and again be cancelled.
+        yield()
         if (!isReachable) return ReadResult.Unavailable("away")
         answered()
         return ReadResult.Read(value(), store.era)
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/WatchAfterReturnTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/WatchAfterReturnTest.kt
@@ -66,16 +66,17 @@
 private class Vms : AutoCloseable {
     private val control = ControlThread()
     val store = ReturningStore(::millis, era = 3)
-    val vms = List(8) { VmId("vm-$it") }
-    private val plans = vms.associateWith { vm ->
-        TableReaders(vm, EAST).apply { membersChanged(vms.associateWith { EAST }) }
+    val names = List(8) { VmId("vm-$it") }
+    private val plans = names.associateWith { vm ->
+        TableReaders(vm, EAST).apply { membersChanged(names.associateWith { EAST }) }
     }
-    val tables = vms.associateWith { ReturningTable(store) }
-    val sources: Map<VmId, SharedWatchSource> = vms.associateWith { vm ->
-        SharedWatchSource(plans.getValue(vm), tables.getValue(vm), tables.getValue(vm), { Peers(vm) }, control, ::millis)
+    val tables = names.associateWith { ReturningTable(store) }
+    val sources: Map<VmId, SharedWatchSource> = names.associateWith { vm ->
+        val table = tables.getValue(vm)
+        SharedWatchSource(plans.getValue(vm), table, table, { Peers(vm) }, control, ::millis)
     }
-    val readers = vms.filter { plans.getValue(it).readerFor(OPERATOR.text, millis()) == null }
-    val followers = vms - readers.toSet()
+    val readers = names.filter { plans.getValue(it).readerFor(OPERATOR.text, millis()) == null }
+    val followers = names - readers.toSet()
 
     private inner class Peers(override val own: VmId) : PeerCaller {
         override suspend fun call(vm: VmId, request: PeerRequest, timeoutMillis: Long) =
@@ -156,7 +157,7 @@
     test("a reader answers no follower of another era, and the follower reads the table service itself") {
         Vms().use { fixture ->
             (1..5).forEach { fixture.store.put("operator/a", "$it") }
-            fixture.vms.forEach { fixture.sources.getValue(it).readAll(OPERATOR) }
+            fixture.names.forEach { fixture.sources.getValue(it).readAll(OPERATOR) }
             // The readers know the new era; the version of the follower is one of the former era.
             fixture.store.returnFromCopy(0)
             fixture.readers.forEach { fixture.sources.getValue(it).readAll(OPERATOR) }
