--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/WatchAges.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/WatchAges.kt
@@ -17,5 +17,13 @@
         source.readAll(table).also { if (it is ReadResult.Read) answeredAt[table] = now() }
 
     override suspend fun changes(table: WatchedTableName, after: Long, waitMillis: Long): WatchResult =
-        source.changes(table, after, waitMillis).also { if (it is WatchResult.Changes) answeredAt[table] = now() }
+        answered(table, source.changes(table, after, waitMillis))
+
+    override suspend fun changes(table: WatchedTableName, after: Long, waitMillis: Long, era: Long?): WatchResult =
+        answered(table, source.changes(table, after, waitMillis, era))
+
+    private fun answered(table: WatchedTableName, result: WatchResult): WatchResult {
+        if (result is WatchResult.Changes) answeredAt[table] = now()
+        return result
+    }
 }
