--- a/core/src/main/kotlin/org/lentilquay/coordination/quota/SeatPlan.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/quota/SeatPlan.kt
@@ -27,6 +27,19 @@
     val live: Set<VmId>,
     /** VMs that have left the platform's VM list; they do not come back as the same process. */
     val departed: Set<VmId>,
+    /** What is known of the era of the table service; null if it has none. */
+    val era: SeatEra? = null,
+)
+
+/** The present era of the table service, as the seats of a VM depend on it. */
+data class SeatEra(
+    val number: Long,
+    /** The seats that this process holds according to its memory. */
+    val mine: Set<Int>,
+    /** Those of [mine] whose rows a late write of a former era has replaced. */
+    val overwritten: Set<Int>,
+    /** Whether the era has just begun, so that seats of holders who have not written them again look free. */
+    val isNew: Boolean,
 )
 
 /** A change of one seat. */
@@ -72,6 +85,9 @@
     fun held(readings: Map<Int, SeatReading>): Set<Int> =
         readings.filterValues { it.record.vm == own && it.record.incarnation == incarnation }.keys
 
+    /** Whether [readings] has a record of each seat. */
+    fun isComplete(readings: Map<Int, SeatReading>): Boolean = (0 until seatCount).all { it in readings }
+
     /** The seats that [readings] show for each VM; for [TransferPlanner.holdersChanged]. */
     fun holders(readings: Map<Int, SeatReading>): Map<VmId, Set<Int>> =
         readings.entries.mapNotNull { (seat, reading) -> reading.record.vm?.let { it to seat } }
@@ -79,7 +95,28 @@
             .mapValues { it.value.toSet() }
 
     /** The seats to take and release now. Each is a transaction of its own, so that a lost race fails only one. */
-    fun review(view: SeatView): List<SeatAction> {
+    fun review(view: SeatView): List<SeatAction> = if (view.era == null) balance(view) else review(view, view.era)
+
+    /**
+     * Writes again what this process holds, and releases again what it has released, before it changes anything. While
+     * the era is new, it takes only seats that its former process held in this era.
+     */
+    private fun review(view: SeatView, era: SeatEra): List<SeatAction> {
+        if (own !in view.live) return (era.mine + held(view.readings)).sorted().map { release(it, view) }
+        val lost = era.mine.filter { it in era.overwritten || !isCurrent(view.readings[it]?.record, era) }.sorted()
+        val undone = held(view.readings).filter { it !in era.mine && view.readings[it]?.record?.era != era.number }
+        val corrections = lost.map { take(it, view) } + undone.sorted().map { releaseAgain(it, view) }
+        if (era.isNew) {
+            val former = formerlyHeld(view.readings).filter { view.readings.getValue(it).record.era == era.number }
+            return corrections + former.map { take(it, view) }
+        }
+        return corrections.ifEmpty { balance(view) }
+    }
+
+    private fun isCurrent(record: QuotaSeatRecord?, era: SeatEra) =
+        record != null && record.vm == own && record.incarnation == incarnation && record.era == era.number
+
+    private fun balance(view: SeatView): List<SeatAction> {
         val mine = held(view.readings)
         if (own !in view.live) return mine.sorted().map { release(it, view) }
         val statuses = (0 until seatCount).associateWith { statusOf(view.readings[it]?.record, view.departed) }
@@ -139,10 +176,16 @@
     }
 
     private fun take(seat: Int, view: SeatView): SeatAction =
-        SeatAction.Take(seat, QuotaSeatRecord(own, incarnation, newNonce()), version(seat, view))
+        SeatAction.Take(seat, QuotaSeatRecord(own, incarnation, newNonce(), view.era?.number), version(seat, view))
 
     private fun release(seat: Int, view: SeatView): SeatAction =
-        SeatAction.Release(seat, QuotaSeatRecord(null, incarnation, newNonce()), version(seat, view))
+        SeatAction.Release(seat, QuotaSeatRecord(null, incarnation, newNonce(), view.era?.number), version(seat, view))
+
+    /** The record keeps its former era, because the seat is not known to be free: its holder may write it again. */
+    private fun releaseAgain(seat: Int, view: SeatView): SeatAction {
+        val former = view.readings[seat]?.record?.era
+        return SeatAction.Release(seat, QuotaSeatRecord(null, incarnation, newNonce(), former), version(seat, view))
+    }
 
     private fun version(seat: Int, view: SeatView): Long = view.readings[seat]?.version ?: 0
 }
--- a/core/src/main/kotlin/org/lentilquay/coordination/quota/SeatReviewSchedule.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/quota/SeatReviewSchedule.kt
@@ -17,16 +17,26 @@
 /** How early a review may be, because the ticks that check the schedule are not exact. */
 private const val TICK_TOLERANCE_MILLIS = 500L
 
+/** The review that follows a new era reads the table some time after the schedule has seen the era. */
+private const val NEW_ERA_MARGIN_MILLIS = 250L
+
 class SeatReviewSchedule(private var reviewedAt: Long) {
     private var live: Set<VmId> = emptySet()
     private var departed: Set<VmId> = emptySet()
     private var fastReviewsLeft = REVIEWS_AFTER_CHANGE
+    private var era: Long? = null
+    private var newEraEndsAt: Long? = null
 
     /**
      * Whether the caller has to review the seats now. [members] are the VMs of the fleet, [lost] those that have
      * departed; member records are renewed every [renewalMillis].
      */
-    fun isDue(members: Set<VmId>, lost: Set<VmId>, renewalMillis: Long, now: Long): Boolean {
+    fun isDue(members: Set<VmId>, lost: Set<VmId>, renewalMillis: Long, now: Long, era: Long? = null): Boolean {
+        if (isDueByEra(era, now)) {
+            reviewedAt = now
+            fastReviewsLeft = REVIEWS_AFTER_CHANGE
+            return true
+        }
         if (members != live || lost != departed) fastReviewsLeft = REVIEWS_AFTER_CHANGE
         live = members
         departed = lost
@@ -36,4 +46,16 @@
         if (fastReviewsLeft > 0) fastReviewsLeft--
         return true
     }
+
+    /** Whether the table service is in a new [era], or the time has ended in which no seats are taken after that. */
+    private fun isDueByEra(era: Long?, now: Long): Boolean {
+        if (era != this.era) {
+            this.era = era
+            newEraEndsAt = now + NEW_ERA_MILLIS
+            return true
+        }
+        if (newEraEndsAt?.let { now < it + NEW_ERA_MARGIN_MILLIS } != false) return false
+        newEraEndsAt = null
+        return true
+    }
 }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/control/QuotaSeatLoop.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/control/QuotaSeatLoop.kt
@@ -10,7 +10,6 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
 import org.lentilquay.coordination.quota.SeatAction
 import org.lentilquay.coordination.quota.SeatReading
 import org.lentilquay.coordination.quota.SeatTracker
@@ -55,18 +54,25 @@
     suspend fun releaseAll(own: VmId) = review { it - own }
 
     private suspend fun review(candidates: (Set<VmId>) -> Set<VmId>) {
-        val readings = read() ?: return
+        val read = read() ?: return
         val present = members()
         val actions = control.decide {
-            tracker.observed(readings)
-            tracker.review(candidates(present.live), present.gone).also { updateBuckets() }
+            val formerEra = tracker.era
+            val isUsable = tracker.observed(read.value, read.era, now())
+            if (tracker.era != formerEra) {
+                val seats = held.sorted()
+                log.event("quota seats in a new era", "era" to tracker.era, "former" to formerEra, "held" to seats)
+            }
+            val reviewed =
+                if (isUsable) tracker.review(candidates(present.live), present.gone, now()) else emptyList()
+            reviewed.also { updateBuckets() }
         }
         // Concurrently, because a restarted process has no tokens for its teams until it has acquired its seats.
-        coroutineScope { actions.forEach { launch { execute(it) } } }
+        coroutineScope { actions.forEach { launch { execute(it, read.era) } } }
     }
 
-    private suspend fun execute(action: SeatAction) {
-        val result = platform.write(action.operations)
+    private suspend fun execute(action: SeatAction, readEra: Long?) {
+        val result = platform.write(action.operations, readEra)
         control.decide {
             tracker.written(action, result)
             updateBuckets()
@@ -84,14 +90,14 @@
         log.event("quota seats changed", "seats" to seats.sorted())
     }
 
-    private suspend fun read(): Map<Int, SeatReading>? = when (val result = platform.scan("seats/")) {
+    private suspend fun read(): ReadResult.Read<Map<Int, SeatReading>>? = when (val result = platform.scan("seats/")) {
         is ReadResult.Unavailable -> null
-        is ReadResult.Read -> result.value.mapNotNull(::reading).toMap()
+        is ReadResult.Read -> ReadResult.Read(result.value.mapNotNull(::reading).toMap(), result.era)
     }
 
     private fun reading(item: TableItem): Pair<Int, SeatReading>? = try {
         val seat = item.key.substringAfterLast('/').toIntOrNull()
-        seat?.let { it to SeatReading(Json.decodeFromString<QuotaSeatRecord>(item.value), item.version) }
+        seat?.let { it to SeatReading(tolerantJson.decodeFromString<QuotaSeatRecord>(item.value), item.version) }
     } catch (fault: SerializationException) {
         unreadableRows.report(item.key, item.value, fault)
         null
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
@@ -262,6 +262,7 @@
                     state.lease.departedMembers(),
                     state.lease.renewalMillis,
                     timer.now(),
+                    ports.clock.latestEra,
                 )
             }
             if (isDue) seats.review()
