--- a/core/src/test/kotlin/org/lentilquay/coordination/quota/SeatEraTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/quota/SeatEraTest.kt
@@ -107,11 +107,13 @@
         val fleet = EraFleet(2)
         val seat = fleet.moveSeat()
         fleet.cutOff += vm(2)
+        fleet.live -= vm(2)
         fleet.returnFrom(emptyMap())
         fleet.run(5) { (fleet.held(vm(0)) + fleet.held(vm(1))) shouldNotContain seat }
         fleet.held(vm(2)) shouldBe setOf(seat)
         fleet.run(4)
         fleet.cutOff.clear()
+        fleet.live += vm(2)
         fleet.run(1)
         fleet.shouldKeepOneHolder()
         fleet.heldByAny().size shouldBe SEATS
