--- a/daemon/src/main/kotlin/org/lentilquay/daemon/control/FleetQuota.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/control/FleetQuota.kt
@@ -66,7 +66,9 @@
             while (decision is AdmissionDecision.NeedTokens) {
                 val needed = decision
                 missing = needed.missing
-                needed.requests.forEach { transfer -> scope.launch { send(team, transfer, needed, answerSignal, answers) } }
+                needed.requests.forEach { transfer ->
+                    scope.launch { send(team, transfer, needed, answerSignal, answers) }
+                }
                 val waitMillis = minOf(needed.retryAfterMillis, needed.remainingWaitMillis)
                 withTimeoutOrNull(waitMillis) { answerSignal.receive() }
                 decision = decide(team, requestId, tokens, maximumWaitMillis)
@@ -157,7 +159,8 @@
         )
         val result = peers.call(transfer.holder, request, needed.remainingWaitMillis + transferMillis)
         val tokens = (result as? PeerCallResult.Answered)?.answer as? PeerAnswer.Tokens
-        answers += "${transfer.holder} ${tokens?.amount ?: "no answer"} of ${transfer.amount} after ${now() - sentAt} ms"
+        val given = tokens?.amount ?: "no answer"
+        answers += "${transfer.holder} $given of ${transfer.amount} after ${now() - sentAt} ms"
         decideAndReport {
             if (tokens == null) {
                 buckets.transferFailed(team, transfer.holder, now())
