Join the secret of the fleet and the quota seats to the eras of the table service

Nothing wrote a lost secret again, and new processes did not know whether the fleet starts for the first time. The handler of readiness checks and metrics has a file of its own.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
@@ -30,6 +30,7 @@
 import org.lentilquay.state.Incarnation
 import org.lentilquay.state.ServerId
 import org.lentilquay.state.VmId
+import org.lentilquay.transport.Secret
 import org.lentilquay.transport.TcpNetwork
 import org.lentilquay.transport.http.HttpConnectionPool
 import org.lentilquay.transport.http.ipAddressOf
@@ -79,9 +80,6 @@
 
 /** Timeout for publishing the member record that says that this VM leaves. */
 private const val LEAVE_TIMEOUT_MILLIS = 400L
-private const val READY_STATUS = 200
-private const val NOT_READY_STATUS = 503
-private const val NOT_FOUND_STATUS = 404
 
 class Gateway(private val options: GatewayOptions, private val ports: GatewayPorts) {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
@@ -133,6 +131,10 @@
     @Volatile
     private var isStopping = false
 
+    /** The era in which the secret of the fleet was read or written. */
+    @Volatile
+    private var secretEra: Long? = null
+
     /** When a planned stop ends the requests in progress; null until callers are no longer routed to this VM. */
     @Volatile
     private var requestsEndAt: Long? = null
@@ -144,6 +146,7 @@
         log.event("start", "vm" to options.vm, "domain" to options.domain, "incarnation" to incarnation)
         startStatus()
         val secret = ports.secret()
+        secretEra = ports.clock.latestEra
         val identity = PeerIdentity(options.vm, incarnation)
         fleet = TcpPeerCaller(options.vm, PeerClient(identity, secret)) { state.members[it]?.address }
         val quota = FleetQuota(state.buckets, fleet, control, scope, TOKEN_TRANSFER_TIMEOUT_MILLIS, timer::now)
@@ -156,7 +159,7 @@
         val limits = { state.rules?.configuration?.callerLimits }
         callers = GatewayListener(network, forwarder, limits, { isStopping }, scope, timer::now)
             .also { it.start(options.callerAddress) }
-        startLoops()
+        startLoops(secret)
     }
 
     /**
@@ -204,21 +207,13 @@
         metrics.gauge("lentilquay_gateway_table_era", "Era of the table service; 0 if it sends none") {
             ports.clock.latestEra?.toDouble() ?: 0.0
         }
-        val status = CallerHandler { request, writer ->
-            when (request.head.path) {
-                options.readinessPath ->
-                    writer.respond(if (isReady) READY_STATUS else NOT_READY_STATUS, emptyList(), ByteArray(0))
-                METRICS_PATH ->
-                    writer.respond(READY_STATUS, listOf("Content-Type" to "text/plain; version=0.0.4"), metrics.text())
-                else -> writer.respond(NOT_FOUND_STATUS, emptyList(), ByteArray(0))
-            }
-        }
+        val status = StatusHandler(options.readinessPath, metrics) { isReady }
         listOf(options.readinessAddress, options.metricsAddress).forEach { address ->
             GatewayListener(network, status, { null }, { false }, scope, timer::now).start(address)
         }
     }
 
-    private fun startLoops() {
+    private fun startLoops(secret: Secret) {
         scope.launch { operatorWatch.run() }
         scope.launch { serverWatch.run() }
         scope.launch(control.dispatcher) { everyTick("control of engines", TICK_MILLIS) { tick() } }
@@ -229,8 +224,9 @@
                 callers?.closeStalled()
             }
         }
+        val seatPlan = SeatPlan(options.vm, incarnation) { UUID.randomUUID().toString() }
         val seats = QuotaSeatLoop(
-            tracker = SeatTracker(SeatPlan(options.vm, incarnation) { UUID.randomUUID().toString() }),
+            tracker = SeatTracker(seatPlan, options.isBootstrap),
             buckets = state.buckets,
             transfers = state.transfers,
             platform = table,
@@ -239,6 +235,14 @@
             now = timer::now,
         )
         scope.launch { joinFleet(seats) }
+        scope.launch { everyTick("secret of the fleet", EXCHANGE_MILLIS) { restoreSecret(secret) } }
+    }
+
+    private suspend fun restoreSecret(secret: Secret) {
+        val era = ports.clock.latestEra
+        if (era == secretEra) return
+        ports.restoreSecret(secret)
+        secretEra = era
     }
 
     private fun createDuties(): Duties? = dutiesOf(
@@ -384,5 +388,3 @@
         WatchedTableName.MEMBERS -> null
     }
 }
-
-private const val METRICS_PATH = "/metrics"
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayPorts.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayPorts.kt
@@ -30,6 +30,8 @@
     val secret: suspend () -> Secret,
     /** Calls for the duties of the fleet; null if there are none. */
     val duties: DutyClient? = null,
+    /** Writes the shared secret again if a return of the table service has lost it. */
+    val restoreSecret: suspend (Secret) -> Unit = {},
 )
 
 /** All rows of a table as of [version] in [era], as texts. */
