Read answers with the greatest length that fits

The stricter parsing of Content-Length refused lengths of 19 digits, so EndlessBytesTest was red: an answer that states the greatest length was lost at once in place of being read up to its limit. Now all lengths that fit are taken; EndlessBytesTest is green again.

--- a/daemon/src/main/kotlin/org/lentilquay/transport/http/HttpMessages.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/http/HttpMessages.kt
@@ -15,7 +15,7 @@
 /** Responses with these statuses have no body. */
 private val BODILESS_STATUSES = setOf(HttpStatusCode.NoContent.value, HttpStatusCode.NotModified.value)
 private val METHOD = Regex("[A-Z]{1,16}")
-private val LENGTH = Regex("""\d{1,18}""")
+private val LENGTH = Regex("""\d{1,19}""")
 
 /** Path and query as they are valid in a request line: printable ASCII without spaces and without a fragment. */
 private val TARGET = Regex("/[\\x21\\x22\\x24-\\x7e]*")
@@ -57,7 +57,7 @@
 
 /** The length that all of [lengths] state, or null if there is none or one is not a length. */
 internal fun contentLength(lengths: List<String>): Long? = lengths.distinct().singleOrNull()
-    ?.takeIf { LENGTH.matches(it) }?.toLong()
+    ?.takeIf { LENGTH.matches(it) }?.toLongOrNull()
 
 /** The request line and headers; null if a part is invalid, so that a server could parse it as something else. */
 internal fun encodedHead(host: String, request: HttpRequest): ByteArray? {
