--- a/proofs/src/test/kotlin/org/lentilquay/proofs/Fleet.kt
+++ b/proofs/src/test/kotlin/org/lentilquay/proofs/Fleet.kt
@@ -60,6 +60,7 @@
     val parts: Team = Team(TeamId("parts"), tokensPerSecond = 20_000, burstTokens = 200_000),
     val maximumWaitMillis: Long = 3_000,
     val platform: PlatformOptions = PlatformOptions(weightLoadsPerSecond = 20.0),
+    val resources: VmResources = VmResources(),
 )
 
 /** An engine without a cold start that generates and loads fast. */
@@ -73,7 +74,7 @@
         options.engines.map { modelEngine(it.copy(weightStore = "http://127.0.0.1:${platform.port}")) }
     val service: PlainService = plainService(options.service)
     val vms: List<Vm> = List(options.vms) { index ->
-        Vm("vm-${index + 1}", domains[index % domains.size], platform.port, directory)
+        Vm("vm-${index + 1}", domains[index % domains.size], platform.port, directory, options.resources)
     }
     val caller = Caller()
 
--- a/proofs/src/test/kotlin/org/lentilquay/proofs/Vm.kt
+++ b/proofs/src/test/kotlin/org/lentilquay/proofs/Vm.kt
@@ -45,7 +45,16 @@
     fun required(): T = checkNotNull(value) { "refused: $status $code: $message" }
 }
 
-class Vm(val name: String, val domain: String, private val platformPort: Int, private val directory: Path) {
+/** What a VM may use: the heap of its process, and its open descriptors or null for those of the test's process. */
+data class VmResources(val heapMebibytes: Int = 192, val descriptors: Int? = null)
+
+class Vm(
+    val name: String,
+    val domain: String,
+    private val platformPort: Int,
+    private val directory: Path,
+    private val resources: VmResources = VmResources(),
+) {
     private val ports = freePorts(3)
     val callerPort = ports[0]
     private val administration = "127.0.0.1:${ports[1]}"
@@ -59,17 +68,21 @@
     fun start(others: List<Vm>) {
         val file = directory.createDirectories().resolve("$name.json")
         file.writeText(Json.encodeToString(settings(others)))
-        process = ProcessBuilder(
+        val command = listOf(
             Path.of(System.getProperty("java.home"), "bin", "java").toString(),
             "-cp",
             System.getProperty("java.class.path"),
-            "-Xmx192m",
+            "-Xmx${resources.heapMebibytes}m",
             "-XX:+UseSerialGC",
             "-XX:TieredStopAtLevel=1",
             "org.lentilquay.daemon.MainKt",
             "--settings",
             file.toString(),
-        ).redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(logFile))
+        )
+        // The limit that the shell sets holds for the process that replaces it.
+        val limited = resources.descriptors?.let { listOf("bash", "-c", "ulimit -n $it; exec \"\$@\"", "vm") }.orEmpty()
+        process = ProcessBuilder(limited + command).redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(logFile))
             .apply { environment()[SECRET_VARIABLE] = FLEET_SECRET }
             .start()
         Runtime.getRuntime().addShutdownHook(Thread(process::destroyForcibly))
@@ -88,6 +101,8 @@
 
     val isAlive: Boolean get() = process.isAlive
 
+    val pid: Long get() = process.pid()
+
     /** Whether the process exits by itself within [timeoutMillis]. */
     fun hasExited(timeoutMillis: Long): Boolean = process.waitFor(timeoutMillis, TimeUnit.MILLISECONDS)
 
