Bound the head of a request while it is read

Callers: beside 120 callers whose head lines, or empty lines before a request, do not end, the gateway answered no ordinary request for 60 s. A single head of 16 KiB with one line of more than 8 KiB, which the limits allow, got 400.

Cause: Ktor's parser has no limit on the lines of a head and on empty lines before it; it compares each header with all earlier ones of its name, and does not leave its thread while bytes arrive. The limit was checked after the parser had ended. It takes no line of more than 8 KiB.

Change: lines are taken from the buffer of the connection and counted, with empty lines before them, while they arrive; after the limit of the configuration and 1 KiB for what it does not count, the request is refused with 431 (head_too_large, not run). Why it works: work and memory for a head are linear in its limit, whatever a caller sends.

CallerRequestTest and BodilessAnswerTest expected 400 for a head over the limit; they expect 431 now, which says the same to a caller, not to repeat the request, and names the reason.

--- a/core/src/main/kotlin/org/lentilquay/state/ErrorKind.kt
+++ b/core/src/main/kotlin/org/lentilquay/state/ErrorKind.kt
@@ -41,6 +41,7 @@
     ROUTE_UNKNOWN(404, "route_unknown", RunState.NOT_RUN, RetryAdvice.DO_NOT_RETRY),
     MODEL_UNKNOWN(404, "model_unknown", RunState.NOT_RUN, RetryAdvice.DO_NOT_RETRY),
     REQUEST_TIMEOUT(408, "request_timeout", RunState.NOT_RUN, RetryAdvice.RETRY_AFTER),
+    HEAD_TOO_LARGE(431, "head_too_large", RunState.NOT_RUN, RetryAdvice.DO_NOT_RETRY),
     BODY_TOO_LARGE(413, "body_too_large", RunState.NOT_RUN, RetryAdvice.DO_NOT_RETRY),
     OUTCOME_UNKNOWN(409, "outcome_unknown", RunState.UNKNOWN, RetryAdvice.RETRY_SAME_KEY),
     PLAN_CONFLICT(409, "plan_conflict", RunState.NOT_RUN, RetryAdvice.DO_NOT_RETRY),
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
@@ -5,9 +5,6 @@
 package org.lentilquay.daemon.gateway
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.ktor.http.cio.ParserException
-import io.ktor.http.cio.parseRequest
-import io.ktor.utils.io.charsets.TooLongLineException
 import io.ktor.utils.io.writeFully
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.coroutineScope
@@ -21,12 +18,18 @@
 import org.lentilquay.transport.MAXIMUM_LATE_BYTES
 import org.lentilquay.transport.TcpConnection
 import org.lentilquay.transport.describe
+import org.lentilquay.transport.http.RequestHead
+import org.lentilquay.transport.http.RequestHeadResult
+import org.lentilquay.transport.http.readRequestHead
 import org.lentilquay.transport.runSuspendCatching
 
 private val log = KotlinLogging.logger {}
 
-/** Ktor's parser takes no longer line, whatever the limit of the configuration for the whole head. */
-private const val LONG_LINE = "a line of the head is longer than 8192 bytes"
+/**
+ * Bytes of a head that the limit of the configuration does not count: method, version, line breaks, and empty lines
+ * before the request.
+ */
+private const val HEAD_OVERHEAD_BYTES = 1_024
 
 /** Time that a caller has to receive the last response before the connection is closed. */
 private const val LINGER_MILLIS = 1_000L
@@ -131,29 +134,32 @@
         reading = CloseReason.HEAD_TIME
         val writer = ResponseWriter(connection.output, now) { !isStopping() }.also { this.writer = it }
         return runSuspendCatching {
-            val result = connection.input.within({ current.headerTimeoutMillis }) {
-                parseRequest(connection.input)?.use { request ->
-                    writer.requestMethod = request.method.value
-                    callerHead(request, current.headerBytes)
-                }
+            val read = connection.input.within({ current.headerTimeoutMillis }) {
+                readRequestHead(connection.input, current.headerBytes + HEAD_OVERHEAD_BYTES)
             }
-            when (result) {
-                null -> false.also { reportIncomplete() }
-                is HeadResult.Malformed -> refuse(writer, result.failure)
-                is HeadResult.Read -> answer(result, current, writer)
+            when (read) {
+                is RequestHeadResult.Ended -> false.also { reportIncomplete() }
+                is RequestHeadResult.TooLong -> refuse(writer, headTooLong(current.headerBytes))
+                is RequestHeadResult.Malformed -> refuse(writer, malformed())
+                is RequestHeadResult.Read -> answerHead(read.head, current, writer)
             }
         }.getOrElse { failure -> answerFailure(failure, writer) }
     }
 
+    private suspend fun answerHead(read: RequestHead, limits: CallerLimits, writer: ResponseWriter): Boolean {
+        writer.requestMethod = read.method
+        return when (val head = callerHead(read, limits.headerBytes)) {
+            is HeadResult.Malformed -> refuse(writer, head.failure)
+            is HeadResult.Read -> answer(head, limits, writer)
+        }
+    }
+
     /** Answers a request that failed with [failure], unless its answer has begun or the connection has failed. */
     private suspend fun answerFailure(failure: Throwable, writer: ResponseWriter): Boolean = when {
         writer.isStarted -> false
-        failure is TooLongLineException -> refuse(writer, Failure(ErrorKind.MALFORMED_REQUEST, LONG_LINE))
         failure is InputTimeoutException && reading != null -> refuseLate(writer, failure)
         failure is IOException && !isOpen() -> false.also { reportIncomplete() }
-        failure is ParserException || failure is IOException && reading != null -> refuse(writer, malformed())
-        // Ktor's parser (3.5.2) reports an invalid version in this way.
-        failure is IllegalStateException && reading == CloseReason.HEAD_TIME -> refuse(writer, malformed())
+        failure is IOException && reading != null -> refuse(writer, malformed())
         else -> {
             log.warning("request failed unexpectedly", "reason" to describe(failure), cause = failure)
             refuse(writer, Failure(ErrorKind.INTERNAL, "the request failed with an internal error"))
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerRequest.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerRequest.kt
@@ -4,14 +4,13 @@
  */
 package org.lentilquay.daemon.gateway
 
-import io.ktor.http.cio.Request
 import org.lentilquay.state.ErrorKind
 import org.lentilquay.state.Failure
 import org.lentilquay.state.gateway.AdapterName
 import org.lentilquay.transport.http.BodyFraming
 import org.lentilquay.transport.http.CONTENT_LENGTH
+import org.lentilquay.transport.http.RequestHead
 import org.lentilquay.transport.http.TRANSFER_ENCODING
-import org.lentilquay.transport.http.headersOf
 
 private val REQUEST_TARGET = Regex("/[\\x21\\x22\\x24-\\x7e]*")
 private val METHOD = Regex("[A-Z]{1,16}")
@@ -72,14 +71,14 @@
     data class Malformed(val failure: Failure) : HeadResult
 }
 
-/** Checks the head of [request] and its size. */
-internal fun callerHead(request: Request, maximumHeaderBytes: Int): HeadResult {
-    val head = CallerHead(request.method.value, request.uri.toString(), headersOf(request))
+/** Checks the head of a request and its size. */
+internal fun callerHead(read: RequestHead, maximumHeaderBytes: Int): HeadResult {
+    val head = CallerHead(read.method, read.target, read.headers)
     val size = head.headers.sumOf { (name, value) -> name.length + value.length + HEADER_OVERHEAD_BYTES } +
         head.target.length
     return when {
-        size > maximumHeaderBytes -> malformed("the headers are longer than $maximumHeaderBytes bytes")
-        request.version.toString() != "HTTP/1.1" -> malformed("only HTTP/1.1 is supported")
+        size > maximumHeaderBytes -> HeadResult.Malformed(headTooLong(maximumHeaderBytes))
+        read.version != "HTTP/1.1" -> malformed("only HTTP/1.1 is supported")
         // After a success to CONNECT the caller takes all further bytes for those of a tunnel.
         !METHOD.matches(head.method) || head.method == CONNECT || !REQUEST_TARGET.matches(head.target) ->
             malformed("the request line is not valid")
@@ -89,6 +88,9 @@
     }
 }
 
+internal fun headTooLong(maximumBytes: Int) =
+    Failure(ErrorKind.HEAD_TOO_LARGE, "the head is longer than $maximumBytes bytes")
+
 /** Determines the framing of the body; a request with two framings could smuggle another one. */
 private fun withFraming(head: CallerHead): HeadResult {
     val lengths = head.headerValues(CONTENT_LENGTH)
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/BodilessAnswerTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/BodilessAnswerTest.kt
@@ -63,11 +63,11 @@
     listOf(
         Triple("by the handler", "HEAD /none HTTP/1.1\nHost: h\n\n", "HTTP/1.1 503"),
         Triple("with two hosts", "HEAD /none HTTP/1.1\nHost: h\nHost: i\n\n", "HTTP/1.1 400"),
-        Triple("with a long head", "HEAD /${"x".repeat(2_000)} HTTP/1.1\nHost: h\n\n", "HTTP/1.1 400"),
+        Triple("with a long head", "HEAD /${"x".repeat(2_000)} HTTP/1.1\nHost: h\n\n", "HTTP/1.1 431"),
         Triple("with a long body", "HEAD /none HTTP/1.1\nHost: h\nContent-Length: 9000\n\n", "HTTP/1.1 413"),
         Triple("with an invalid target", "HEAD /\u0001 HTTP/1.1\nHost: h\n\n", "HTTP/1.1 400"),
         Triple("without a version", "HEAD none\n\n", "HTTP/1.1 400"),
-        Triple("with a line that the parser refuses", "HEAD /${"x".repeat(9_000)} HTTP/1.1\n\n", "HTTP/1.1 400"),
+        Triple("with a line that is not read", "HEAD /${"x".repeat(9_000)} HTTP/1.1\n\n", "HTTP/1.1 431"),
     ).forEach { (name, request, status) ->
         test("a refusal of HEAD has no body: $name") {
             val handler = CallerHandler { _, writer -> writer.respondFailure(Failure(ErrorKind.OVERLOADED, "busy")) }
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/CallerRequestTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/CallerRequestTest.kt
@@ -3,14 +3,17 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
-import io.ktor.http.cio.parseRequest
-import io.ktor.utils.io.ByteReadChannel
 import org.lentilquay.state.ErrorKind
 import org.lentilquay.state.gateway.AdapterName
 import org.lentilquay.transport.http.BodyFraming
+import org.lentilquay.transport.http.RequestHead
 
-private suspend fun head(text: String): HeadResult =
-    parseRequest(ByteReadChannel(text.trimIndent().replace("\n", "\r\n") + "\r\n\r\n"))!!.use { callerHead(it, 500) }
+private fun head(text: String): HeadResult {
+    val lines = text.lines()
+    val (method, target, version) = lines.first().split(' ')
+    val headers = lines.drop(1).map { it.substringBefore(':') to it.substringAfter(':').trim() }
+    return callerHead(RequestHead(method, target, version, headers), 500)
+}
 
 /** Guards against request smuggling, and against callers that set headers which only the gateway may set. */
 class CallerRequestTest : FunSpec({
@@ -23,13 +26,17 @@
         "no Host header" to "GET /a HTTP/1.1\nA: b",
         "two Host headers" to "GET /a HTTP/1.1\nHost: h\nHost: i",
         "an absolute request target" to "GET http://h/a HTTP/1.1\nHost: h",
-        "headers over the limit" to "GET /a HTTP/1.1\nHost: h\nA: ${"x".repeat(500)}",
     ).forEach { (name, text) ->
         test("a request with $name is rejected as malformed") {
             head(text).shouldBeInstanceOf<HeadResult.Malformed>().failure.kind shouldBe ErrorKind.MALFORMED_REQUEST
         }
     }
 
+    test("a request with headers over the limit is rejected as too large") {
+        val result = head("GET /a HTTP/1.1\nHost: h\nA: ${"x".repeat(500)}")
+        result.shouldBeInstanceOf<HeadResult.Malformed>().failure.kind shouldBe ErrorKind.HEAD_TOO_LARGE
+    }
+
     test("hop-by-hop headers and reserved headers are not forwarded") {
         val headers = "Host: h\nConnection: close, X-Once\nX-Once: 1\nTenant: t\nContent-Length: 5\nA: b"
         val read = head("POST /a?b=c HTTP/1.1\n$headers").shouldBeInstanceOf<HeadResult.Read>()
