Give the memory for request bodies to callers that send them

Callers: beside 120 callers whose bodies of legal length arrive slowly and stop short of their end, ordinary requests of 100 kB were refused for 60 s, until the test gave up.

Cause: the announced length of a body was reserved before it was read and kept until the request ended, so a few callers that announce long bodies and do not send them hold all of the memory, for up to 60 s each. Bodies waited in the order of their requests. Bodies of up to 32 KiB were not counted at all.

Change: every body takes memory in step with its arrival (ArrivingBodies in core, without network and clock). While there is none, bodies wait; shorter ones go on first; one long body at a time may use a reserve, so that bodies that have arrived in part do not wait for each other; one that brings nothing for 1 s, or less than 64 KiB/s over 2 s, gives way with 503 and Retry-After. Short bodies have a part of their own. The memory is a fifth of the heap (32 MiB of 160 MB; of that 24 MiB for long bodies, as before). Why it works: what does not arrive holds nothing for long, and a request that is handled never gives way.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
@@ -18,6 +18,7 @@
 import org.lentilquay.transport.MAXIMUM_LATE_BYTES
 import org.lentilquay.transport.TcpConnection
 import org.lentilquay.transport.describe
+import org.lentilquay.transport.http.BodyFraming
 import org.lentilquay.transport.http.RequestHead
 import org.lentilquay.transport.http.RequestHeadResult
 import org.lentilquay.transport.http.readRequestHead
@@ -56,7 +57,7 @@
     private val limits: () -> CallerLimits?,
     private val isStopping: () -> Boolean,
     private val now: () -> Long,
-    private val bodies: RequestBodyBudget = RequestBodyBudget(),
+    private val bodies: RequestBodyBudget,
     private val maximumBodyMillis: Long = MAXIMUM_BODY_MILLIS,
 ) {
     /** Whether a request is being read or handled. */
@@ -214,7 +215,8 @@
             connection.output.writeFully("HTTP/1.1 100 Continue\r\n\r\n".encodeToByteArray())
             connection.output.flush()
         }
-        bodies.Reservation().use { memory ->
+        val length = (head.framing as? BodyFraming.Length)?.bytes
+        bodies.Reservation(length) { connection.input.reviewLimits() }.use { memory ->
             reading = CloseReason.BODY_TIME
             val body = connection.input.within({ maximumBodyMillis }, limits.bodyBytes + MAXIMUM_LATE_BYTES) {
                 readRequestBody(connection.input, head.framing, limits, memory)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayListener.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayListener.kt
@@ -35,7 +35,7 @@
     private val now: () -> Long,
 ) {
     private val connections = ConcurrentHashMap.newKeySet<CallerConnection>()
-    private val bodies = RequestBodyBudget()
+    private val bodies = RequestBodyBudget(now = now)
     private var socket: ServerSocket? = null
 
     /** Number of connections on which a request is being handled. */
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestBody.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestBody.kt
@@ -3,18 +3,24 @@
  */
 package org.lentilquay.daemon.gateway
 
+import kotlinx.coroutines.yield
 import kotlinx.io.Buffer
 import kotlinx.io.IOException
 import kotlinx.io.readByteArray
 import org.lentilquay.state.ErrorKind
 import org.lentilquay.state.Failure
 import org.lentilquay.state.gateway.CallerLimits
+import org.lentilquay.transport.InputTimeoutException
 import org.lentilquay.transport.TimedInput
 import org.lentilquay.transport.http.BodyFraming
 import org.lentilquay.transport.http.BodyReader
 
 /** `Retry-After` of a request whose body found no memory; a long body takes about a second to arrive. */
 private const val NO_MEMORY_RETRY_AFTER_MILLIS = 1_000L
+private val NO_BYTES = ByteArray(0)
+
+/** Parts of a body, of 8 KiB at most, that are read before other connections have their turn. */
+private const val PARTS_AT_ONCE = 16
 
 /** The result of reading the body of a request. */
 internal sealed interface RequestBodyResult {
@@ -25,8 +31,8 @@
 }
 
 /**
- * Reads the body that follows in [input], with [memory] for a long one. Throws an [IOException] if the body is cut off
- * or the caller sends no part of it for the idle timeout.
+ * Reads the body that follows in [input], with [memory] for it. Throws an [IOException] if the body is cut off or the
+ * caller sends no part of it for the idle timeout.
  */
 internal suspend fun readRequestBody(
     input: TimedInput,
@@ -35,43 +41,38 @@
     memory: RequestBodyBudget.Reservation,
 ): RequestBodyResult {
     val length = (framing as? BodyFraming.Length)?.bytes
-    val reader = BodyReader(input, framing)
-    val next: suspend () -> ByteArray? = { input.within({ limits.idleTimeoutMillis }) { reader.next() } }
     return when {
-        length == null -> readUnknownLength(next, limits, memory)
-        length > limits.bodyBytes -> tooLong(limits)
-        !memory.reserve(length) -> noMemory()
-        else -> readRest(next, limits, Buffer())
+        length == 0L -> RequestBodyResult.Read(NO_BYTES)
+        length != null && length > limits.bodyBytes -> tooLong(limits)
+        else -> readParts(input, framing, limits, memory)
     }
 }
 
-/** Reserves memory for the longest body once a chunked one exceeds what is not counted. */
-private suspend fun readUnknownLength(
-    next: suspend () -> ByteArray?,
+private suspend fun readParts(
+    input: TimedInput,
+    framing: BodyFraming,
     limits: CallerLimits,
     memory: RequestBodyBudget.Reservation,
 ): RequestBodyResult {
+    val reader = BodyReader(input, framing)
     val collected = Buffer()
-    while (collected.size <= UNCOUNTED_BODY_BYTES) {
-        collected.write(next() ?: break)
-    }
-    return when {
-        collected.size <= UNCOUNTED_BODY_BYTES || memory.reserve(limits.bodyBytes.toLong()) ->
-            readRest(next, limits, collected)
-        else -> noMemory()
-    }
-}
-
-private suspend fun readRest(
-    next: suspend () -> ByteArray?,
-    limits: CallerLimits,
-    collected: Buffer,
-): RequestBodyResult {
-    while (collected.size <= limits.bodyBytes) {
-        val part = next() ?: return RequestBodyResult.Read(collected.readByteArray())
-        collected.write(part)
+    var parts = 0
+    val idleMillis = { if (memory.hasGivenWay) 0 else limits.idleTimeoutMillis }
+    return try {
+        while (true) {
+            val part = input.within(idleMillis) { reader.next() } ?: break
+            if (collected.size + part.size > limits.bodyBytes) return tooLong(limits)
+            if (!memory.growTo(collected.size + part.size)) return noMemory()
+            collected.write(part)
+            // The bytes of one caller can arrive faster than they are read.
+            if (++parts % PARTS_AT_ONCE == 0) yield()
+        }
+        memory.arrived()
+        RequestBodyResult.Read(collected.readByteArray())
+    } catch (timeout: InputTimeoutException) {
+        if (!memory.hasGivenWay) throw timeout
+        noMemory()
     }
-    return tooLong(limits)
 }
 
 private fun tooLong(limits: CallerLimits) = RequestBodyResult.Refused(
