Bound the connections of callers by the descriptors of the settings

Callers: 600 connections that say nothing, or whose head stops one byte short, took 720 and 751 descriptors where the settings allow 400. Beyond the limit of the platform a process cannot accept, nor reach its servers, the table service and other VMs.

Cause: limits.maxFds was not read, and the acceptor took every connection.

A connection beyond that takes the place of one whose caller has sent nothing for a second and that has no request in progress; while there is none the acceptor waits, and if all have requests in progress the new one is closed (roomForConnection in core). The readiness and metrics addresses have 64 each. What is refused or closed before a request is read has a counter by reason (lentilquay_gateway_caller_refusals_total) and a log line, 20 a second at most for each reason. Why it works: connections that hold a place without using it are the first to lose it.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerClose.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerClose.kt
@@ -60,8 +60,8 @@
                 UNANSWERED
         }
 
-    fun report() {
-        if (isOrdinary) return
+    /** Logs this close, after [omitted] of the same reason that were not logged. */
+    fun log(omitted: Int) {
         log.event(
             message,
             "reason" to reason.text,
@@ -71,6 +71,7 @@
             "lateMillis" to lateMillis,
             "receivedBytes" to receivedBytes,
             "requests" to requests,
+            "omitted" to omitted.takeIf { it > 0 },
         )
     }
 }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
@@ -10,6 +10,8 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.io.IOException
+import org.lentilquay.coordination.callers.ConnectionStage
+import org.lentilquay.coordination.callers.ConnectionState
 import org.lentilquay.daemon.logs.warning
 import org.lentilquay.state.ErrorKind
 import org.lentilquay.state.Failure
@@ -58,13 +60,17 @@
     private val isStopping: () -> Boolean,
     private val now: () -> Long,
     private val bodies: RequestBodyBudget,
+    private val refusals: CallerRefusals = CallerRefusals(now),
     private val maximumBodyMillis: Long = MAXIMUM_BODY_MILLIS,
 ) {
-    /** Whether a request is being read or handled. */
+    /** What happens on this connection now. */
     @Volatile
-    var isBusy: Boolean = false
+    var state = ConnectionState(ConnectionStage.IDLE, now())
         private set
 
+    /** Whether a request is being read or handled. */
+    val isBusy: Boolean get() = state.stage != ConnectionStage.IDLE
+
     /** Whether the last response was written completely. */
     private var isAnswered = false
 
@@ -98,9 +104,16 @@
 
     suspend fun serve() = connection.use {
         while (serveNext()) Unit
+        enter(ConnectionStage.ENDING)
         if (isAnswered) connection.finish(LINGER_MILLIS)
     }
 
+    /** Closes this connection at once, to make room for another one. */
+    fun closeForRoom() {
+        connection.endOutputIfIdle()
+        connection.close()
+    }
+
     /**
      * Ends the wait for a request, unless one has arrived. A connection that was accepted or used just now stays open,
      * because the next request may be under way.
@@ -128,10 +141,10 @@
     private suspend fun serveNext(): Boolean {
         val limitsBefore = presentLimits()
         idleSince = now()
-        isBusy = false
+        enter(ConnectionStage.IDLE)
         if (!awaitRequest(limitsBefore)) return false
         val current = limitsBefore.largerOf(presentLimits())
-        isBusy = true
+        enter(ConnectionStage.READING_HEAD)
         reading = CloseReason.HEAD_TIME
         val writer = ResponseWriter(connection.output, now) { !isStopping() }.also { this.writer = it }
         return runSuspendCatching {
@@ -182,6 +195,10 @@
         }
     }
 
+    private fun enter(stage: ConnectionStage) {
+        state = ConnectionState(stage, now())
+    }
+
     private fun reportIdleClose(timeout: InputTimeoutException) =
         if (isStopping()) reportClose(CloseReason.PLANNED_STOP) else reportClose(CloseReason.IDLE_LIMIT, timeout)
 
@@ -205,7 +222,7 @@
             presentIdleLimitMillis = presentLimits().idleTimeoutMillis,
             receivedBytes = connection.input.unreadBytes(),
             requests = requests,
-        ).report()
+        ).let(refusals::closed)
 
     private suspend fun answer(head: HeadResult.Read, limits: CallerLimits, writer: ResponseWriter): Boolean {
         isAnswered = false
@@ -218,10 +235,12 @@
         val length = (head.framing as? BodyFraming.Length)?.bytes
         bodies.Reservation(length) { connection.input.reviewLimits() }.use { memory ->
             reading = CloseReason.BODY_TIME
+            enter(ConnectionStage.READING_BODY)
             val body = connection.input.within({ maximumBodyMillis }, limits.bodyBytes + MAXIMUM_LATE_BYTES) {
-                readRequestBody(connection.input, head.framing, limits, memory)
+                readRequestBody(connection.input, head.framing, limits, memory) { enter(ConnectionStage.READING_BODY) }
             }
             reading = null
+            enter(ConnectionStage.HANDLING)
             when (body) {
                 is RequestBodyResult.Refused -> return refuse(writer, body.failure)
                 is RequestBodyResult.Read ->
@@ -253,6 +272,7 @@
 
     /** Rejects a malformed request. The connection is then closed, because the start of the next one is not known. */
     private suspend fun refuse(writer: ResponseWriter, failure: Failure): Boolean {
+        if (failure.kind != ErrorKind.INTERNAL) refusals.refused(failure, requests)
         writer.closeAfterResponse()
         writer.respondFailure(failure)
         isAnswered = true
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/Gateway.kt
@@ -78,6 +78,9 @@
 /** Time at the end of a planned stop in which requests that are still in progress are answered with a failure. */
 private const val LAST_ANSWERS_MILLIS = 200L
 
+/** Connections at once for readiness checks, and for reads of the metrics; each has a few clients. */
+private const val MAXIMUM_STATUS_CONNECTIONS = 64
+
 /** Timeout for publishing the member record that says that this VM leaves. */
 private const val LEAVE_TIMEOUT_MILLIS = 400L
 
@@ -126,6 +129,9 @@
             }
         }
     }
+    private val callerCapacity =
+        CallerCapacity(timer::now, options.maximumConnections, CallerRefusals(timer::now, metrics::callerRefused))
+    private val statusCapacity = callerCapacity.forListener(MAXIMUM_STATUS_CONNECTIONS)
     private var callers: GatewayListener? = null
 
     @Volatile
@@ -157,7 +163,7 @@
             duties?.counter,
         )
         val limits = { state.rules?.configuration?.callerLimits }
-        callers = GatewayListener(network, forwarder, limits, { isStopping }, scope, timer::now)
+        callers = GatewayListener(network, forwarder, limits, { isStopping }, scope, timer::now, callerCapacity)
             .also { it.start(options.callerAddress) }
         startLoops(secret)
     }
@@ -207,9 +213,11 @@
         metrics.gauge("lentilquay_gateway_table_era", "Era of the table service; 0 if it sends none") {
             ports.clock.latestEra?.toDouble() ?: 0.0
         }
+        val openConnections = { callers?.openConnections?.toDouble() ?: 0.0 }
+        metrics.gauge("lentilquay_gateway_caller_connections", "Open connections of callers", openConnections)
         val status = StatusHandler(options.readinessPath, metrics) { isReady }
         listOf(options.readinessAddress, options.metricsAddress).forEach { address ->
-            GatewayListener(network, status, { null }, { false }, scope, timer::now).start(address)
+            GatewayListener(network, status, { null }, { false }, scope, timer::now, statusCapacity).start(address)
         }
     }
 
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayMetrics.kt
@@ -68,6 +68,13 @@
     /** Counts an attempt beside one whose server leaves at short notice, and whether the stream goes on there. */
     fun streamMoved(isMoved: Boolean) = movedStreams.labelValues(if (isMoved) "moved" else "stayed").inc()
 
+    private val refusals = Counter.builder().name("lentilquay_gateway_caller_refusals")
+        .help("Requests that were refused before they had been read, and connections closed for want of room")
+        .labelNames("reason").register(registry)
+
+    /** Counts a caller that was refused for [reason] before its request had been read. */
+    fun callerRefused(reason: String) = refusals.labelValues(reason).inc()
+
     /** Registers a gauge whose value is computed by [value] at each scrape. */
     fun gauge(name: String, help: String, value: () -> Double) {
         GaugeWithCallback.builder().name(name).help(help).callback { it.call(value()) }.register(registry)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayPorts.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayPorts.kt
@@ -168,4 +168,6 @@
     val duties: DutyOptions? = null,
     /** Whether the whole system starts for the first time, so that the table service has lost nothing. */
     val isBootstrap: Boolean = false,
+    /** The most connections of callers at once. */
+    val maximumConnections: Int = Int.MAX_VALUE,
 )
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestBody.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestBody.kt
@@ -32,19 +32,20 @@
 
 /**
  * Reads the body that follows in [input], with [memory] for it. Throws an [IOException] if the body is cut off or the
- * caller sends no part of it for the idle timeout.
+ * caller sends no part of it for the idle timeout. [onPart] is called after each part.
  */
 internal suspend fun readRequestBody(
     input: TimedInput,
     framing: BodyFraming,
     limits: CallerLimits,
     memory: RequestBodyBudget.Reservation,
+    onPart: () -> Unit = {},
 ): RequestBodyResult {
     val length = (framing as? BodyFraming.Length)?.bytes
     return when {
         length == 0L -> RequestBodyResult.Read(NO_BYTES)
         length != null && length > limits.bodyBytes -> tooLong(limits)
-        else -> readParts(input, framing, limits, memory)
+        else -> readParts(input, framing, limits, memory, onPart)
     }
 }
 
@@ -53,6 +54,7 @@
     framing: BodyFraming,
     limits: CallerLimits,
     memory: RequestBodyBudget.Reservation,
+    onPart: () -> Unit,
 ): RequestBodyResult {
     val reader = BodyReader(input, framing)
     val collected = Buffer()
@@ -64,6 +66,7 @@
             if (collected.size + part.size > limits.bodyBytes) return tooLong(limits)
             if (!memory.growTo(collected.size + part.size)) return noMemory()
             collected.write(part)
+            onPart()
             // The bytes of one caller can arrive faster than they are read.
             if (++parts % PARTS_AT_ONCE == 0) yield()
         }
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/PlannedStopTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/PlannedStopTest.kt
@@ -29,9 +29,8 @@
         delay(20)
         writer.respond(200, emptyList(), "ok".encodeToByteArray())
     }
-    val listener = GatewayListener(TcpNetwork(), handler, { null }, isStopping::get, scope) {
-        System.nanoTime() / 1_000_000
-    }
+    private val now = { System.nanoTime() / 1_000_000 }
+    val listener = GatewayListener(TcpNetwork(), handler, { null }, isStopping::get, scope, now)
 
     suspend fun start() = listener.start("127.0.0.1:$port")
 
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/SocketAnswers.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/gateway/SocketAnswers.kt
@@ -57,9 +57,8 @@
 ): String {
     val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     val port = ServerSocket(0).use { it.localPort }
-    val listener = GatewayListener(TcpNetwork(), forwarder, { null }, { isStopping }, scope) {
-        System.nanoTime() / 1_000_000
-    }
+    val now = { System.nanoTime() / 1_000_000 }
+    val listener = GatewayListener(TcpNetwork(), forwarder, { null }, { isStopping }, scope, now)
     listener.start("127.0.0.1:$port")
     try {
         return Socket("127.0.0.1", port).use { socket ->
