Stop reading a refused caller, and buffer less for each connection

Callers: none was seen to suffer from this; both are found by reading.

Cause: after a refusal the rest of the input was discarded for up to 1 s without a bound on its bytes, in a loop that does not leave its thread while bytes arrive. Each accepted connection buffered 64 KiB in each direction, so 2,600 connections could hold more than the heap.

Change: after a refusal the rest of a legal body and 64 KiB are discarded at most, 64 KiB at a time, and what is beyond stays in the buffer of the socket until the second has passed. Accepted connections buffer 16 KiB in each direction. Connections to servers keep their buffers.

Evidence: no test was red before. MisbehavingGatewayCallersTest is green with it (each kind run once at that point).

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
@@ -37,6 +37,9 @@
 /** Time that a caller has to receive the last response before the connection is closed. */
 private const val LINGER_MILLIS = 1_000L
 
+/** Bytes beyond the body of a request that are discarded when its connection ends. */
+private const val MAXIMUM_UNREAD_BYTES = 64L shl 10
+
 /** How long a connection must have been idle before a planned stop closes it. */
 private const val IDLE_BEFORE_STOP_MILLIS = 400L
 
@@ -102,10 +105,13 @@
     @Volatile
     private var requests = 0
 
+    /** Bytes that the caller may still send after its refusal; they are discarded so that it can read the response. */
+    private var unreadBytes = MAXIMUM_UNREAD_BYTES
+
     suspend fun serve() = connection.use {
         while (serveNext()) Unit
         enter(ConnectionStage.ENDING)
-        if (isAnswered) connection.finish(LINGER_MILLIS)
+        if (isAnswered) connection.finish(LINGER_MILLIS, unreadBytes)
     }
 
     /** Closes this connection at once, to make room for another one. */
@@ -236,6 +242,7 @@
         bodies.Reservation(length) { connection.input.reviewLimits() }.use { memory ->
             reading = CloseReason.BODY_TIME
             enter(ConnectionStage.READING_BODY)
+            unreadBytes = minOf(length ?: Long.MAX_VALUE, limits.bodyBytes.toLong()) + MAXIMUM_UNREAD_BYTES
             val body = connection.input.within({ maximumBodyMillis }, limits.bodyBytes + MAXIMUM_LATE_BYTES) {
                 readRequestBody(connection.input, head.framing, limits, memory) { enter(ConnectionStage.READING_BODY) }
             }
--- a/daemon/src/main/kotlin/org/lentilquay/transport/SocketInput.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/SocketInput.kt
@@ -17,20 +17,25 @@
 import kotlinx.io.unsafe.UnsafeBufferOperations
 import java.nio.ByteBuffer
 
-/** Received bytes after which the socket is not read until some are taken. */
-private const val MAXIMUM_RECEIVED_BYTES = 64L shl 10
-
 /**
- * Opens the input of [socket], which is registered with [selector]. [outputFailure] is the failure of the connection
- * that its output has met.
+ * Opens the input of [socket], which is registered with [selector]. The socket is not read while
+ * [maximumReceivedBytes] or more have not been taken. [outputFailure] is the failure of the connection that its output
+ * has met.
  */
-internal fun openInput(socket: Socket, selector: SelectorManager, outputFailure: () -> Throwable?): TimedInput =
-    SocketInput(SocketDirection(socket, selector, SelectInterest.READ), outputFailure).also { it.start() }
+internal fun openInput(
+    socket: Socket,
+    selector: SelectorManager,
+    maximumReceivedBytes: Long,
+    outputFailure: () -> Throwable?,
+): TimedInput =
+    SocketInput(SocketDirection(socket, selector, SelectInterest.READ), maximumReceivedBytes, outputFailure)
+        .also { it.start() }
 
 /** One coroutine receives from the socket, and one at a time reads. */
 @OptIn(InternalAPI::class, UnsafeIoApi::class)
 private class SocketInput(
     private val socket: SocketDirection,
+    private val maximumReceivedBytes: Long,
     private val outputFailure: () -> Throwable?,
 ) : TimedInput {
     private val lock = Any()
@@ -125,7 +130,7 @@
 
     /** Receives what the socket has now; a failure is left to the reader. Call it with [lock] held. */
     private fun receiveNow() {
-        if (socket.isEnded || closedCause != null || received.size >= MAXIMUM_RECEIVED_BYTES) return
+        if (socket.isEnded || closedCause != null || received.size >= maximumReceivedBytes) return
         try {
             if (readSocket() < 0) socket.isEnded = true
         } catch (failure: IOException) {
@@ -135,7 +140,7 @@
     }
 
     private suspend fun awaitRoom() {
-        while (closedCause == null && synchronized(lock) { received.size } >= MAXIMUM_RECEIVED_BYTES) socket.awaitRoom()
+        while (closedCause == null && synchronized(lock) { received.size } >= maximumReceivedBytes) socket.awaitRoom()
     }
 
     private fun takeReceived() {
--- a/daemon/src/main/kotlin/org/lentilquay/transport/TcpNetwork.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/transport/TcpNetwork.kt
@@ -31,11 +31,11 @@
 private const val WAKE_BUFFER_BYTES = 64
 private const val THREAD_IDLE_SECONDS = 5L
 
-/** Pending output of a connection opened here: a server may answer a long request before it has read it. */
-private const val OPENED_PENDING_BYTES = 1L shl 20
+/** Buffers of a connection opened here: a server may answer a long request before it has read it. */
+private val OPENED_BUFFERS = ConnectionBuffers(receivedBytes = 64L shl 10, pendingBytes = 1L shl 20)
 
-/** Pending output of an accepted connection. Many callers can take no data at the same time. */
-private const val ACCEPTED_PENDING_BYTES = 64L shl 10
+/** Buffers of an accepted connection. Many callers can send without end, or take no data, at the same time. */
+private val ACCEPTED_BUFFERS = ConnectionBuffers(receivedBytes = 16L shl 10, pendingBytes = 16L shl 10)
 
 /** A selector that connections are opened and accepted through. Closing it does not close open connections. */
 internal class TcpNetwork : AutoCloseable {
@@ -54,7 +54,7 @@
                 // would be sent again until it can, and an abandoned order could take effect many seconds later.
                 lingerSeconds = 0
             }
-            opened = TcpConnection(socket, selector, OPENED_PENDING_BYTES, wake::wake)
+            opened = TcpConnection(socket, selector, OPENED_BUFFERS, wake::wake)
         } != null
         if (!inTime) opened?.close()
         return opened.takeIf { inTime }
@@ -66,7 +66,7 @@
 
     /** Accepts the next connection of [listener], which [listen] returned. */
     suspend fun accept(listener: ServerSocket): TcpConnection =
-        TcpConnection(listener.accept(), selector, ACCEPTED_PENDING_BYTES, wake::wake)
+        TcpConnection(listener.accept(), selector, ACCEPTED_BUFFERS, wake::wake)
 
     override fun close() = selector.close()
 }
--- a/daemon/src/test/kotlin/org/lentilquay/transport/StalledConnectionTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/transport/StalledConnectionTest.kt
@@ -77,7 +77,7 @@
                     other.getInputStream().readAllBytes()
                 }
                 connection.output.writeMessage(ByteArray(0), sent)
-                connection.finish(lingerMillis = 10)
+                connection.finish(lingerMillis = 10, maximumDiscardedBytes = 1_000)
                 received.await().contentEquals(sent) shouldBe true
             }
         }
