Read the requests of the own interface with the listener of the gateway

Callers: of 15 kinds of callers outside the limits, 11 kept an ordinary caller of lentilquayd from an answer for 60 s or refused a legal request: endless heads, empty lines, unfinished and excessive bodies, idle connections beyond the descriptors, callers that take no responses, and all of them at once. A chunked request whose caller closes between two chunks was run with a part of its body.

Cause: Ktor's CIO server (3.5.2) has no limit on the lines of a head, on connections and on what it buffers, busy-waits while a caller takes no data, and reports a chunked body that is cut between two chunks as complete.

Change: CallerEngine, a Ktor engine over GatewayListener; the routes stay as they are. A request has arrived in full before a route sees it, so a planned stop counts what the listener reads, and judges a request by the arrival of its head. Refusals before that have the error body of the interface. Settings limits.connections, limits.headerMillis and limits.idleMillis; counter lentilquay_caller_refusals_total. BodilessResponses goes, since the writer of the gateway does the same.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/Daemon.kt
@@ -4,9 +4,7 @@
 package org.lentilquay.daemon
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.ktor.server.application.install
 import io.ktor.server.application.serverConfig
-import io.ktor.server.cio.CIO
 import io.ktor.server.engine.EmbeddedServer
 import io.ktor.server.engine.connector
 import io.ktor.server.engine.embeddedServer
@@ -21,15 +19,19 @@
 import org.lentilquay.daemon.administration.administrationRoutes
 import org.lentilquay.daemon.control.CoordinationHandler
 import org.lentilquay.daemon.control.MembershipListener
+import org.lentilquay.daemon.gateway.CallerCapacity
 import org.lentilquay.daemon.logs.event
-import org.lentilquay.daemon.requests.BodilessResponses
 import org.lentilquay.daemon.requests.callerRoutes
+import org.lentilquay.daemon.requests.engine.CallerEngine
+import org.lentilquay.daemon.requests.engine.CallerEngineConfiguration
+import org.lentilquay.daemon.requests.engine.CallerEngineFactory
 import org.lentilquay.daemon.settings.Settings
 import org.lentilquay.daemon.timer.TimerEvent
 import org.lentilquay.protocol.PeerAnswer
 import org.lentilquay.protocol.PeerRequest
 import org.lentilquay.state.Incarnation
 import org.lentilquay.state.VmId
+import org.lentilquay.state.gateway.CallerLimits
 import org.lentilquay.transport.Secret
 import org.lentilquay.transport.http.ipAddressOf
 import org.lentilquay.transport.peer.RunningPeerServer
@@ -46,7 +48,8 @@
     private val scope: CoroutineScope = parts.scope
     private val timing = settings.timing
     private lateinit var peerServer: RunningPeerServer
-    private var listeners: List<EmbeddedServer<*, *>> = emptyList()
+    private lateinit var callers: CallerServer
+    private lateinit var administration: CallerServer
 
     /**
      * Starts all listeners and loops.
@@ -67,13 +70,13 @@
             parts.metrics.peerTraffic,
         )
         startLoops()
-        val callers = listen(settings.callers.listen) {
+        callers = listen(settings.callers.listen, parts.callerLimits, parts.callerCapacity) {
             callerRoutes(parts.requestLimiter, parts.inferenceHandler, parts.serviceHandler)
         }
-        val administration = listen(settings.administration.listen) {
+        administration = listen(settings.administration.listen, parts.operatorLimits, parts.operatorCapacity) {
             administrationRoutes(parts.administration, settings.operators, parts.metrics)
         }
-        listeners = listOf(callers, administration).onEach { it.start() }
+        listOf(callers, administration).forEach { it.start() }
         log.event("started", "vm" to settings.vm, "domain" to settings.failureDomain)
     }
 
@@ -86,24 +89,26 @@
         parts.seats.releaseAll(settings.vm)
         // Requests are accepted for a while, because the load balancer needs time to see that the VM is not ready.
         delay(LOAD_BALANCER_DELAY_MILLIS)
-        parts.requestLimiter.isOpen = false
+        parts.requestLimiter.close()
         withTimeoutOrNull(timing.drainMillis) { awaitDrained() }
         parts.atMostOnceCalls.settleRecords(System.currentTimeMillis())
-        listeners.forEach { it.stop(LISTENER_GRACE_MILLIS, LISTENER_GRACE_MILLIS) }
+        listOf(callers, administration).forEach { it.stop(LISTENER_GRACE_MILLIS, LISTENER_GRACE_MILLIS) }
         peerServer.close()
         log.event("stopped", "vm" to settings.vm, "active" to parts.activeCalls.count)
     }
 
     private suspend fun awaitDrained() {
         val bodiesUntil = parts.timer.now() + BODY_DRAIN_MILLIS
-        while (
-            parts.requestLimiter.hasRequests(includesBodies = parts.timer.now() < bodiesUntil) ||
-            !parts.control.decide { parts.ownership.hasReleasedAll() }
-        ) {
-            delay(DRAIN_POLL_MILLIS)
-        }
+        while (isReadingUntil(bodiesUntil) || hasWork()) delay(DRAIN_POLL_MILLIS)
     }
 
+    /** Whether requests are being read, which counts up to [bodiesUntil]. */
+    private fun isReadingUntil(bodiesUntil: Long): Boolean =
+        parts.timer.now() < bodiesUntil && callers.engine.busyConnections > 0
+
+    private suspend fun hasWork(): Boolean =
+        parts.requestLimiter.hasRequests || !parts.control.decide { parts.ownership.hasReleasedAll() }
+
     private fun startLoops() {
         repeatEvery(MEMBER_TICK_MILLIS) { parts.control.decide { tickMembers() } }
         repeatEvery(SESSION_TICK_MILLIS) { parts.control.decide { parts.session.tick() } }
@@ -234,14 +239,16 @@
     }
 }
 
-private fun listen(address: String, routes: Route.() -> Unit): EmbeddedServer<*, *> {
-    val properties = serverConfig {
-        module {
-            install(BodilessResponses)
-            routing { routes() }
-        }
-    }
-    return embeddedServer(CIO, properties) {
+private fun listen(
+    address: String,
+    limits: CallerLimits,
+    capacity: CallerCapacity,
+    routes: Route.() -> Unit,
+): CallerServer {
+    val properties = serverConfig { module { routing { routes() } } }
+    return embeddedServer(CallerEngineFactory, properties) {
+        this.limits = limits
+        this.capacity = capacity
         connector {
             host = address.substringBeforeLast(':')
             port = address.substringAfterLast(':').toInt()
@@ -249,6 +256,8 @@
     }
 }
 
+private typealias CallerServer = EmbeddedServer<CallerEngine, CallerEngineConfiguration>
+
 private const val REPLACED_EXIT_CODE = 3
 private const val MEMBER_TICK_MILLIS = 100L
 private const val SESSION_TICK_MILLIS = 200L
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/DaemonParts.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/DaemonParts.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
+import org.lentilquay.coordination.callers.maximumCallerConnections
 import org.lentilquay.coordination.configuration.ConfigurationStore
 import org.lentilquay.coordination.configuration.FreshnessTracker
 import org.lentilquay.coordination.configuration.OfferResult
@@ -21,6 +22,7 @@
 import org.lentilquay.coordination.quota.TransferPlanner
 import org.lentilquay.coordination.suspects.SuspectTracker
 import org.lentilquay.daemon.administration.AdministrationService
+import org.lentilquay.daemon.administration.MAXIMUM_PLAN_BYTES
 import org.lentilquay.daemon.administration.StatusView
 import org.lentilquay.daemon.control.ConfigurationLoop
 import org.lentilquay.daemon.control.ControlContext
@@ -42,7 +44,11 @@
 import org.lentilquay.daemon.control.WeightStoreOwner
 import org.lentilquay.daemon.control.readRecord
 import org.lentilquay.daemon.control.serverRanking
+import org.lentilquay.daemon.gateway.CallerCapacity
+import org.lentilquay.daemon.gateway.CallerRefusals
+import org.lentilquay.daemon.gateway.RequestBodyBudget
 import org.lentilquay.daemon.metrics.Metrics
+import org.lentilquay.daemon.metrics.processDescriptors
 import org.lentilquay.daemon.requests.ActiveCalls
 import org.lentilquay.daemon.requests.AtMostOnceCalls
 import org.lentilquay.daemon.requests.ConfigurationView
@@ -63,6 +69,7 @@
 import org.lentilquay.state.OwnershipRecord
 import org.lentilquay.state.ServerId
 import org.lentilquay.state.VmId
+import org.lentilquay.state.gateway.CallerLimits
 import org.lentilquay.state.ownerKey
 import org.lentilquay.transport.Secret
 import org.lentilquay.transport.engine.EngineClient
@@ -237,6 +244,20 @@
         settings.limits.headerBytes,
         settings.limits.concurrentRequests,
     )
+    val callerLimits = CallerLimits(
+        settings.limits.headerBytes,
+        settings.limits.bodyBytes,
+        settings.limits.headerMillis,
+        settings.limits.idleMillis,
+    )
+    val operatorLimits = callerLimits.copy(bodyBytes = MAXIMUM_PLAN_BYTES)
+    val callerCapacity = CallerCapacity(
+        timer::now,
+        settings.limits.connections ?: maximumCallerConnections(processDescriptors(), Runtime.getRuntime().maxMemory()),
+        CallerRefusals(timer::now, metrics::callerRefused),
+        RequestBodyBudget((Runtime.getRuntime().maxMemory() * BODIES_HEAP_SHARE).toLong(), now = timer::now),
+    )
+    val operatorCapacity = callerCapacity.forListener(MAXIMUM_OPERATOR_CONNECTIONS)
     val inferenceHandler = InferenceHandler(
         view = ::view,
         quota = quota,
@@ -312,6 +333,12 @@
 
 private val MEMBER_LEFT = org.lentilquay.protocol.MemberState.LEFT
 
+/** The share of the heap for request bodies; a request is in memory several times while it is parsed. */
+private const val BODIES_HEAP_SHARE = 0.08
+
+/** Connections of operators, health checks and readers of the metrics at once. */
+private const val MAXIMUM_OPERATOR_CONNECTIONS = 128
+
 /** Number of members that are notified of a new revision; each notifies as many others. */
 private const val GOSSIP_FANOUT = 3
 
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/administration/AdministrationApi.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/administration/AdministrationApi.kt
@@ -107,7 +107,7 @@
     }
 
     private suspend fun <T> body(call: ApplicationCall, serializer: KSerializer<T>): Outcome<T> {
-        val bytes = when (val read = call.readBody(MAXIMUM_BODY_BYTES)) {
+        val bytes = when (val read = call.readBody(MAXIMUM_PLAN_BYTES)) {
             is Outcome.Failed -> return read
             is Outcome.Success -> read.value
         }
@@ -133,7 +133,7 @@
 
 private val json = Json { encodeDefaults = true }
 
-/** Large enough for a plan with several thousand adapters. */
-private const val MAXIMUM_BODY_BYTES = 16 shl 20
+/** Longest body of a request to the administration listener; enough for a plan with several thousand adapters. */
+internal const val MAXIMUM_PLAN_BYTES = 16 shl 20
 private const val DEFAULT_AUDIT_ENTRIES = 100
 private const val MAXIMUM_AUDIT_ENTRIES = 1_000
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
@@ -54,6 +54,9 @@
 /** Handles one request and writes its response to a [ResponseWriter]. */
 internal fun interface CallerHandler {
     suspend fun handle(request: CallerRequest, writer: ResponseWriter)
+
+    /** The response to a request that was refused before it had been read. */
+    fun render(failure: Failure): RenderedFailure = renderText(failure)
 }
 
 internal class CallerConnection(
@@ -281,7 +284,7 @@
     private suspend fun refuse(writer: ResponseWriter, failure: Failure): Boolean {
         if (failure.kind != ErrorKind.INTERNAL) refusals.refused(failure, requests)
         writer.closeAfterResponse()
-        writer.respondFailure(failure)
+        writer.respondFailure(failure, handler.render(failure))
         isAnswered = true
         return false
     }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ResponseWriter.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/ResponseWriter.kt
@@ -89,11 +89,10 @@
     }
 
     /** Writes a complete response that tells the caller of [failure]. */
-    suspend fun respondFailure(failure: Failure) {
-        val message = failure.message.encodeToByteArray()
+    suspend fun respondFailure(failure: Failure, rendered: RenderedFailure = renderText(failure)) {
         // A caller of an unknown method can take a length for that of a body that follows.
-        val statedLength = if (requestMethod == null) 0 else message.size.toLong()
-        respond(failure.kind.status, failureHeaders(failure), message, statedLength)
+        val statedLength = if (requestMethod == null) 0 else rendered.body.size.toLong()
+        respond(failure.kind.status, rendered.headers, rendered.body, statedLength)
     }
 
     /** Starts a response of unknown length with chunked transfer coding. */
@@ -143,10 +142,18 @@
     }.encodeToByteArray()
 }
 
-private fun failureHeaders(failure: Failure): List<Pair<String, String>> = buildList {
-    add("Content-Type" to "text/plain")
-    val retryAfterMillis = failure.retryAfterMillis ?: return@buildList
-    add("Retry-After" to "%.3f".format(java.util.Locale.ROOT, retryAfterMillis / MILLIS_PER_SECOND))
+/** The headers and the body of a response that tells of a failure. */
+internal class RenderedFailure(val headers: List<Pair<String, String>>, val body: ByteArray)
+
+/** The message of [failure] as text, with the time to wait in fractions of a second. */
+internal fun renderText(failure: Failure): RenderedFailure {
+    val retryAfter = failure.retryAfterMillis?.let { millis ->
+        "Retry-After" to "%.3f".format(java.util.Locale.ROOT, millis / MILLIS_PER_SECOND)
+    }
+    return RenderedFailure(
+        listOfNotNull("Content-Type" to "text/plain", retryAfter),
+        failure.message.encodeToByteArray(),
+    )
 }
 
 private fun reason(status: Int) = io.ktor.http.HttpStatusCode.fromValue(status).description
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/metrics/Metrics.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/metrics/Metrics.kt
@@ -44,6 +44,8 @@
     private val loadWaitSeconds = histogram("lentilquay_load_wait_seconds", "Time requests waited for a load")
     private val orders = counter("lentilquay_orders", "Orders to engines", "kind", "outcome")
     private val reservations = counter("lentilquay_reservations", "Polls for a reservation", "outcome")
+    private val callerRefusals =
+        counter("lentilquay_caller_refusals", "Requests refused unread, and connections closed", "reason")
     private val inProgress = gauge("lentilquay_requests_in_progress", "Callers' requests in progress")
     private val revision = gauge("lentilquay_configuration_revision", "Configuration revision in force")
     private val members = gauge("lentilquay_members", "Members as this VM sees them", "state")
@@ -82,6 +84,9 @@
 
     fun reservation(outcome: ReservationOutcome) = reservations.labelValues(outcome.label).inc()
 
+    /** Counts a caller that was refused for [reason] before its request had been read. */
+    fun callerRefused(reason: String) = callerRefusals.labelValues(reason).inc()
+
     fun configurationRevision(number: Long) = revision.set(number.toDouble())
 
     /** Sets the number of members in each state; states that are absent from [counts] have no members. */
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/metrics/ProcessMetrics.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/metrics/ProcessMetrics.kt
@@ -17,6 +17,11 @@
     (ManagementFactory.getOperatingSystemMXBean() as? com.sun.management.OperatingSystemMXBean)
         ?.processCpuTime?.takeIf { it >= 0 }
 
+/** The most descriptors that this process may have open. */
+internal fun processDescriptors(): Int =
+    (ManagementFactory.getOperatingSystemMXBean() as? com.sun.management.UnixOperatingSystemMXBean)
+        ?.maxFileDescriptorCount?.coerceAtMost(Int.MAX_VALUE.toLong())?.toInt() ?: Int.MAX_VALUE
+
 internal fun registerProcessMetrics(registry: PrometheusRegistry) {
     val runtime = ManagementFactory.getRuntimeMXBean()
     val memory = ManagementFactory.getMemoryMXBean()
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/requests/Answers.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/requests/Answers.kt
@@ -11,6 +11,7 @@
 import io.ktor.server.response.header
 import io.ktor.server.response.respondText
 import kotlinx.serialization.json.Json
+import org.lentilquay.daemon.gateway.RenderedFailure
 import org.lentilquay.protocol.ErrorBody
 import org.lentilquay.protocol.ErrorDetail
 import org.lentilquay.state.Failure
@@ -33,9 +34,7 @@
 
 /** Responds to the call with [failure]. */
 suspend fun ApplicationCall.respondFailure(failure: Failure) {
-    failure.advisedWaitMillis()?.let { waitMillis ->
-        response.header(HttpHeaders.RetryAfter, ((waitMillis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND).toString())
-    }
+    failure.retryAfterSeconds()?.let { response.header(HttpHeaders.RetryAfter, it) }
     respondText(
         Json.encodeToString(failure.body()),
         ContentType.Application.Json,
@@ -43,6 +42,16 @@
     )
 }
 
+/** The response to a request that was refused with [failure] before it had been read. */
+internal fun renderFailure(failure: Failure): RenderedFailure {
+    val retryAfter = failure.retryAfterSeconds()?.let { HttpHeaders.RetryAfter to it }
+    val type = HttpHeaders.ContentType to ContentType.Application.Json.toString()
+    return RenderedFailure(listOfNotNull(type, retryAfter), Json.encodeToString(failure.body()).encodeToByteArray())
+}
+
+private fun Failure.retryAfterSeconds(): String? =
+    advisedWaitMillis()?.let { ((it + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND).toString() }
+
 private fun Failure.advisedWaitMillis(): Long? =
     if (kind.advice == RetryAdvice.RETRY_AFTER) retryAfterMillis ?: DEFAULT_RETRY_AFTER_MILLIS else null
 
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/requests/CallerApi.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/requests/CallerApi.kt
@@ -13,6 +13,8 @@
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
 import io.ktor.server.routing.route
+import org.lentilquay.daemon.requests.engine.ARRIVED_AT
+import org.lentilquay.daemon.requests.engine.monotonicMillis
 import org.lentilquay.state.ErrorKind
 import org.lentilquay.state.Failure
 import org.lentilquay.state.Outcome
@@ -29,20 +31,18 @@
     private val maximumHeaderBytes: Int,
     private val maximumRequests: Int,
 ) {
-    /** Whether new requests are accepted; false during a planned stop. */
+    /** When a planned stop began to refuse requests; null before. */
     @Volatile
-    var isOpen: Boolean = true
+    private var closedAt: Long? = null
 
     private val admittedCount = AtomicInteger()
-    private val bodiesBeingRead = AtomicInteger()
-
-    /**
-     * Whether accepted requests are in progress, from the check of the head to the end of the handling. Requests whose
-     * body is still being read count only if [includesBodies].
-     */
-    fun hasRequests(includesBodies: Boolean): Boolean {
-        val admitted = admittedCount.get()
-        return if (includesBodies) admitted > 0 else admitted > bodiesBeingRead.get()
+
+    /** Whether accepted requests are in progress, from the check of the head to the end of the handling. */
+    val hasRequests: Boolean get() = admittedCount.get() > 0
+
+    /** Refuses requests whose heads arrive from now on. */
+    fun close() {
+        closedAt = monotonicMillis()
     }
 
     /** Reads the request of [call] and passes it to [handle], or responds with the failure that rejects it. */
@@ -55,7 +55,7 @@
     suspend fun read(call: ApplicationCall): Outcome<CallerRequest> {
         val refusal = refusal(call)
         if (refusal != null) return Outcome.Failed(refusal)
-        val body = when (val read = readCounted(call)) {
+        val body = when (val read = call.readBody(maximumBodyBytes)) {
             is Outcome.Failed -> return read
             is Outcome.Success -> read.value
         }
@@ -70,7 +70,7 @@
     }
 
     private suspend fun readAndHandle(call: ApplicationCall, handle: suspend (CallerRequest) -> Unit): Failure? {
-        // Counted before isOpen is read: a planned stop sets isOpen first and then reads the count, so it misses none.
+        // Counted before closedAt is read: a planned stop sets it first and then reads the count, so it misses none.
         admittedCount.incrementAndGet()
         try {
             return when (val read = read(call)) {
@@ -85,17 +85,15 @@
         }
     }
 
-    private suspend fun readCounted(call: ApplicationCall): Outcome<ByteArray> {
-        bodiesBeingRead.incrementAndGet()
-        return try {
-            call.readBody(maximumBodyBytes)
-        } finally {
-            bodiesBeingRead.decrementAndGet()
-        }
+    /** Whether the head of the request arrived after a planned stop had begun to refuse requests. */
+    private fun hasArrivedLate(call: ApplicationCall): Boolean {
+        val closed = closedAt ?: return false
+        return (call.attributes.getOrNull(ARRIVED_AT) ?: closed) >= closed
     }
 
     private fun refusal(call: ApplicationCall): Failure? = when {
-        !isOpen -> Failure(ErrorKind.SHUTTING_DOWN, "this VM is stopping; send the request again")
+        hasArrivedLate(call) ->
+            Failure(ErrorKind.SHUTTING_DOWN, "this VM is stopping; send the request again")
         activeCalls.count >= maximumRequests ->
             Failure(ErrorKind.OVERLOADED, "this VM already has $maximumRequests requests in progress")
         (call.request.contentLength() ?: 0) > maximumBodyBytes -> bodyTooLarge(maximumBodyBytes).failure
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/settings/Settings.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/settings/Settings.kt
@@ -79,6 +79,12 @@
     val headerBytes: Int = 16_384,
     /** The maximum number of concurrent requests on this VM. */
     val concurrentRequests: Int = 2_048,
+    /** The maximum number of callers' connections; null means as many as descriptors and heap allow. */
+    val connections: Int? = null,
+    /** The time within which the head of a request must arrive. */
+    val headerMillis: Long = 10_000,
+    /** The time after which a connection without a request is closed, and the longest pause within a body. */
+    val idleMillis: Long = 45_000,
 )
 
 /** Intervals, timeouts and validity times, in milliseconds. */
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/settings/SettingsRules.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/settings/SettingsRules.kt
@@ -74,6 +74,9 @@
             "must be at least $MINIMUM_HEADER_BYTES"
         }
         positive("limits.concurrentRequests", settings.limits.concurrentRequests.toLong())
+        settings.limits.connections?.let { positive("limits.connections", it.toLong()) }
+        positive("limits.headerMillis", settings.limits.headerMillis)
+        positive("limits.idleMillis", settings.limits.idleMillis)
         positive("platform.timeoutMillis", settings.platform.timeoutMillis)
         positive("platform.concurrentCalls", settings.platform.concurrentCalls.toLong())
         positive("weightStore.parallelLoads", settings.weightStore.parallelLoads.toLong())
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/requests/RequestBodiesTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/requests/RequestBodiesTest.kt
@@ -2,12 +2,12 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
-import io.ktor.server.cio.CIO
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.post
 import io.ktor.server.routing.routing
 import kotlinx.coroutines.runBlocking
+import org.lentilquay.daemon.requests.engine.CallerEngineFactory
 import org.lentilquay.state.Outcome
 import java.net.Socket
 import java.util.concurrent.LinkedBlockingQueue
@@ -21,7 +21,7 @@
 /** Guards against requests with a part of their body that are run because the connection ended before the rest. */
 class RequestBodiesTest : FunSpec({
     val results = LinkedBlockingQueue<String>()
-    val server = embeddedServer(CIO, port = 0, host = "127.0.0.1") {
+    val server = embeddedServer(CallerEngineFactory, port = 0, host = "127.0.0.1") {
         routing {
             post("/") {
                 val read = call.readBody(maximumBytes = 100)
--- a/daemon/src/test/kotlin/org/lentilquay/daemon/requests/ServiceReplyTest.kt
+++ b/daemon/src/test/kotlin/org/lentilquay/daemon/requests/ServiceReplyTest.kt
@@ -3,8 +3,6 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldStartWith
-import io.ktor.server.application.install
-import io.ktor.server.cio.CIO
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.routing.route
 import io.ktor.server.routing.routing
@@ -13,6 +11,7 @@
 import org.lentilquay.coordination.idempotency.IdempotencyDecider
 import org.lentilquay.coordination.quota.Charge
 import org.lentilquay.daemon.metrics.Metrics
+import org.lentilquay.daemon.requests.engine.CallerEngineFactory
 import org.lentilquay.daemon.timer.ControlThread
 import org.lentilquay.state.Configuration
 import org.lentilquay.state.Incarnation
@@ -76,8 +75,7 @@
     ): List<String> = answering(status, "parts", headers).use { service ->
         val services = handler(service, control)
         val limiter = RequestLimiter(ActiveCalls(), 1_000, 1_000, 10)
-        val server = embeddedServer(CIO, port = 0, host = "127.0.0.1") {
-            install(BodilessResponses)
+        val server = embeddedServer(CallerEngineFactory, port = 0, host = "127.0.0.1") {
             routing {
                 route("/services/{route}/{path...}") {
                     handle { services.handle((limiter.read(call) as Outcome.Success).value) }
