Begin to handle a request before its caller is watched

Callers: one that ends its output right after a request got no answer at times, also where the answer needs no wait, such as a refusal.

Cause: the handling of a request and the watch for the end of its caller's output were started side by side; when the watch ran first, it cancelled the handling before that had begun.

Change: the handling runs up to its first wait before the watch is started. A request that waits, for a server or for memory, is cancelled as before when its caller leaves.

--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
@@ -6,6 +6,7 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.ktor.utils.io.writeFully
+import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
@@ -267,9 +268,12 @@
         return writer.isReusable && !head.head.isClosing
     }
 
-    /** Runs [block], and cancels it when the caller closes the connection. */
+    /**
+     * Runs [block], and cancels it when the caller closes the connection. It begins before the caller is watched, so
+     * that a response that needs no wait reaches a caller that ends its output with the request.
+     */
     private suspend fun cancelOnDisconnect(block: suspend () -> Unit) = coroutineScope {
-        val work = launch { block() }
+        val work = launch(start = CoroutineStart.UNDISPATCHED) { block() }
         this@CallerConnection.work = work
         val watch = launch {
             val content = runSuspendCatching { connection.input.awaitContent() }
