Let bodies with a length go before those without, and keep those that wait

Callers: beside 120 callers whose chunked bodies stop short, and other load on the machine, an ordinary request of 100 kB got no answer within 60 s.

Cause: a chunked body counted with the memory that it held, so all that had arrived in part went before an ordinary one with a length; when they were refused they came back and did so again. An ordinary body that waited for memory for over a second looked like one that had stopped, and its connection was closed for a new one.

The gateway's log has 777 refusals for want of memory and 180 connections closed for want of room, and no line of the ordinary request.

Change: bodies of unknown length wait behind those with one, in the order of their age.

The product's own interface was not run with it. ArrivingBodiesTest and ConnectionLimitTest have the cases.

--- a/core/src/main/kotlin/org/lentilquay/coordination/callers/ArrivingBodies.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/callers/ArrivingBodies.kt
@@ -1,9 +1,9 @@
 /*
  * Divides the memory for request bodies among the requests that are arriving or being handled. A body takes memory in
  * step with its arrival, whatever length it announces. Short and long bodies have parts of their own. While a part is
- * used up, its bodies wait: the shorter ones go on first, then those that began earlier. One long body at a time may
- * use a reserve, so that bodies that have each arrived in part do not wait for each other. While others wait, a body
- * whose caller has fallen silent or is very slow gives way.
+ * used up, its bodies wait: the shorter ones go on first, those of unknown length last, and earlier ones before later
+ * ones. One long body at a time may use a reserve, so that bodies that have each arrived in part do not wait for each
+ * other. While others wait, a body whose caller has fallen silent or is very slow gives way.
  *
  * Times are monotonic milliseconds. Not thread-safe.
  */
@@ -35,7 +35,7 @@
     private val short = Part((maximumBytes * SHORT_SHARE).toLong())
     private val long = Part((maximumBytes * LONG_SHARE).toLong())
     private val reserveBytes = maximumBytes - short.maximumBytes - long.maximumBytes
-    private val order = compareBy<Body>({ it.length ?: it.heldBytes }, { it.startedAt })
+    private val order = compareBy<Body>({ it.length ?: Long.MAX_VALUE }, { it.startedAt })
 
     /** The long body that may use the reserve. */
     private var reserveOwner: Body? = null
--- a/core/src/main/kotlin/org/lentilquay/coordination/callers/ConnectionLimit.kt
+++ b/core/src/main/kotlin/org/lentilquay/coordination/callers/ConnectionLimit.kt
@@ -29,6 +29,9 @@
     IDLE,
     READING_HEAD,
     READING_BODY,
+
+    /** A part of the body has arrived and waits for memory, for a limited time. */
+    WAITING_FOR_MEMORY,
     HANDLING,
 }
 
@@ -55,7 +58,8 @@
 fun <T> roomForConnection(connections: Iterable<T>, now: Long, stateOf: (T) -> ConnectionState): RoomDecision<T> {
     val open = connections.map { it to stateOf(it) }.filter { (_, state) -> state.stage != ConnectionStage.HANDLING }
     if (open.isEmpty()) return RoomDecision.Refuse
-    return open.filter { (_, state) -> now - state.since >= SENDING_MILLIS }
+    return open.filter { (_, state) -> state.stage != ConnectionStage.WAITING_FOR_MEMORY }
+        .filter { (_, state) -> now - state.since >= SENDING_MILLIS }
         .minWithOrNull(compareBy({ (_, state) -> state.stage }, { (_, state) -> state.since }))
         ?.let { (connection, _) -> RoomDecision.Close(connection) }
         ?: RoomDecision.Wait
--- a/core/src/test/kotlin/org/lentilquay/coordination/callers/ArrivingBodiesTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/callers/ArrivingBodiesTest.kt
@@ -102,6 +102,15 @@
         shorts.count { memory.tryGrow(it, 20_000, now = 4) } shouldBe (SHORT_PART / 20_000).toInt()
     }
 
+    test("a body with a length goes before many of unknown length that have arrived in part") {
+        val memory = ArrivingBodies(MAXIMUM)
+        val chunked = List(60) { Body(null, startedAt = it.toLong()) }
+        repeat(10) { chunked.forEach { memory.tryGrow(it, BLOCK, now = 100) } }
+        val ordinary = Body(LONG / 2, startedAt = 200)
+        memory.tryGrow(ordinary, BLOCK, now = 200) shouldBe false
+        memory.waiting.first() shouldBe ordinary
+    }
+
     test("short bodies that stop short give way to others") {
         val memory = ArrivingBodies(MAXIMUM)
         val silent = List((SHORT_PART / 25_000).toInt()) { Body(26_000, startedAt = 0) }
--- a/core/src/test/kotlin/org/lentilquay/coordination/callers/ConnectionLimitTest.kt
+++ b/core/src/test/kotlin/org/lentilquay/coordination/callers/ConnectionLimitTest.kt
@@ -7,6 +7,7 @@
 import org.lentilquay.coordination.callers.ConnectionStage.IDLE
 import org.lentilquay.coordination.callers.ConnectionStage.READING_BODY
 import org.lentilquay.coordination.callers.ConnectionStage.READING_HEAD
+import org.lentilquay.coordination.callers.ConnectionStage.WAITING_FOR_MEMORY
 import org.lentilquay.coordination.callers.RoomDecision.Close
 
 /** Guards against a crowd of connections without requests that keeps ordinary callers from connecting. */
@@ -33,6 +34,11 @@
         room(2_000, IDLE to 1_500, READING_HEAD to 1_001, HANDLING to 0) shouldBe RoomDecision.Wait
     }
 
+    test("a body that waits for memory is not taken for one that has stopped") {
+        room(2_000, WAITING_FOR_MEMORY to 500, READING_BODY to 900) shouldBe Close(READING_BODY to 900L)
+        room(2_000, WAITING_FOR_MEMORY to 500, HANDLING to 0) shouldBe RoomDecision.Wait
+    }
+
     test("requests in progress are never closed") {
         room(60_000, HANDLING to 0, HANDLING to 1) shouldBe RoomDecision.Refuse
     }
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/CallerConnection.kt
@@ -120,6 +120,7 @@
 
     /** Closes this connection at once, to make room for another one. */
     fun closeForRoom() {
+        enter(ConnectionStage.ENDING)
         connection.endOutputIfIdle()
         connection.close()
     }
@@ -248,7 +249,7 @@
             enter(ConnectionStage.READING_BODY)
             unreadBytes = minOf(length ?: Long.MAX_VALUE, limits.bodyBytes.toLong()) + MAXIMUM_UNREAD_BYTES
             val body = connection.input.within({ maximumBodyMillis }, limits.bodyBytes + MAXIMUM_LATE_BYTES) {
-                readRequestBody(connection.input, head.framing, limits, memory) { enter(ConnectionStage.READING_BODY) }
+                readRequestBody(connection.input, head.framing, limits, memory, ::enter)
             }
             reading = null
             enter(ConnectionStage.HANDLING)
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayListener.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/GatewayListener.kt
@@ -24,6 +24,9 @@
 /** Interval at which a new connection that waits for room looks for some; others wait in the queue of the system. */
 private const val ROOM_POLL_MILLIS = 20L
 
+/** Interval at which the acceptor looks whether a connection that it has closed has given up its descriptor. */
+private const val CLOSE_POLL_MILLIS = 1L
+
 /** Longest time for which a caller may keep a write of its response waiting. */
 private const val MAXIMUM_WRITE_MILLIS = 10_000L
 
@@ -123,9 +126,9 @@
             val open = connections.size
             when (val decision = roomForConnection(connections, now()) { it.state }) {
                 is RoomDecision.Close -> {
-                    connections -= decision.connection
                     capacity.refusals.closedForRoom(decision.connection.state.stage.name.lowercase(), open)
                     decision.connection.closeForRoom()
+                    while (decision.connection in connections) delay(CLOSE_POLL_MILLIS)
                 }
                 RoomDecision.Wait -> delay(ROOM_POLL_MILLIS)
                 RoomDecision.Refuse -> {
--- a/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestBody.kt
+++ b/daemon/src/main/kotlin/org/lentilquay/daemon/gateway/RequestBody.kt
@@ -7,6 +7,7 @@
 import kotlinx.io.Buffer
 import kotlinx.io.IOException
 import kotlinx.io.readByteArray
+import org.lentilquay.coordination.callers.ConnectionStage
 import org.lentilquay.state.ErrorKind
 import org.lentilquay.state.Failure
 import org.lentilquay.state.gateway.CallerLimits
@@ -32,20 +33,20 @@
 
 /**
  * Reads the body that follows in [input], with [memory] for it. Throws an [IOException] if the body is cut off or the
- * caller sends no part of it for the idle timeout. [onPart] is called after each part.
+ * caller sends no part of it for the idle timeout. [onStage] is told where each part is.
  */
 internal suspend fun readRequestBody(
     input: TimedInput,
     framing: BodyFraming,
     limits: CallerLimits,
     memory: RequestBodyBudget.Reservation,
-    onPart: () -> Unit = {},
+    onStage: (ConnectionStage) -> Unit = {},
 ): RequestBodyResult {
     val length = (framing as? BodyFraming.Length)?.bytes
     return when {
         length == 0L -> RequestBodyResult.Read(NO_BYTES)
         length != null && length > limits.bodyBytes -> tooLong(limits)
-        else -> readParts(input, framing, limits, memory, onPart)
+        else -> readParts(input, framing, limits, memory, onStage)
     }
 }
 
@@ -54,7 +55,7 @@
     framing: BodyFraming,
     limits: CallerLimits,
     memory: RequestBodyBudget.Reservation,
-    onPart: () -> Unit,
+    onStage: (ConnectionStage) -> Unit,
 ): RequestBodyResult {
     val reader = BodyReader(input, framing)
     val collected = Buffer()
@@ -64,9 +65,10 @@
         while (true) {
             val part = input.within(idleMillis) { reader.next() } ?: break
             if (collected.size + part.size > limits.bodyBytes) return tooLong(limits)
+            onStage(ConnectionStage.WAITING_FOR_MEMORY)
             if (!memory.growTo(collected.size + part.size)) return noMemory()
+            onStage(ConnectionStage.READING_BODY)
             collected.write(part)
-            onPart()
             // The bytes of one caller can arrive faster than they are read.
             if (++parts % PARTS_AT_ONCE == 0) yield()
         }
